Add the thin path: daemon, command line, stand-ins, first measurement

Cause: nothing existed. Change: the workspace, the injected interfaces (time, randomness, platform, peers), the verdict type, a daemon that serves callers from targets by an accepted document, the operators' command line, stand-ins for platform and targets, the demo and the overhead measurement.

--- /dev/null
+++ b/packages/callers/src/accounts/identifyAccount.ts
@@ -0,0 +1,29 @@
+import type { IncomingMessage } from 'node:http'
+import type { AccountLimits, EnvironmentDocument } from '@lovagehoist/common'
+
+/** A caller's account with its limits. */
+export interface Account {
+  readonly id: string
+  readonly limits: AccountLimits
+  readonly isListed: boolean
+}
+
+/** Account that all callers without a listed one share. */
+const UNLISTED_ACCOUNT_ID = 'unlisted'
+
+/**
+ * Identifies the account of a request.
+ *
+ * @param document - Document in force.
+ * @param request - Request of the caller.
+ * @returns The account; undefined when the document refuses callers that it does not list.
+ */
+export const identifyAccount = (document: EnvironmentDocument, request: IncomingMessage): Account | undefined => {
+  const { header, entries, unlisted } = document.accounts
+  const value = request.headers[header.toLowerCase()]
+  const id = typeof value === 'string' ? value : undefined
+  const limits = id !== undefined && Object.hasOwn(entries, id) ? entries[id] : undefined
+  if (id !== undefined && limits !== undefined) return { id, limits, isListed: true }
+  if (unlisted === 'refuse') return undefined
+  return { id: UNLISTED_ACCOUNT_ID, limits: document.accounts.default, isListed: false }
+}
--- /dev/null
+++ b/packages/common/src/log/log.ts
@@ -0,0 +1,92 @@
+/* eslint-disable no-restricted-globals -- Date formats the time given by the injected clock */
+import { createConsola } from 'consola'
+import type { ConsolaInstance, LogObject } from 'consola'
+import type { Clock } from '../time/clock.js'
+
+/** Severity from which lines are written. */
+export type LogLevel = 'error' | 'warn' | 'info' | 'debug'
+
+/** Shape of the lines: one JSON object each, or text for a terminal. */
+export type LogFormat = 'json' | 'pretty'
+
+/** Structured fields of a line. */
+export type LogFields = Readonly<Record<string, unknown>>
+
+/** Writes lines on changes of state; counters carry the rest. */
+export interface Log {
+  readonly error: (message: string, fields?: LogFields) => void
+  readonly warn: (message: string, fields?: LogFields) => void
+  readonly info: (message: string, fields?: LogFields) => void
+  readonly debug: (message: string, fields?: LogFields) => void
+  /**
+   * Derives a log for a part of the program.
+   *
+   * @param part - Name of the part, written with each line.
+   */
+  readonly child: (part: string) => Log
+}
+
+/** Where lines go and which are written. */
+export interface LogOptions {
+  readonly level: LogLevel
+  readonly format: LogFormat
+  readonly clock: Clock
+  readonly write: (line: string) => void
+}
+
+const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 }
+
+const partsOf = (entry: LogObject): { readonly message: string, readonly fields: LogFields | undefined } => {
+  const [message, fields] = entry.args as readonly unknown[]
+  return { message: String(message), fields: fields as LogFields | undefined }
+}
+
+const renderers: Readonly<Record<LogFormat, (entry: LogObject, atMs: number) => string>> = {
+  json: (entry, atMs) => {
+    const { message, fields } = partsOf(entry)
+    return JSON.stringify({ at: new Date(atMs).toISOString(), level: entry.type, part: entry.tag, message, ...fields })
+  },
+  pretty: (entry, atMs) => {
+    const { message, fields } = partsOf(entry)
+    const suffix = fields === undefined ? '' : ` ${JSON.stringify(fields)}`
+    return `${new Date(atMs).toISOString()} ${entry.type.padEnd(5)} ${entry.tag}: ${message}${suffix}`
+  }
+}
+
+const wrap = (consola: ConsolaInstance): Log => {
+  const writer = (type: LogLevel) => (message: string, fields?: LogFields): void => {
+    if (fields === undefined) consola[type](message)
+    else consola[type](message, fields)
+  }
+  return {
+    error: writer('error'),
+    warn: writer('warn'),
+    info: writer('info'),
+    debug: writer('debug'),
+    child: part => wrap(consola.withTag(part))
+  }
+}
+
+/**
+ * Creates a log.
+ *
+ * @param options - Level, format, clock and sink.
+ * @returns The log.
+ */
+export const createLog = (options: LogOptions): Log => {
+  const reporter = {
+    log: (entry: LogObject): void => {
+      options.write(`${renderers[options.format](entry, options.clock.wallMs())}\n`)
+    }
+  }
+  return wrap(createConsola({ level: CONSOLA_LEVELS[options.level], reporters: [reporter], throttle: 0 }))
+}
+
+/** A log that drops every line. */
+export const silentLog: Log = {
+  error: () => {},
+  warn: () => {},
+  info: () => {},
+  debug: () => {},
+  child: () => silentLog
+}
--- /dev/null
+++ b/packages/common/src/random/random.ts
@@ -0,0 +1,13 @@
+/** Source of randomness for every part below the composition root. */
+export interface Random {
+  /** Uniform number in [0, 1). */
+  readonly next: () => number
+  /**
+   * Uniform integer.
+   *
+   * @param limit - Exclusive upper bound, at least 1.
+   */
+  readonly int: (limit: number) => number
+  /** 128 random bits as 32 lower-case hexadecimal digits. */
+  readonly id: () => string
+}
--- /dev/null
+++ b/packages/common/src/testing/index.ts
@@ -0,0 +1,2 @@
+export * from './manualClock.js'
+export * from './matchSnapshot.js'
--- /dev/null
+++ b/packages/common/src/testing/manualClock.ts
@@ -0,0 +1,90 @@
+import type { CancelTimer, Clock } from '../time/clock.js'
+
+interface Timer {
+  readonly atMs: number
+  readonly order: number
+  readonly run: () => void
+}
+
+/** Real turns of the event loop granted to continuations after each timer. */
+const SETTLE_TURNS = 8
+
+const settle = async (): Promise<void> => {
+  for (let turn = 0; turn < SETTLE_TURNS; turn++) {
+    // eslint-disable-next-line no-restricted-globals -- yields to pending continuations without passing time
+    await new Promise<void>(resolve => { setImmediate(resolve) })
+  }
+}
+
+/** A clock that moves only when a test moves it. */
+export class ManualClock implements Clock {
+  private readonly timers = new Set<Timer>()
+  private nowMs = 0
+  private nextOrder = 0
+
+  private constructor (private readonly epochMs: number) {}
+
+  /**
+   * Creates a clock at monotonic time 0.
+   *
+   * @param epochMs - Wall-clock time of the start, in milliseconds since the Unix epoch.
+   * @returns The clock.
+   */
+  static create (epochMs = 1_800_000_000_000): ManualClock {
+    return new ManualClock(epochMs)
+  }
+
+  readonly monotonicMs = (): number => this.nowMs
+
+  readonly wallMs = (): number => this.epochMs + this.nowMs
+
+  readonly after = (durationMs: number, run: () => void): CancelTimer => {
+    const timer: Timer = { atMs: this.nowMs + Math.max(0, durationMs), order: this.nextOrder++, run }
+    this.timers.add(timer)
+    return () => { this.timers.delete(timer) }
+  }
+
+  readonly sleepMs = async (durationMs: number, signal?: AbortSignal): Promise<void> => {
+    if (signal?.aborted === true) return
+    await new Promise<void>(resolve => {
+      const finish = (): void => {
+        cancel()
+        signal?.removeEventListener('abort', finish)
+        resolve()
+      }
+      const cancel = this.after(durationMs, finish)
+      signal?.addEventListener('abort', finish, { once: true })
+    })
+  }
+
+  /**
+   * Moves time on, running due timers in order and letting their continuations run.
+   *
+   * @param durationMs - Time to pass.
+   */
+  async advanceMs (durationMs: number): Promise<void> {
+    const endMs = this.nowMs + durationMs
+    await settle()
+    for (let timer = this.nextDue(endMs); timer !== undefined; timer = this.nextDue(endMs)) {
+      this.timers.delete(timer)
+      this.nowMs = Math.max(this.nowMs, timer.atMs)
+      timer.run()
+      await settle()
+    }
+    this.nowMs = endMs
+  }
+
+  /** Moves time on without running timers, as a paused process sees it. */
+  jumpMs (durationMs: number): void {
+    this.nowMs += durationMs
+  }
+
+  private nextDue (endMs: number): Timer | undefined {
+    let first: Timer | undefined
+    for (const timer of this.timers) {
+      if (timer.atMs > endMs) continue
+      if (first === undefined || timer.atMs < first.atMs || (timer.atMs === first.atMs && timer.order < first.order)) first = timer
+    }
+    return first
+  }
+}
--- /dev/null
+++ b/packages/common/src/text/readJsonc.spec.ts
@@ -0,0 +1,36 @@
+import { loadDocument } from '../document/loadDocument.js'
+import { loadSettings } from '../settings/loadSettings.js'
+import { expectSnapshot } from '../testing/matchSnapshot.js'
+import { formatLocatedError } from './locatedError.js'
+
+const faultsOf = (result: ReturnType<typeof loadDocument> | ReturnType<typeof loadSettings>): readonly string[] =>
+  result.isErr() ? result.error.map(formatLocatedError) : []
+
+describe('located faults', () => {
+  it('name line, column, field and what was expected', function () {
+    const text = `{
+  // A document with several faults.
+  "schemaVersion": 2,
+  "deployment": "Umuriro",
+  "services": { "sackpay": { "plannedTargets": 2, "slotsPerTarget": 6, "floorSlots": "x", "colour": 1 } },
+  "routes": [{ "id": "pay", "methods": ["POST"], "path": "pay", "service": "sackpay" }]
+}`
+    expectSnapshot(this, faultsOf(loadDocument('umuriro.jsonc', text)))
+  })
+
+  it('cover rules between fields', function () {
+    const text = `{
+  "schemaVersion": 1, "deployment": "umuriro",
+  "services": { "sackpay": { "plannedTargets": 2, "slotsPerTarget": 6, "floorSlots": 13, "connectionsPerTarget": 300 } },
+  "routes": [
+    { "id": "pay", "methods": ["POST"], "path": "/pay", "service": "sackpay" },
+    { "id": "pay", "methods": ["GET"], "path": "/burns", "service": "burnbook" }
+  ]
+}`
+    expectSnapshot(this, faultsOf(loadDocument('umuriro.jsonc', text)))
+  })
+
+  it('cover broken JSON', function () {
+    expectSnapshot(this, faultsOf(loadSettings('daemon.jsonc', '{ "instance": ')))
+  })
+})
--- /dev/null
+++ b/packages/common/src/verdict/outcome.ts
@@ -0,0 +1,16 @@
+/** Classified end of one try at a target; the key of every outcome handler table. */
+export type OutcomeKind =
+  | 'ok'
+  | 'refused'
+  | 'reset'
+  | 'timeout'
+  | 'broken-answer'
+  | 'server-error'
+  | 'slow'
+  | 'shed'
+  | 'caller-fault'
+  | 'cancelled'
+  | 'deadline-too-short'
+  | 'poison'
+  | 'silent-connection'
+  | 'zone-unreachable'
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+export * from './compose/daemon.js'
+export * from './compose/world.js'
--- /dev/null
+++ b/packages/operators/bin/lovagehoist.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { main } from '../dist/cli/main.js'
+
+process.exitCode = await main(process.argv)
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,1 @@
+export * from './solo/soloPeerBus.js'
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,5 @@
+export * from './createPlatform.js'
+export * from './call/callPlatform.js'
+export * from './table/tableClient.js'
+export * from './objects/objectClient.js'
+export * from './directory/directoryClient.js'
--- /dev/null
+++ b/packages/standins/src/measure/documents.ts
@@ -0,0 +1,39 @@
+import type { JsonValue } from '@lovagehoist/common'
+import { DRAIN_HEADER, SHED_HEADER, SHED_STATUS } from '../target/targetStandin.js'
+
+/** A service of a measured document. */
+export interface MeasuredService {
+  readonly plannedTargets: number
+  readonly slotsPerTarget: number
+  readonly floorSlots: number
+  readonly profile?: 'fast' | 'careful'
+}
+
+const CONNECTIONS_PER_TARGET = 300
+
+const readRoute = (service: string): JsonValue =>
+  ({ id: `${service}-read`, methods: ['GET'], path: `/${service}/read/*`, service, isIdempotent: true })
+
+const payRoute = (service: string): JsonValue =>
+  ({ id: `${service}-pay`, methods: ['POST'], path: `/${service}/pay/*`, service, priority: 'payment', keyHeader: 'Idempotency-Key' })
+
+const serviceConfig = (service: MeasuredService): JsonValue => ({
+  ...service,
+  connectionsPerTarget: CONNECTIONS_PER_TARGET,
+  shedAnswer: { status: SHED_STATUS, header: SHED_HEADER },
+  drainHeader: DRAIN_HEADER
+})
+
+/**
+ * Makes a document with two routes for each service: `GET /SERVICE/read/*` is idempotent, `POST /SERVICE/pay/*` is not.
+ *
+ * @param services - Services by name.
+ * @returns The document.
+ */
+export const measuredDocument = (services: Readonly<Record<string, MeasuredService>>): JsonValue => ({
+  schemaVersion: 1,
+  deployment: 'measured',
+  accounts: { default: { maxInFlight: 100_000 } },
+  services: Object.fromEntries(Object.entries(services).map(([name, service]) => [name, serviceConfig(service)])),
+  routes: Object.keys(services).flatMap(name => [readRoute(name), payRoute(name)])
+})
--- /dev/null
+++ b/packages/standins/src/measure/processUsage.ts
@@ -0,0 +1,25 @@
+import { readFile } from 'node:fs/promises'
+import type { DaemonProcess } from '../process/daemonProcess.js'
+
+/** Clock ticks a second in the kernel's process statistics. */
+const TICKS_PER_SECOND = 100
+/** Positions of user and system time after the process name in /proc/PID/stat. */
+const USER_TIME_INDEX = 11
+const SYSTEM_TIME_INDEX = 12
+
+const cpuSecondsOfProcess = async (pid: number): Promise<number> => {
+  const text = await readFile(`/proc/${pid}/stat`, 'utf8')
+  const fields = text.slice(text.lastIndexOf(')') + 2).split(' ')
+  return (Number(fields[USER_TIME_INDEX]) + Number(fields[SYSTEM_TIME_INDEX])) / TICKS_PER_SECOND
+}
+
+/**
+ * Reads the processor time that daemons have used.
+ *
+ * @param daemons - Running daemons.
+ * @returns The sum in seconds.
+ */
+export const cpuSecondsOf = async (daemons: readonly DaemonProcess[]): Promise<number> => {
+  const seconds = await Promise.all(daemons.map(async daemon => await cpuSecondsOfProcess(daemon.pid)))
+  return seconds.reduce((sum, value) => sum + value, 0)
+}
--- /dev/null
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -0,0 +1,155 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import polka from 'polka'
+import type { Clock, DirectoryEntry, Random, TableTransaction } from '@lovagehoist/common'
+import { readBytes, readJson, sendJson } from '../process/httpBody.js'
+import { PLATFORM_SWITCHES_OFF } from './platformSwitches.js'
+import type { PlatformSwitches } from './platformSwitches.js'
+import { TableState } from './tableState.js'
+
+/** Calls that the stand-in answered, by kind. */
+export interface PlatformCounts {
+  readonly reads: number
+  readonly writes: number
+  readonly directoryReads: number
+  readonly peakWritesPerSecond: number
+  readonly peakReadsPerSecond: number
+}
+
+const MS_PER_SECOND = 1_000
+
+/** Stand-in of the platform: table service, object store and list of instances over HTTP. */
+export class PlatformStandin {
+  private readonly table = TableState.create()
+  private readonly objects = new Map<string, Buffer>()
+  private readonly entries = new Map<string, DirectoryEntry>()
+  private listed: readonly DirectoryEntry[] = []
+  private switches: PlatformSwitches = PLATFORM_SWITCHES_OFF
+  private readonly perSecond = new Map<number, { readonly reads: number, readonly writes: number }>()
+  private directoryReads = 0
+
+  private constructor (private readonly clock: Clock, private readonly random: Random, private readonly server: Server) {}
+
+  /**
+   * Starts a platform on the loopback address.
+   *
+   * @param clock - Source of time.
+   * @param random - Decides which answers are lost.
+   * @param port - Port; 0 for any.
+   * @returns The stand-in, once it listens.
+   */
+  static async create (clock: Clock, random: Random, port = 0): Promise<PlatformStandin> {
+    const server = createServer()
+    const standin = new PlatformStandin(clock, random, server)
+    const app = polka({ server })
+    standin.addTableCalls(app)
+    standin.addObjectCalls(app)
+    standin.addDirectoryCalls(app)
+    await new Promise<void>(resolve => { app.listen(port, '127.0.0.1', () => { resolve() }) })
+    return standin
+  }
+
+  /** Address of the stand-in. */
+  get url (): string {
+    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  /** Changes some switches. */
+  set (switches: Partial<PlatformSwitches>): void {
+    this.switches = { ...this.switches, ...switches }
+  }
+
+  /** Adds or replaces an entry of the list of instances. */
+  register (entry: DirectoryEntry): void {
+    this.entries.set(entry.id, entry)
+    this.relist()
+  }
+
+  /** Removes an entry of the list of instances. */
+  remove (id: string): void {
+    this.entries.delete(id)
+    this.relist()
+  }
+
+  /** Calls answered so far. */
+  counts (): PlatformCounts {
+    const seconds = [...this.perSecond.values()]
+    return {
+      reads: seconds.reduce((sum, second) => sum + second.reads, 0),
+      writes: seconds.reduce((sum, second) => sum + second.writes, 0),
+      directoryReads: this.directoryReads,
+      peakReadsPerSecond: Math.max(0, ...seconds.map(second => second.reads)),
+      peakWritesPerSecond: Math.max(0, ...seconds.map(second => second.writes))
+    }
+  }
+
+  /** Stops the stand-in. */
+  async close (): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.close(() => { resolve() })
+      this.server.closeAllConnections()
+    })
+  }
+
+  private relist (): void {
+    const snapshot = [...this.entries.values()]
+    this.clock.after(this.switches.directoryLagMs, () => { this.listed = snapshot })
+  }
+
+  private addTableCalls (app: polka.Polka): void {
+    app.post('/table/get', this.guard('reads', async (request, response) => {
+      const { table, key, isFresh } = await readJson<{ table: string, key: string, isFresh: boolean }>(request)
+      sendJson(response, 200, { row: this.table.get(table, key, isFresh || this.switches.replicaLagMs === 0) ?? null })
+    }))
+    app.post('/table/list', this.guard('reads', async (request, response) => {
+      const { table, keyPrefix, isFresh } = await readJson<{ table: string, keyPrefix: string, isFresh: boolean }>(request)
+      sendJson(response, 200, { rows: this.table.list(table, keyPrefix, isFresh || this.switches.replicaLagMs === 0) })
+    }))
+    app.post('/table/transact', this.guard('writes', async (request, response) => {
+      const outcome = this.table.transact(await readJson<TableTransaction>(request))
+      this.clock.after(this.switches.replicaLagMs, () => { this.table.syncReplica() })
+      if (this.random.next() < this.switches.lostAnswerShare) response.destroy()
+      else sendJson(response, 200, outcome)
+    }))
+  }
+
+  private addObjectCalls (app: polka.Polka): void {
+    app.put('/objects/:key', this.guard('writes', async (request, response) => {
+      this.objects.set(keyOf(request), await readBytes(request))
+      sendJson(response, 200, {})
+    }))
+    app.get('/objects/:key', this.guard('reads', async (request, response) => {
+      const body = this.objects.get(keyOf(request))
+      if (body === undefined) sendJson(response, 404, {})
+      else response.end(body)
+    }))
+  }
+
+  private addDirectoryCalls (app: polka.Polka): void {
+    app.get('/directory', async (_request: IncomingMessage, response: ServerResponse) => {
+      this.directoryReads++
+      await this.clock.sleepMs(this.switches.delayMs)
+      if (this.switches.isDirectoryDown) sendJson(response, 503, {})
+      else sendJson(response, 200, { entries: this.listed })
+    })
+  }
+
+  private guard (kind: 'reads' | 'writes', run: (request: IncomingMessage, response: ServerResponse) => Promise<void>) {
+    return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+      this.count(kind)
+      if (this.switches.delayMs > 0) await this.clock.sleepMs(this.switches.delayMs)
+      if (this.switches.isDown) sendJson(response, 503, {})
+      else await run(request, response)
+    }
+  }
+
+  private count (kind: 'reads' | 'writes'): void {
+    const second = Math.floor(this.clock.monotonicMs() / MS_PER_SECOND)
+    const counted = this.perSecond.get(second) ?? { reads: 0, writes: 0 }
+    this.perSecond.set(second, { ...counted, [kind]: counted[kind] + 1 })
+  }
+}
+
+const keyOf = (request: IncomingMessage): string =>
+  decodeURIComponent((request as IncomingMessage & { readonly params: { readonly key: string } }).params.key)
--- /dev/null
+++ b/packages/standins/src/platform/tableState.ts
@@ -0,0 +1,64 @@
+import type { JsonValue, TableRow, TableTransaction, TransactionOutcome } from '@lovagehoist/common'
+
+/** Rows of the table service, with an older copy that lagging reads are answered from. */
+export class TableState {
+  private readonly rows = new Map<string, TableRow>()
+  private replica: ReadonlyMap<string, TableRow> = new Map()
+  private readonly applied = new Map<string, TransactionOutcome>()
+
+  private constructor () {}
+
+  /**
+   * Creates an empty table service.
+   *
+   * @returns The state.
+   */
+  static create (): TableState {
+    return new TableState()
+  }
+
+  /** Brings the lagging copy up to date. */
+  syncReplica (): void {
+    this.replica = new Map(this.rows)
+  }
+
+  get (table: string, key: string, isFresh: boolean): TableRow | undefined {
+    return this.source(isFresh).get(`${table}\u0000${key}`)
+  }
+
+  list (table: string, keyPrefix: string, isFresh: boolean): readonly TableRow[] {
+    return [...this.source(isFresh).values()]
+      .filter(row => row.table === table && row.key.startsWith(keyPrefix))
+      .sort((a, b) => a.key < b.key ? -1 : 1)
+  }
+
+  /** Applies a transaction whole or not at all; the same operation id is applied once. */
+  transact (transaction: TableTransaction): TransactionOutcome {
+    const before = this.applied.get(transaction.operationId)
+    if (before !== undefined) return before
+    const failed = transaction.conditions.filter(({ table, key, version }) => (this.get(table, key, true)?.version ?? 0) !== version)
+    if (failed.length > 0) {
+      return { type: 'conflict', current: failed.flatMap(({ table, key }) => this.get(table, key, true) ?? []) }
+    }
+    const outcome: TransactionOutcome = {
+      type: 'applied',
+      rows: transaction.writes.flatMap(write => {
+        if (write.type === 'put') return [this.put(write.table, write.key, write.value)]
+        this.rows.delete(`${write.table}\u0000${write.key}`)
+        return []
+      })
+    }
+    this.applied.set(transaction.operationId, outcome)
+    return outcome
+  }
+
+  private put (table: string, key: string, value: JsonValue): TableRow {
+    const row: TableRow = { table, key, version: (this.get(table, key, true)?.version ?? 0) + 1, value }
+    this.rows.set(`${table}\u0000${key}`, row)
+    return row
+  }
+
+  private source (isFresh: boolean): ReadonlyMap<string, TableRow> {
+    return isFresh ? this.rows : this.replica
+  }
+}
--- /dev/null
+++ b/packages/standins/src/process/hostMain.ts
@@ -0,0 +1,57 @@
+import { JSONRPCServer } from 'json-rpc-2.0'
+import type { JSONRPCRequest } from 'json-rpc-2.0'
+import { SeededRandom, SystemClock } from '@lovagehoist/common'
+import type { DirectoryEntry } from '@lovagehoist/common'
+import { PlatformStandin } from '../platform/platformStandin.js'
+import type { PlatformSwitches } from '../platform/platformSwitches.js'
+import type { TargetBehaviour } from '../target/behaviour.js'
+import { TargetStandin } from '../target/targetStandin.js'
+
+/** Seed when the parent gives none. */
+const DEFAULT_SEED = 1
+
+const clock = SystemClock.create()
+const random = SeededRandom.create(Number(process.argv[2] ?? DEFAULT_SEED))
+const targets = new Map<string, TargetStandin>()
+let platform: PlatformStandin | undefined
+
+const findTarget = (id: string): TargetStandin => {
+  const target = targets.get(id)
+  if (target === undefined) throw new Error(`no target ${id} in this host`)
+  return target
+}
+
+const findPlatform = (): PlatformStandin => {
+  if (platform === undefined) throw new Error('no platform in this host')
+  return platform
+}
+
+const server = new JSONRPCServer()
+server.addMethod('startPlatform', async () => {
+  platform = await PlatformStandin.create(clock, random)
+  return platform.url
+})
+server.addMethod('register', ({ entry }: { readonly entry: DirectoryEntry }) => { findPlatform().register(entry) })
+server.addMethod('remove', ({ id }: { readonly id: string }) => { findPlatform().remove(id) })
+server.addMethod('setPlatform', ({ switches }: { readonly switches: Partial<PlatformSwitches> }) => { findPlatform().set(switches) })
+server.addMethod('platformCounts', () => findPlatform().counts())
+server.addMethod('startTarget', async ({ id, behaviour }: { readonly id: string, readonly behaviour: Partial<TargetBehaviour> }) => {
+  const target = await TargetStandin.create({ id, clock, random, behaviour })
+  targets.set(id, target)
+  return target.port
+})
+server.addMethod('setTarget', ({ id, behaviour }: { readonly id: string, readonly behaviour: Partial<TargetBehaviour> }) => { findTarget(id).set(behaviour) })
+server.addMethod('stopTarget', async ({ id }: { readonly id: string }) => { await findTarget(id).close() })
+server.addMethod('journal', ({ id }: { readonly id: string }) => findTarget(id).journal)
+server.addMethod('targetCounts', ({ id }: { readonly id: string }) => {
+  const target = findTarget(id)
+  return { runs: target.journal.length, shed: target.shed, connections: target.connections }
+})
+
+process.on('message', message => {
+  Promise.resolve(server.receive(message as JSONRPCRequest)).then(
+    reply => { if (reply !== null) process.send?.(reply) },
+    error => { process.stderr.write(`${String(error)}\n`) }
+  )
+})
+process.once('disconnect', () => { process.exit(0) })
--- /dev/null
+++ b/packages/standins/src/process/standinHost.ts
@@ -0,0 +1,81 @@
+import { fork } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { fileURLToPath } from 'node:url'
+import { JSONRPCClient } from 'json-rpc-2.0'
+import type { JSONRPCResponse } from 'json-rpc-2.0'
+import type { DirectoryEntry } from '@lovagehoist/common'
+import type { PlatformCounts } from '../platform/platformStandin.js'
+import type { PlatformSwitches } from '../platform/platformSwitches.js'
+import type { TargetBehaviour } from '../target/behaviour.js'
+import type { JournalEntry } from '../target/journal.js'
+
+/** Numbers that a target stand-in keeps. */
+export interface TargetCounts {
+  readonly runs: number
+  readonly shed: number
+  readonly connections: number
+}
+
+/** A process of stand-ins, driven over its IPC channel. */
+export class StandinHost {
+  private constructor (private readonly child: ChildProcess, private readonly client: JSONRPCClient) {}
+
+  /**
+   * Starts a process without stand-ins.
+   *
+   * @param seed - Seed of its randomness.
+   * @returns The handle.
+   */
+  static create (seed: number): StandinHost {
+    const child = fork(fileURLToPath(new URL('hostMain.js', import.meta.url)), [String(seed)])
+    const client = new JSONRPCClient(request => { child.send(request) })
+    child.on('message', message => { client.receive(message as JSONRPCResponse) })
+    child.once('exit', () => { client.rejectAllPendingRequests('the host ended') })
+    return new StandinHost(child, client)
+  }
+
+  async startPlatform (): Promise<string> {
+    return await this.client.request('startPlatform', {})
+  }
+
+  async register (entry: DirectoryEntry): Promise<void> {
+    await this.client.request('register', { entry })
+  }
+
+  async remove (id: string): Promise<void> {
+    await this.client.request('remove', { id })
+  }
+
+  async setPlatform (switches: Partial<PlatformSwitches>): Promise<void> {
+    await this.client.request('setPlatform', { switches })
+  }
+
+  async platformCounts (): Promise<PlatformCounts> {
+    return await this.client.request('platformCounts', {})
+  }
+
+  async startTarget (id: string, behaviour: Partial<TargetBehaviour>): Promise<number> {
+    return await this.client.request('startTarget', { id, behaviour })
+  }
+
+  async setTarget (id: string, behaviour: Partial<TargetBehaviour>): Promise<void> {
+    await this.client.request('setTarget', { id, behaviour })
+  }
+
+  async stopTarget (id: string): Promise<void> {
+    await this.client.request('stopTarget', { id })
+  }
+
+  async journal (id: string): Promise<readonly JournalEntry[]> {
+    return await this.client.request('journal', { id })
+  }
+
+  async targetCounts (id: string): Promise<TargetCounts> {
+    return await this.client.request('targetCounts', { id })
+  }
+
+  /** Ends the process. */
+  stop (): void {
+    this.child.disconnect()
+  }
+}
--- /dev/null
+++ b/packages/standins/src/target/journal.ts
@@ -0,0 +1,14 @@
+/** One request that a target began to run. */
+export interface JournalEntry {
+  /** Value of the `x-run-id` header. */
+  readonly runId: string
+  readonly targetId: string
+  readonly method: string
+  readonly path: string
+  /** SHA-256 of the request's body, in hexadecimal. */
+  readonly bodyDigest: string
+  /** Wall-clock time of the start, in milliseconds since the Unix epoch. */
+  readonly atMs: number
+  /** Status that the target meant to answer; 0 for none. */
+  readonly status: number
+}
--- /dev/null
+++ b/packages/targets/src/health/consecutiveFailureHealth.ts
@@ -0,0 +1,49 @@
+import type { AttemptReport, AttemptSink, Clock, HealthView, OutcomeKind, Target, TargetRating } from '@lovagehoist/common'
+
+const FAILURES_TO_EJECT = 5
+const EJECTION_MS = 30_000
+
+const failures: ReadonlySet<OutcomeKind> = new Set(['refused', 'reset', 'timeout', 'broken-answer', 'server-error', 'silent-connection'])
+
+interface Streak {
+  readonly failures: number
+  readonly ejectedUntilMs: number
+}
+
+/** Baseline of measurements: this daemon alone ejects a target after consecutive failures. */
+export class ConsecutiveFailureHealth implements HealthView, AttemptSink {
+  private readonly streaks = new Map<string, Streak>()
+
+  private constructor (private readonly clock: Clock) {}
+
+  /**
+   * Creates a view in which every target is healthy.
+   *
+   * @param clock - Source of time.
+   * @returns The view.
+   */
+  static create (clock: Clock): ConsecutiveFailureHealth {
+    return new ConsecutiveFailureHealth(clock)
+  }
+
+  readonly record = (report: AttemptReport): void => {
+    if (!failures.has(report.outcome)) {
+      this.streaks.delete(report.target.id)
+      return
+    }
+    const count = (this.streaks.get(report.target.id)?.failures ?? 0) + 1
+    const ejectedUntilMs = count >= FAILURES_TO_EJECT ? this.clock.monotonicMs() + EJECTION_MS : 0
+    this.streaks.set(report.target.id, { failures: count, ejectedUntilMs })
+  }
+
+  readonly rate = (target: Target): TargetRating => {
+    if (target.isLeaving) return { status: 'leaving', weight: 0, idempotentOnly: false }
+    const ejectedUntilMs = this.streaks.get(target.id)?.ejectedUntilMs ?? 0
+    if (ejectedUntilMs > this.clock.monotonicMs()) return { status: 'ejected', weight: 0, idempotentOnly: false }
+    return { status: 'healthy', weight: 1, idempotentOnly: false }
+  }
+
+  readonly isQuarantined = (): boolean => false
+
+  readonly isPoolShedding = (): boolean => false
+}
--- /dev/null
+++ b/packages/targets/src/pick/leastLoadedPicker.ts
@@ -0,0 +1,54 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { HealthView, PickFailure, PickNeed, Target, TargetDirectory, TargetPicker, TargetReservation } from '@lovagehoist/common'
+
+/** What the picker needs. */
+export interface LeastLoadedOptions {
+  readonly directory: TargetDirectory
+  readonly health: HealthView
+}
+
+/** Baseline of measurements: the target with the fewest requests in flight from this daemon. */
+export class LeastLoadedPicker implements TargetPicker {
+  private readonly inFlight = new Map<string, number>()
+
+  private constructor (private readonly options: LeastLoadedOptions) {}
+
+  /**
+   * Creates a picker.
+   *
+   * @param options - Known targets and their health.
+   * @returns The picker.
+   */
+  static create (options: LeastLoadedOptions): LeastLoadedPicker {
+    return new LeastLoadedPicker(options)
+  }
+
+  readonly pick = async (need: PickNeed): Promise<Result<TargetReservation, PickFailure>> => {
+    const usable = this.options.directory.targets(need.service).filter(target => this.isUsable(target, need))
+    const [first, ...others] = usable
+    if (first === undefined) return err('no-target')
+    const best = others.reduce((least, target) => this.load(target) < this.load(least) ? target : least, first)
+    return ok(this.reserve(best))
+  }
+
+  private isUsable (target: Target, need: PickNeed): boolean {
+    const rating = this.options.health.rate(target)
+    return rating.weight > 0 && (need.isIdempotent || !rating.idempotentOnly) && !need.triedTargetIds.has(target.id)
+  }
+
+  private load (target: Target): number {
+    return (this.inFlight.get(target.id) ?? 0) / Math.max(1, target.slots)
+  }
+
+  private reserve (target: Target): TargetReservation {
+    this.inFlight.set(target.id, (this.inFlight.get(target.id) ?? 0) + 1)
+    let isHeld = true
+    const release = (): void => {
+      if (!isHeld) return
+      isHeld = false
+      this.inFlight.set(target.id, (this.inFlight.get(target.id) ?? 1) - 1)
+    }
+    return { target, release }
+  }
+}
