--- /dev/null
+++ b/packages/common/src/fakes/fakePeerNetwork.ts
@@ -0,0 +1,131 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../time/clock.js'
+import type { JsonValue } from '../text/jsonValue.js'
+import type { InstanceIdentity, Member, PeerBus, PeerError, PeerMethod, SharedEntry, SpreadClass } from '../contracts/peers.js'
+
+interface Held {
+  readonly entry: SharedEntry
+  readonly publishedAtMs: number
+  readonly lifetimeMs: number
+}
+
+/** Delivers published values and calls between the buses of a test; links can be cut in one direction. */
+export class FakePeerNetwork {
+  private readonly buses = new Map<string, FakePeerBus>()
+  private readonly cut = new Set<string>()
+
+  private constructor (readonly clock: Clock) {}
+
+  /**
+   * Creates a network without buses.
+   *
+   * @param clock - Source of time.
+   * @returns The network.
+   */
+  static create (clock: Clock): FakePeerNetwork {
+    return new FakePeerNetwork(clock)
+  }
+
+  /**
+   * Joins a daemon; a second join with the same instance id replaces the first.
+   *
+   * @param self - The daemon's process.
+   * @returns Its bus.
+   */
+  join (self: InstanceIdentity): FakePeerBus {
+    const bus = new FakePeerBus(self, this)
+    this.buses.set(self.instanceId, bus)
+    return bus
+  }
+
+  /** Removes a daemon. */
+  leave (instanceId: string): void {
+    this.buses.delete(instanceId)
+  }
+
+  /** Cuts or mends the direction from one daemon to another. */
+  setLink (fromId: string, toId: string, isCut: boolean): void {
+    if (isCut) this.cut.add(`${fromId}>${toId}`)
+    else this.cut.delete(`${fromId}>${toId}`)
+  }
+
+  /** Whether messages get from one daemon to another. */
+  carries (fromId: string, toId: string): boolean {
+    return this.buses.has(toId) && !this.cut.has(`${fromId}>${toId}`)
+  }
+
+  /** Buses that have joined. */
+  all (): readonly FakePeerBus[] {
+    return [...this.buses.values()]
+  }
+
+  /** Bus of a daemon. */
+  find (instanceId: string): FakePeerBus | undefined {
+    return this.buses.get(instanceId)
+  }
+}
+
+/** Bus of one daemon in a fake network; a cut link loses what is published meanwhile. */
+export class FakePeerBus implements PeerBus {
+  private readonly held = new Map<string, Held>()
+  private readonly listeners = new Map<SpreadClass, Set<(entry: SharedEntry) => void>>()
+  private readonly methods = new Map<string, PeerMethod>()
+  private nextSequence = 1
+
+  constructor (readonly self: InstanceIdentity, private readonly network: FakePeerNetwork) {}
+
+  readonly members = (): readonly Member[] => this.network.all()
+    .filter(bus => bus.self.instanceId !== this.self.instanceId)
+    .map(bus => ({
+      ...bus.self,
+      host: '127.0.0.1',
+      port: 1,
+      status: this.hears(bus) ? 'reachable' as const : 'suspect' as const,
+      configVersion: 0,
+      configDigest: '',
+      isReady: true,
+      ageMs: 0
+    }))
+
+  readonly publish = (topic: SpreadClass, key: string, value: JsonValue, lifetimeMs: number): void => {
+    const entry: SharedEntry = { topic, key, origin: this.self, sequence: this.nextSequence++, value, ageMs: 0 }
+    for (const bus of this.network.all()) {
+      if (bus === this || this.network.carries(this.self.instanceId, bus.self.instanceId)) bus.receive(entry, lifetimeMs)
+    }
+  }
+
+  readonly entries = (topic: SpreadClass): readonly SharedEntry[] => {
+    const nowMs = this.network.clock.monotonicMs()
+    return [...this.held.values()]
+      .filter(held => held.entry.topic === topic && nowMs - held.publishedAtMs < held.lifetimeMs)
+      .map(held => ({ ...held.entry, ageMs: nowMs - held.publishedAtMs }))
+  }
+
+  readonly onEntry = (topic: SpreadClass, listener: (entry: SharedEntry) => void): (() => void) => {
+    const listeners = this.listeners.get(topic) ?? new Set()
+    this.listeners.set(topic, listeners.add(listener))
+    return () => { listeners.delete(listener) }
+  }
+
+  readonly call = async (instanceId: string, method: string, params: JsonValue): Promise<Result<JsonValue, PeerError>> => {
+    const handler = this.network.find(instanceId)?.methods.get(method)
+    const carries = this.network.carries(this.self.instanceId, instanceId) && this.network.carries(instanceId, this.self.instanceId)
+    if (!carries) return err({ kind: 'unreachable', message: `no link to ${instanceId}` })
+    return handler === undefined ? err({ kind: 'rejected', message: `no method ${method}` }) : ok(await handler(params, this.self))
+  }
+
+  readonly handle = (method: string, handler: PeerMethod): void => { this.methods.set(method, handler) }
+
+  /** Takes a value in. */
+  receive (entry: SharedEntry, lifetimeMs: number): void {
+    const key = `${entry.topic}/${entry.origin.instanceId}/${entry.key}`
+    this.held.set(key, { entry, publishedAtMs: this.network.clock.monotonicMs(), lifetimeMs })
+    for (const listener of this.listeners.get(entry.topic) ?? []) listener(entry)
+  }
+
+  private hears (other: FakePeerBus): boolean {
+    const [here, there] = [this.self.instanceId, other.self.instanceId]
+    return this.network.carries(here, there) && this.network.carries(there, here)
+  }
+}
--- /dev/null
+++ b/packages/common/src/fakes/index.ts
@@ -0,0 +1,5 @@
+export * from './manualClock.js'
+export * from './tableState.js'
+export * from './fakePlatform.js'
+export * from './fakePeerNetwork.js'
+export * from './fakeTarget.js'
--- a/packages/standins/src/platform/tableState.ts
+++ b/packages/common/src/fakes/tableState.ts
@@ -1,4 +1,5 @@
-import type { JsonValue, TableRow, TableTransaction, TransactionOutcome } from '@lovagehoist/common'
+import type { TableRow, TableTransaction, TransactionOutcome } from '../contracts/platform.js'
+import type { JsonValue } from '../text/jsonValue.js'
 
 /** Rows of the table service, with an older copy that lagging reads are answered from. */
 export class TableState {
--- a/packages/common/src/testing/index.ts
+++ b/packages/common/src/testing/index.ts
@@ -1,2 +1,2 @@
-export * from './manualClock.js'
 export * from './matchSnapshot.js'
+export * from '../fakes/index.js'
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -3,10 +3,10 @@
 import type { AddressInfo } from 'node:net'
 import polka from 'polka'
 import type { Clock, DirectoryEntry, Random, TableTransaction } from '@lovagehoist/common'
+import { TableState } from '@lovagehoist/common/fakes'
 import { readBytes, readJson, sendJson } from '../process/httpBody.js'
 import { PLATFORM_SWITCHES_OFF } from './platformSwitches.js'
 import type { PlatformSwitches } from './platformSwitches.js'
-import { TableState } from './tableState.js'
 
 /** Calls that the stand-in answered, by kind. */
 export interface PlatformCounts {
