Split the composition of the daemon by side

Each side (peers, configuration, targets, health, pick, callers) is composed in a file of its own, so that subsystems can be exchanged without touching others.

--- a/packages/daemon/src/compose/daemon.ts
+++ b/packages/daemon/src/compose/daemon.ts
@@ -61,11 +61,11 @@
       address: settings.admin,
       registry,
       sources,
-      isReady: () => parts.hasConfig() && !this.isDraining,
+      isReady: () => parts.isReady() && !this.isDraining,
       drain: () => { this.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) }
     })
     this.servers = { callers, admin }
-    parts.start()
-    log.info('daemon started', { ...this.ports })
+    const { peersPort } = await parts.start()
+    log.info('daemon started', { ...this.ports, peers: peersPort })
   }
 }
--- a/packages/daemon/src/compose/parts.ts
+++ b/packages/daemon/src/compose/parts.ts
@@ -1,57 +1,26 @@
-import { Admission, RouteTable, serveRequest } from '@lovagehoist/callers'
 import type { RequestHandler } from '@lovagehoist/callers'
-import { Invariants, createLog, createRegistry } from '@lovagehoist/common'
-import type { Log, Settings, StateSource } from '@lovagehoist/common'
-import { ConfigFollower } from '@lovagehoist/operators'
-import { SoloPeerBus } from '@lovagehoist/peers'
-import { ConnectionSender, ConsecutiveFailureHealth, LeastLoadedPicker, PolledTargetDirectory } from '@lovagehoist/targets'
+import type { JsonValue, Log, Settings, StateSource } from '@lovagehoist/common'
 import type { Registry } from 'prom-client'
+import { createBase } from './base.js'
+import { createCallerSide } from './callerSide.js'
+import { createConfigSide } from './configSide.js'
+import { createPeerSide } from './peerSide.js'
+import { createTargetSide } from './targetSide.js'
 import type { DaemonWorld } from './world.js'
 
-const CONFIG_POLL_MS = 1_000
-const DIRECTORY_POLL_MS = 1_000
-const CONNECT_TIMEOUT_MS = 1_000
-
 /** The composed parts of a daemon, before it listens. */
 export interface DaemonParts {
   readonly log: Log
   readonly registry: Registry
   readonly sources: readonly StateSource[]
   readonly handler: RequestHandler
-  readonly hasConfig: () => boolean
-  /** Starts the loops of all parts. */
-  readonly start: () => void
+  readonly isReady: () => boolean
+  /** Opens the peers' address and starts the loops of all parts. */
+  readonly start: () => Promise<{ readonly peersPort: number }>
   /** Ends the loops and closes all connections. */
   readonly stop: () => Promise<void>
 }
 
-const createBase = (settings: Settings, world: DaemonWorld) => {
-  const log = createLog({ ...settings.log, clock: world.clock, write: world.write })
-  const registry = createRegistry({ instance: settings.instance.id })
-  const onBreach = world.onBreach === undefined ? {} : { onBreach: world.onBreach }
-  const invariants = Invariants.create({ clock: world.clock, log: log.child('invariants'), registry, ...onBreach })
-  const identity = { ...settings.instance, instanceId: settings.instance.id, startId: world.random.id() }
-  return { log, registry, invariants, platform: world.openPlatform(settings), bus: SoloPeerBus.create(identity, world.clock) }
-}
-
-type Base = ReturnType<typeof createBase>
-
-const createTargetSide = (base: Base, world: DaemonWorld, config: ConfigFollower) => {
-  const { clock } = world
-  const directory = PolledTargetDirectory.create({ instances: base.platform.directory, clock, log: base.log.child('targets'), pollMs: DIRECTORY_POLL_MS })
-  const health = ConsecutiveFailureHealth.create(clock)
-  const picker = LeastLoadedPicker.create({ directory, health })
-  const connectTimeoutMs = (service: string): number => config.current()?.document.services[service]?.connectTimeoutMs ?? CONNECT_TIMEOUT_MS
-  const sender = ConnectionSender.create({ clock, connectTimeoutMs })
-  return { directory, health, picker, sender }
-}
-
-const createSources = (base: Base, config: ConfigFollower): readonly StateSource[] => [
-  { name: 'instance', dump: () => ({ ...base.bus.self }) },
-  { name: 'config', dump: () => ({ version: config.current()?.version ?? 0, digest: config.current()?.digest ?? null }) },
-  { name: 'breaches', dump: () => JSON.parse(JSON.stringify(base.invariants.breaches())) }
-]
-
 /**
  * Composes the parts of a daemon.
  *
@@ -61,26 +30,30 @@
  */
 export const composeParts = (settings: Settings, world: DaemonWorld): DaemonParts => {
   const base = createBase(settings, world)
-  const { clock } = world
-  const config = ConfigFollower.create({ environment: settings.environment, platform: base.platform, clock, log: base.log.child('config'), invariants: base.invariants, pollMs: CONFIG_POLL_MS })
-  const { directory, health, picker, sender } = createTargetSide(base, world, config)
-  const admission = Admission.create(service => directory.targets(service).reduce((sum, target) => sum + target.slots, 0))
-  let routes: RouteTable | undefined
-  config.onChange(accepted => { routes = RouteTable.create(accepted.document) })
-  const serve = { clock, config, routes: () => routes, admission, picker, sender, evidence: health }
+  const peers = createPeerSide(base)
+  const configSide = createConfigSide(base, peers.bus)
+  const targets = createTargetSide(base, configSide.config, peers.bus)
+  const callers = createCallerSide(base, configSide.config, targets)
+  const sides = [peers, configSide, targets, callers]
+  const breaches = { name: 'breaches', dump: () => JSON.parse(JSON.stringify(base.invariants.breaches())) as JsonValue }
   const stopping = new AbortController()
-  let tasks: ReadonlyArray<Promise<void>> = []
+  let running: ReadonlyArray<Promise<void>> = []
   return {
     log: base.log,
     registry: base.registry,
-    sources: createSources(base, config),
-    handler: async (request, response) => { await serveRequest(serve, request, response) },
-    hasConfig: () => config.current() !== undefined,
-    start: () => { tasks = [config.run(stopping.signal), directory.run(stopping.signal)] },
+    sources: [...sides.flatMap(side => side.sources), breaches],
+    handler: callers.handler,
+    isReady: configSide.isReady,
+    start: async () => {
+      const { port } = await peers.listen()
+      running = sides.flatMap(side => side.tasks).map(async task => { await task(stopping.signal) })
+      return { peersPort: port }
+    },
     stop: async () => {
       stopping.abort()
-      await Promise.all(tasks)
-      sender.close()
+      await Promise.all(running)
+      await targets.close()
+      await peers.close()
       await base.platform.close()
     }
   }
--- /dev/null
+++ b/packages/daemon/src/compose/targetSide.ts
@@ -0,0 +1,47 @@
+import type { AttemptSink, ConfigSource, HealthView, PeerBus, StateSource, TargetDirectory, TargetPicker, TargetSender } from '@lovagehoist/common'
+import { ConnectionSender, PolledTargetDirectory } from '@lovagehoist/targets'
+import type { Base, Task } from './base.js'
+import { createHealthSide } from './healthSide.js'
+import { createPickSide } from './pickSide.js'
+
+const DIRECTORY_POLL_MS = 1_000
+const CONNECT_TIMEOUT_MS = 1_000
+
+/** Parts that face targets. */
+export interface TargetSide {
+  readonly directory: TargetDirectory
+  readonly health: HealthView
+  readonly evidence: AttemptSink
+  readonly picker: TargetPicker
+  readonly sender: TargetSender
+  readonly tasks: readonly Task[]
+  readonly sources: readonly StateSource[]
+  readonly close: () => Promise<void>
+}
+
+/**
+ * Composes the parts that face targets.
+ *
+ * @param base - What every part needs.
+ * @param config - Configuration in force.
+ * @param bus - Communication between daemons.
+ * @returns The parts.
+ */
+export const createTargetSide = (base: Base, config: ConfigSource, bus: PeerBus): TargetSide => {
+  const { clock, log, platform } = base
+  const directory = PolledTargetDirectory.create({ instances: platform.directory, clock, log: log.child('targets'), pollMs: DIRECTORY_POLL_MS })
+  const connectTimeoutMs = (service: string): number => config.current()?.document.services[service]?.connectTimeoutMs ?? CONNECT_TIMEOUT_MS
+  const sender = ConnectionSender.create({ clock, connectTimeoutMs })
+  const healthSide = createHealthSide({ base, config, bus, directory, sender })
+  const pickSide = createPickSide({ base, config, bus, directory, sender, health: healthSide.health })
+  return {
+    directory,
+    sender,
+    health: healthSide.health,
+    evidence: healthSide.evidence,
+    picker: pickSide.picker,
+    tasks: [async signal => { await directory.run(signal) }, ...healthSide.tasks, ...pickSide.tasks],
+    sources: [...healthSide.sources, ...pickSide.sources],
+    close: async () => { sender.close() }
+  }
+}
