Bind each target connection to one socket and prove answers whole

Cause: an undici Client reconnects by itself when its socket closed while idle, so 'fresh connection' and 'proved alive' were guesses; answers that end with the connection were taken for whole; a 304 with a length counted as broken. Change: a connection is opened by the sender and handed to its Client once; a closed one fails a waiting request unsent, and the sender then takes a fresh one. Non-idempotent requests use connections proved alive within 2 s or fresh ones. Age and idle limits, warming, retiring, connection metrics, silent-connection judgement from answers of newer connections.

--- a/packages/daemon/src/compose/targetSide.ts
+++ b/packages/daemon/src/compose/targetSide.ts
@@ -31,7 +31,7 @@
   const { clock, log, platform } = base
   const directory = PolledTargetDirectory.create({ instances: platform.directory, clock, log: log.child('targets'), pollMs: DIRECTORY_POLL_MS })
   const connectTimeoutMs = (service: string): number => config.current()?.document.services[service]?.connectTimeoutMs ?? CONNECT_TIMEOUT_MS
-  const sender = ConnectionSender.create({ clock, connectTimeoutMs })
+  const sender = ConnectionSender.create({ clock, connectTimeoutMs, registry: base.registry, invariants: base.invariants })
   const healthSide = createHealthSide({ base, config, bus, directory, sender })
   const pickSide = createPickSide({ base, config, bus, directory, sender, health: healthSide.health })
   return {
@@ -40,7 +40,7 @@
     health: healthSide.health,
     evidence: healthSide.evidence,
     picker: pickSide.picker,
-    tasks: [async signal => { await directory.run(signal) }, ...healthSide.tasks, ...pickSide.tasks],
+    tasks: [async signal => { await directory.run(signal) }, async signal => { await sender.run(signal) }, ...healthSide.tasks, ...pickSide.tasks],
     sources: [...healthSide.sources, ...pickSide.sources],
     close: async () => { sender.close() }
   }
--- /dev/null
+++ b/packages/targets/src/connections/framing.ts
@@ -0,0 +1,37 @@
+import type { RawHeaders } from '@lovagehoist/common'
+
+/** How the end of an answer's body is known. */
+export type Framing =
+  | { readonly type: 'length', readonly bytes: number }
+  | { readonly type: 'chunked' }
+  | { readonly type: 'none' }
+  | { readonly type: 'unprovable', readonly message: string }
+
+const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304])
+const DIGITS = /^\d+$/
+
+const valuesOf = (headers: RawHeaders, name: string): readonly string[] =>
+  headers.flatMap((field, index) => index % 2 === 0 && field.length === name.length && field.toLowerCase() === name ? [headers[index + 1] ?? ''] : [])
+
+/**
+ * Tells how the end of an answer's body is known; an answer that ends with its connection can't be proven whole.
+ *
+ * @param method - Method of the request.
+ * @param status - Status of the answer.
+ * @param headers - Header fields of the answer.
+ * @returns The framing.
+ */
+export const framingOf = (method: string, status: number, headers: RawHeaders): Framing => {
+  if (method === 'HEAD' || NO_BODY_STATUSES.has(status)) return { type: 'none' }
+  const lengths = valuesOf(headers, 'content-length')
+  const codings = valuesOf(headers, 'transfer-encoding')
+  if (codings.length > 0 && lengths.length > 0) return { type: 'unprovable', message: 'the answer states a length and a transfer coding' }
+  if (codings.length > 0) {
+    const isChunked = codings.length === 1 && codings[0]?.trim().toLowerCase() === 'chunked'
+    return isChunked ? { type: 'chunked' } : { type: 'unprovable', message: 'the answer uses an unknown transfer coding' }
+  }
+  const [length, ...others] = lengths
+  if (length === undefined) return { type: 'unprovable', message: 'the answer states no length, so its end could not be proven' }
+  if (others.length > 0 || !DIGITS.test(length)) return { type: 'unprovable', message: 'the answer states a contradictory length' }
+  return { type: 'length', bytes: Number(length) }
+}
