Refuse malformed requests, hold and retry idempotent answers, claim keys

Cause: the thin path forwarded whatever Node's parser let through, never retried, trusted verdict headers of targets and had no keys. Change: accept (request target, Host, HTTP version, deadline, body limits), forward (pick, send, judge by a table of outcomes, retry within a budget), hold idempotent answers, break streamed ones, proxy headers, request id and trace context, key claims written many to a transaction, counters, and the at-most-once, whole-answer and not-run assertions.

--- a/packages/callers/src/answers/problem.ts
+++ b/packages/callers/src/answers/problem.ts
@@ -6,10 +6,13 @@
 /** Reason of an answer that the fleet makes itself. */
 export type ProblemKind =
   | 'malformed-request'
+  | 'http-version'
   | 'unknown-route'
   | 'unknown-account'
   | 'not-ready'
   | 'request-too-large'
+  | 'head-too-large'
+  | 'request-too-slow'
   | 'overload'
   | 'no-target'
   | 'deadline'
@@ -22,10 +25,13 @@
 
 const STATUS_OF: Readonly<Record<ProblemKind, number>> = {
   'malformed-request': 400,
+  'http-version': 505,
   'unknown-route': 404,
   'unknown-account': 401,
   'not-ready': 503,
   'request-too-large': 413,
+  'head-too-large': 431,
+  'request-too-slow': 408,
   overload: 503,
   'no-target': 503,
   deadline: 504,
@@ -48,6 +54,28 @@
 
 const MS_PER_SECOND = 1_000
 
+/**
+ * Writes a problem document.
+ *
+ * @param problem - Why the request has no answer of a target.
+ * @returns JSON text.
+ */
+export const problemBody = (problem: Problem): string => {
+  const { status, reason } = statusOf(problem)
+  return JSON.stringify({ type: `urn:lovagehoist:problem:${problem.kind}`, title: reason, status, detail: problem.detail, verdict: problem.verdict })
+}
+
+/**
+ * Tells the status of a problem.
+ *
+ * @param problem - Problem.
+ * @returns Status code and reason phrase.
+ */
+export const statusOf = (problem: Problem): { readonly status: number, readonly reason: string } => {
+  const status = STATUS_OF[problem.kind]
+  return { status, reason: STATUS_CODES[status] ?? '' }
+}
+
 /**
  * Answers with a problem document.
  *
@@ -55,14 +83,8 @@
  * @param problem - Why the request has no answer of a target.
  */
 export const sendProblem = (response: ServerResponse, problem: Problem): void => {
-  const status = STATUS_OF[problem.kind]
-  const body = JSON.stringify({
-    type: `urn:lovagehoist:problem:${problem.kind}`,
-    title: STATUS_CODES[status],
-    status,
-    detail: problem.detail,
-    verdict: problem.verdict
-  })
+  const { status } = statusOf(problem)
+  const body = problemBody(problem)
   response.statusCode = status
   response.setHeader('content-type', 'application/problem+json')
   response.setHeader('content-length', Buffer.byteLength(body))
--- a/packages/callers/src/entry/callerServer.ts
+++ b/packages/callers/src/entry/callerServer.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import polka from 'polka'
 import type { Log, Settings } from '@lovagehoist/common'
+import { refuseMalformed } from './refuseMalformed.js'
 
 /** Serves one request to its end. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
@@ -31,9 +32,11 @@
       maxHeaderSize: limits.maxHeadBytes,
       headersTimeout: limits.headTimeoutMs,
       requestTimeout: limits.requestTimeoutMs,
-      insecureHTTPParser: false
+      insecureHTTPParser: false,
+      requireHostHeader: false
     })
     server.maxConnections = limits.maxConnections
+    refuseMalformed(server)
     const app = polka({ server })
     app.use((request: IncomingMessage, response: ServerResponse) => {
       options.handler(request, response).catch((error: unknown) => {
--- a/packages/callers/src/exchange/headers.ts
+++ b/packages/callers/src/exchange/headers.ts
@@ -1,43 +1,115 @@
-import type { RawHeaders } from '@lovagehoist/common'
+import type { IncomingMessage } from 'node:http'
+import type { Random, RawHeaders } from '@lovagehoist/common'
+import { VERDICT_HEADER } from '@lovagehoist/common'
+
+/** Header that names a request across systems. */
+export const REQUEST_ID_HEADER = 'x-request-id'
 
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer',
   'transfer-encoding', 'upgrade', 'expect', 'http2-settings'
 ])
+const REPLACED: ReadonlySet<string> = new Set([
+  'content-length', VERDICT_HEADER, REQUEST_ID_HEADER, 'traceparent', 'via', 'x-forwarded-for', 'x-forwarded-proto', 'x-forwarded-host', 'forwarded'
+])
+const VIA = '1.1 lovagehoist'
+const TRACE_PARENT = /^00-(?!0{32})[0-9a-f]{32}-(?!0{16})[0-9a-f]{16}-[0-9a-f]{2}$/
+const SPAN_ID_DIGITS = 16
+const REQUEST_ID = /^[\u0021-\u007e]{1,128}$/
+
+/** What the header fields for a target are made from. */
+export interface OutgoingOptions {
+  readonly request: IncomingMessage
+  readonly requestId: string
+  readonly random: Random
+  /** Field that is set for each try. */
+  readonly dropped: string
+}
+
+const namedByConnection = (connection: string | undefined): ReadonlySet<string> | undefined =>
+  connection === undefined ? undefined : new Set(connection.split(',').map(token => token.trim().toLowerCase()))
+
+const single = (value: string | readonly string[] | undefined): string | undefined => typeof value === 'string' ? value : value?.[0]
+
+const append = (list: string | undefined, value: string): string => list === undefined ? value : `${list}, ${value}`
 
-/** One header field. */
-export interface HeaderField {
-  readonly name: string
-  readonly value: string
+/**
+ * Names a request.
+ *
+ * @param request - Request of the caller.
+ * @param random - Source of new names.
+ * @returns The caller's own name for it when that is usable; otherwise a new one.
+ */
+export const requestIdOf = (request: IncomingMessage, random: Random): string => {
+  const given = single(request.headers[REQUEST_ID_HEADER])
+  return given !== undefined && REQUEST_ID.test(given) ? given : random.id()
+}
+
+const forwardedFields = ({ request, requestId, random }: OutgoingOptions): string[] => {
+  const { headers, socket } = request
+  const address = socket.remoteAddress ?? 'unknown'
+  const trace = single(headers.traceparent)
+  const fields = [
+    REQUEST_ID_HEADER, requestId,
+    'traceparent', trace !== undefined && TRACE_PARENT.test(trace) ? trace : `00-${random.id()}-${random.id().slice(0, SPAN_ID_DIGITS)}-01`,
+    'via', append(headers.via, VIA),
+    'x-forwarded-for', append(single(headers['x-forwarded-for']), address),
+    'x-forwarded-proto', single(headers['x-forwarded-proto']) ?? 'http',
+    'x-forwarded-host', single(headers['x-forwarded-host']) ?? headers.host ?? ''
+  ]
+  const forwarded = headers.forwarded
+  if (forwarded !== undefined) fields.push('forwarded', append(forwarded, `for="${address.includes(':') ? `[${address}]` : address}"`))
+  return fields
 }
 
 /**
- * Splits raw headers into fields.
+ * Makes the header fields of a request to a target.
  *
- * @param raw - Alternating names and values.
- * @returns The fields, in order.
+ * @param options - Request and its name.
+ * @returns End-to-end fields of the caller with those of a proxy.
  */
-export const fieldsOf = (raw: RawHeaders): readonly HeaderField[] =>
-  raw.flatMap((name, index) => index % 2 === 0 ? [{ name, value: raw[index + 1] ?? '' }] : [])
+export const outgoingHeaders = (options: OutgoingOptions): RawHeaders => {
+  const { rawHeaders, headers } = options.request
+  const named = namedByConnection(headers.connection)
+  const dropped = options.dropped.toLowerCase()
+  const fields = forwardedFields(options)
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = (rawHeaders[index] ?? '').toLowerCase()
+    if (HOP_BY_HOP.has(name) || REPLACED.has(name) || name === dropped || named?.has(name) === true) continue
+    fields.push(name, rawHeaders[index + 1] ?? '')
+  }
+  return fields
+}
 
 /**
- * Leaves out fields that hold for one connection only, those that `Connection` names included.
+ * Leaves out header fields of an answer that hold for one connection only, and verdicts that only the fleet may give.
  *
- * @param fields - Fields of a message.
- * @returns The fields that go on.
+ * @param raw - Header fields of a target's answer.
+ * @returns The fields that go on to the caller.
  */
-export const endToEndFields = (fields: readonly HeaderField[]): readonly HeaderField[] => {
-  const named = fields
-    .filter(field => field.name.toLowerCase() === 'connection')
-    .flatMap(field => field.value.split(',').map(token => token.trim().toLowerCase()))
-  const dropped = new Set([...HOP_BY_HOP, ...named])
-  return fields.filter(field => !dropped.has(field.name.toLowerCase()))
+export const answerHeaders = (raw: RawHeaders): RawHeaders => {
+  const connectionAt = raw.findIndex((name, index) => index % 2 === 0 && name.length === 10 && name.toLowerCase() === 'connection')
+  const named = connectionAt < 0 ? undefined : namedByConnection(raw[connectionAt + 1])
+  const fields: string[] = []
+  for (let index = 0; index < raw.length; index += 2) {
+    const name = (raw[index] ?? '').toLowerCase()
+    if (HOP_BY_HOP.has(name) || name === VERDICT_HEADER || name === REQUEST_ID_HEADER || named?.has(name) === true) continue
+    fields.push(raw[index] ?? '', raw[index + 1] ?? '')
+  }
+  return fields
 }
 
 /**
- * Writes fields as raw headers.
+ * Finds a header field.
  *
- * @param fields - Fields of a message.
- * @returns Alternating names and values.
+ * @param raw - Header fields.
+ * @param name - Name in any case.
+ * @returns Its first value; undefined when it is absent.
  */
-export const toRawHeaders = (fields: readonly HeaderField[]): RawHeaders => fields.flatMap(field => [field.name, field.value])
+export const headerOf = (raw: RawHeaders, name: string): string | undefined => {
+  const wanted = name.toLowerCase()
+  for (let index = 0; index < raw.length; index += 2) {
+    if (raw[index]?.toLowerCase() === wanted) return raw[index + 1]
+  }
+  return undefined
+}
--- a/packages/callers/src/routing/routeTable.ts
+++ b/packages/callers/src/routing/routeTable.ts
@@ -33,6 +33,6 @@
    */
   find (method: string, path: string, host: string): RouteConfig | undefined {
     const found = this.router.find(method as HTTPMethod, path, { host })
-    return found === null ? undefined : found.store as RouteConfig
+    return (found?.store as RouteConfig | null | undefined) ?? undefined
   }
 }
--- a/packages/daemon/src/compose/callerSide.ts
+++ b/packages/daemon/src/compose/callerSide.ts
@@ -1,6 +1,6 @@
-import { Admission, RouteTable, serveRequest } from '@lovagehoist/callers'
-import type { RequestHandler } from '@lovagehoist/callers'
-import type { ConfigSource, StateSource } from '@lovagehoist/common'
+import { Admission, KeyClaims, KeyGuard, KeyWriter, RetryBudget, RouteTable, createRequestMetrics, serveRequest } from '@lovagehoist/callers'
+import type { RequestHandler, RequestMetrics, ServeOptions } from '@lovagehoist/callers'
+import type { ConfigSource, PeerBus, StateSource } from '@lovagehoist/common'
 import type { Base, Task } from './base.js'
 import type { TargetSide } from './targetSide.js'
 
@@ -9,6 +9,15 @@
   readonly handler: RequestHandler
   readonly tasks: readonly Task[]
   readonly sources: readonly StateSource[]
+  /** Resolves when the claims of keys are settled. */
+  readonly settle: () => Promise<void>
+}
+
+const createKeys = (base: Base, bus: PeerBus, metrics: RequestMetrics): KeyGuard => {
+  const { clock, random, platform, invariants } = base
+  const writer = KeyWriter.create({ table: platform.table, clock, random, fleetSize: () => bus.members().length + 1 })
+  const claims = KeyClaims.create({ writer, clock, random })
+  return KeyGuard.create({ claims, objects: platform.objects, clock, metrics, invariants })
 }
 
 /**
@@ -16,14 +25,24 @@
  *
  * @param base - What every part needs.
  * @param config - Configuration in force.
+ * @param bus - Communication between daemons.
  * @param targets - Parts that face targets.
  * @returns The parts.
  */
-export const createCallerSide = (base: Base, config: ConfigSource, targets: TargetSide): CallerSide => {
+export const createCallerSide = (base: Base, config: ConfigSource, bus: PeerBus, targets: TargetSide): CallerSide => {
   const admission = Admission.create(service => targets.directory.targets(service).reduce((sum, target) => sum + target.slots, 0))
+  const metrics = createRequestMetrics(base.registry)
+  const keys = createKeys(base, bus, metrics)
   let routes: RouteTable | undefined
   config.onChange(accepted => { routes = RouteTable.create(accepted.document) })
-  const { picker, sender, evidence } = targets
-  const serve = { clock: base.clock, config, routes: () => routes, admission, picker, sender, evidence }
-  return { handler: async (request, response) => { await serveRequest(serve, request, response) }, tasks: [], sources: [] }
+  const { clock, random, invariants } = base
+  const { picker, sender, evidence, health, directory } = targets
+  const budget = RetryBudget.create()
+  const serve: ServeOptions = { clock, random, invariants, config, routes: () => routes, admission, picker, sender, evidence, health, directory, budget, metrics, keys }
+  return {
+    handler: async (request, response) => { await serveRequest(serve, request, response) },
+    tasks: [],
+    sources: [],
+    settle: async () => { await keys.settled() }
+  }
 }
--- a/packages/daemon/src/compose/parts.ts
+++ b/packages/daemon/src/compose/parts.ts
@@ -33,7 +33,7 @@
   const peers = createPeerSide(base)
   const configSide = createConfigSide(base, peers.bus)
   const targets = createTargetSide(base, configSide.config, peers.bus)
-  const callers = createCallerSide(base, configSide.config, targets)
+  const callers = createCallerSide(base, configSide.config, peers.bus, targets)
   const sides = [peers, configSide, targets, callers]
   const breaches = { name: 'breaches', dump: () => JSON.parse(JSON.stringify(base.invariants.breaches())) as JsonValue }
   const stopping = new AbortController()
@@ -50,6 +50,7 @@
       return { peersPort: port }
     },
     stop: async () => {
+      await callers.settle()
       stopping.abort()
       await Promise.all(running)
       await targets.close()
