Keep rows of released keys so that a repeated write can't undo another claim

Cause: a released key's row was deleted and came back at version 1; a release whose answer was lost was repeated under version 1 and removed the next daemon's claim, so the key ran twice. Change: a release is a row in state 'released', versions only grow; claims whose write may have taken effect unseen are taken back. The manual clock no longer steps back when a test jumps within an advance.

--- a/packages/callers/src/keys/keyClaims.ts
+++ b/packages/callers/src/keys/keyClaims.ts
@@ -99,16 +99,17 @@
    * @param claim - Claim of this daemon.
    */
   async release (claim: Claim): Promise<void> {
-    await this.settle(claim, undefined)
+    await this.settle(claim, { state: 'released' })
   }
 
   private async claimRow (need: ClaimNeed, latestSendAtMs: number): Promise<ClaimOutcome> {
     const row = this.rowOf(need)
     const first = await this.write(need.key, 0, row)
-    if (first.type !== 'conflict') return outcomeOf(need.key, row, latestSendAtMs, first)
-    const expired = this.expired(first.current)
-    if (expired === undefined) return taken(first.current)
-    return outcomeOf(need.key, row, latestSendAtMs, await this.write(need.key, expired.version, row))
+    const free = first.type === 'conflict' ? this.freeRow(first.current) : undefined
+    const version = free?.version ?? 0
+    const written = free === undefined ? first : await this.write(need.key, version, row)
+    if (written.type === 'out' && written.mayApply) this.takeBack(need.key, version, row).catch(() => {})
+    return outcomeOf(need.key, row, latestSendAtMs, written)
   }
 
   private async releaseLate (work: Promise<ClaimOutcome>): Promise<void> {
@@ -116,6 +117,23 @@
     if (outcome.type === 'claimed') await this.release(outcome.claim)
   }
 
+  /** Releases a claim that was given up while it may have taken effect. */
+  private async takeBack (key: string, version: number, row: KeyRow): Promise<void> {
+    const written = await this.persist({ key, version, writeId: row.writeId, value: row as unknown as JsonValue })
+    if (written?.type === 'applied') await this.release({ key, version: written.version, row, latestSendAtMs: -Infinity })
+  }
+
+  /** Repeats a write, which is harmless under the same condition, until the table settles it. */
+  private async persist (write: KeyWrite): Promise<KeyWriteResult | undefined> {
+    const { clock, random, writer } = this.options
+    for (let attempt = 0; attempt < MOST_SETTLE_TRIES; attempt++) {
+      const written = await writer.write(write)
+      if (written.type !== 'out') return written
+      await clock.sleepMs(SETTLE_BACKOFF_MS * 2 ** attempt * (1 + random.next()))
+    }
+    return undefined
+  }
+
   private rowOf ({ requestDigest, lifetimeMs, exchangeMs }: ClaimNeed): KeyRow {
     const { clock, random } = this.options
     const wallMs = clock.wallMs()
@@ -130,20 +148,16 @@
     }
   }
 
-  private expired (row: TableRow | undefined): TableRow | undefined {
+  private freeRow (row: TableRow | undefined): TableRow | undefined {
     const parsed = parseKeyRow(row?.value)
-    return parsed !== undefined && parsed.expiresAtMs < this.options.clock.wallMs() ? row : undefined
+    const isFree = parsed !== undefined && (parsed.state === 'released' || parsed.expiresAtMs < this.options.clock.wallMs())
+    return isFree ? row : undefined
   }
 
-  private async settle (claim: Claim, change: Partial<KeyRow> | undefined): Promise<void> {
-    const { clock, random } = this.options
-    const writeId = random.id()
-    const value = change === undefined ? undefined : { ...claim.row, ...change, writeId }
-    for (let attempt = 0; attempt < MOST_SETTLE_TRIES; attempt++) {
-      const written = await this.options.writer.write({ key: claim.key, version: claim.version, writeId, value: value as JsonValue | undefined })
-      if (written.type !== 'out') return
-      await clock.sleepMs(SETTLE_BACKOFF_MS * 2 ** attempt * (1 + random.next()))
-    }
+  private async settle (claim: Claim, change: Partial<KeyRow>): Promise<void> {
+    const writeId = this.options.random.id()
+    const value = { ...claim.row, ...change, writeId } as unknown as JsonValue
+    await this.persist({ key: claim.key, version: claim.version, writeId, value })
   }
 
   private async write (key: string, version: number, row: KeyRow): Promise<KeyWriteResult> {
--- a/packages/callers/src/keys/keyRow.ts
+++ b/packages/callers/src/keys/keyRow.ts
@@ -14,8 +14,8 @@
 }).readonly()
 
 const keyRow = z.object({
-  /** `claimed` until its holder settles it. */
-  state: z.enum(['claimed', 'answered', 'unknown']),
+  /** `claimed` until its holder settles it; a `released` key may be claimed again, and its row stays so that versions only grow. */
+  state: z.enum(['claimed', 'answered', 'unknown', 'released']),
   /** Unique name of the claim; only its holder may send the request. */
   claimId: z.string(),
   /** Unique name of the last write, by which a lost answer is settled. */
--- a/packages/common/src/fakes/manualClock.ts
+++ b/packages/common/src/fakes/manualClock.ts
@@ -71,7 +71,7 @@
       timer.run()
       await settle()
     }
-    this.nowMs = endMs
+    this.nowMs = Math.max(this.nowMs, endMs)
   }
 
   /** Moves time on without running timers, as a paused process sees it. */
