Add the soak run: randomised faults against an oracle of callers and journals

Cause: promises have to be checked under faults that overlap. Conclusion: the oracle can fail; idempotency keys are not built yet, so a resend runs again.

--- a/packages/standins/src/load/caller.ts
+++ b/packages/standins/src/load/caller.ts
@@ -13,6 +13,8 @@
   readonly body?: string
   readonly headers?: Readonly<Record<string, string>>
   readonly timeoutMs?: number
+  /** Run ids of earlier sends of the same work, whose answers are right as well. */
+  readonly earlierRunIds?: readonly string[]
 }
 
 /** What the caller got. */
@@ -66,7 +68,8 @@
       const body = Buffer.from(await reply.body.arrayBuffer())
       const verdict = reply.headers['lovagehoist-verdict'] as RunVerdict | undefined
       const lengthBytes = Number(sent.headers?.['x-answer-bytes'] ?? ANSWER_BYTES)
-      const isRight = body.equals(answerBody(sent.runId, digestOf(sent.body ?? ''), lengthBytes))
+      const bodyDigest = digestOf(sent.body ?? '')
+      const isRight = [sent.runId, ...sent.earlierRunIds ?? []].some(runId => body.equals(answerBody(runId, bodyDigest, lengthBytes)))
       return { runId: sent.runId, status: reply.statusCode, verdict, isRight, latencyMs: this.clock.monotonicMs() - startedAtMs }
     } catch {
       return { runId: sent.runId, status: 0, verdict: undefined, isRight: false, latencyMs: this.clock.monotonicMs() - startedAtMs }
--- a/packages/standins/src/measure/documents.ts
+++ b/packages/standins/src/measure/documents.ts
@@ -7,6 +7,7 @@
   readonly slotsPerTarget: number
   readonly floorSlots: number
   readonly profile?: 'fast' | 'careful'
+  readonly retryBudgetShare?: number
 }
 
 const CONNECTIONS_PER_TARGET = 300
--- /dev/null
+++ b/packages/standins/src/soak/runSoak.ts
@@ -0,0 +1,189 @@
+import type { JsonValue, Random } from '@lovagehoist/common'
+import { Caller } from '../load/caller.js'
+import { runOpenLoop } from '../load/openLoop.js'
+import { measuredDocument } from '../measure/documents.js'
+import { Fleet } from '../measure/fleet.js'
+import { faults } from './faults.js'
+import type { EndFault, FaultWorld } from './faults.js'
+import { findBreaches } from './soakOracle.js'
+import type { SoakBreach } from './soakOracle.js'
+import { DumpWatch } from './watch.js'
+import { Workload } from './workload.js'
+
+/** Arguments of a soak run. */
+export interface SoakOptions {
+  readonly seed: number
+  readonly random: Random
+  readonly durationMs: number
+  readonly instances: number
+  readonly perSecond: number
+  readonly progress: (line: string) => void
+}
+
+/** Result of a soak run. */
+export interface SoakSummary {
+  readonly isClean: boolean
+  readonly seed: number
+  readonly repeatWith: string
+  readonly requests: number
+  readonly answered: number
+  readonly notRun: number
+  readonly mayHaveRun: number
+  readonly broken: number
+  readonly faults: Readonly<Record<string, number>>
+  readonly breaches: readonly SoakBreach[]
+  readonly versionRegressions: number
+  readonly invariantBreaches: readonly JsonValue[]
+  /** Faults that were begun and ended, in order. */
+  readonly trace: readonly string[]
+}
+
+const SLOTS = 6
+/** Targets of each service, by deployment. */
+const SERVICES: Readonly<Record<string, number>> = { burnbook: 8, sackpay: 16, kilndesk: 6, etlap: 9, beszerzes: 19, kiszallitas: 6 }
+const FLOOR_SHARE = 0.6
+const MIN_PAUSE_MS = 500
+const PAUSE_SPREAD_MS = 2_500
+const MIN_FAULT_MS = 1_500
+const FAULT_SPREAD_MS = 6_000
+const MAX_TOGETHER = 3
+const LOOK_MS = 2_000
+const KEPT_BREACHES = 5
+
+const planOf = (count: number, retryBudgetShare: number): Parameters<typeof measuredDocument>[0][string] =>
+  ({ plannedTargets: count, slotsPerTarget: SLOTS, floorSlots: Math.floor(count * FLOOR_SHARE) * SLOTS, profile: 'fast', retryBudgetShare })
+
+const documentOf = (random: Random): JsonValue =>
+  measuredDocument(Object.fromEntries(Object.entries(SERVICES).map(([name, count]) => [name, planOf(count, 0.1 + random.next() / 10)])))
+
+const createWorld = async (options: SoakOptions): Promise<FaultWorld> => {
+  const fleet = await Fleet.create(options.seed, 4)
+  for (const [service, count] of Object.entries(SERVICES)) {
+    for (let index = 0; index < count; index++) await fleet.addTarget(service, { slots: SLOTS })
+  }
+  await fleet.promote(documentOf(options.random))
+  const daemons: FaultWorld['daemons'] = []
+  const urls: FaultWorld['urls'] = new Map()
+  const drain = { balancerLagMs: 500, longestExchangeMs: 15_000 }
+  const world: FaultWorld = {
+    fleet,
+    random: options.random,
+    targets: [...fleet.targets],
+    daemons,
+    urls,
+    promote: async () => { await fleet.promote(documentOf(options.random)).catch(() => {}) },
+    addDaemon: async () => {
+      const daemon = await fleet.addDaemon({ drain })
+      urls.set(daemon.id, `http://127.0.0.1:${(await daemon.ports).callers}`)
+      daemons.push(daemon)
+    }
+  }
+  for (let index = 0; index < options.instances; index++) await world.addDaemon()
+  return world
+}
+
+/** Begins and ends faults until the time is over. */
+class FaultLoop {
+  readonly trace: string[] = []
+  readonly counts: Record<string, number> = {}
+  private readonly running = new Set<Promise<void>>()
+
+  private constructor (private readonly world: FaultWorld, private readonly options: SoakOptions) {}
+
+  static create (world: FaultWorld, options: SoakOptions): FaultLoop {
+    return new FaultLoop(world, options)
+  }
+
+  async run (signal: AbortSignal): Promise<void> {
+    const { fleet, random } = this.world
+    while (!signal.aborted) {
+      await fleet.clock.sleepMs(MIN_PAUSE_MS + random.int(PAUSE_SPREAD_MS), signal)
+      const together = 1 + random.int(MAX_TOGETHER)
+      for (let index = 0; index < together && !signal.aborted; index++) this.begin(signal)
+    }
+    await Promise.all(this.running)
+  }
+
+  private begin (signal: AbortSignal): void {
+    const names = Object.keys(faults)
+    const name = names[this.world.random.int(names.length)] ?? ''
+    this.counts[name] = (this.counts[name] ?? 0) + 1
+    const task = this.one(name, signal).catch((error: unknown) => { this.note(`${name} could not be made: ${String(error)}`) })
+    this.running.add(task)
+    task.finally(() => { this.running.delete(task) }).catch(() => {})
+  }
+
+  private async one (name: string, signal: AbortSignal): Promise<void> {
+    const { clock } = this.world.fleet
+    this.note(`begin ${name}`)
+    const end: EndFault | undefined = await faults[name]?.(this.world)
+    await clock.sleepMs(MIN_FAULT_MS + this.world.random.int(FAULT_SPREAD_MS), signal)
+    await end?.()
+    this.note(`end ${name}`)
+  }
+
+  private note (line: string): void {
+    this.trace.push(`${Math.round(this.world.fleet.clock.monotonicMs())} ms ${line}`)
+    this.options.progress(line)
+  }
+}
+
+const lookUntil = async (watch: DumpWatch, world: FaultWorld, signal: AbortSignal): Promise<void> => {
+  while (!signal.aborted) {
+    await world.fleet.clock.sleepMs(LOOK_MS, signal)
+    await watch.look(id => world.daemons.some(daemon => daemon.id === id))
+  }
+}
+
+const summarise = async (options: SoakOptions, world: FaultWorld, workload: Workload, watch: DumpWatch, loop: FaultLoop): Promise<SoakSummary> => {
+  const { records } = workload
+  const breaches = findBreaches(records, await world.fleet.journal())
+  const watched = watch.result()
+  return {
+    isClean: breaches.length === 0 && watched.versionRegressions === 0 && watched.invariantBreaches.length === 0,
+    seed: options.seed,
+    repeatWith: `npm run soak -- --seed ${options.seed} --minutes ${options.durationMs / 60_000} --instances ${options.instances} --per-second ${options.perSecond}`,
+    requests: records.length,
+    answered: records.filter(record => record.verdict === 'ran').length,
+    notRun: records.filter(record => record.verdict === 'not-run').length,
+    mayHaveRun: records.filter(record => record.verdict === 'may-have-run').length,
+    broken: records.filter(record => record.verdict === undefined).length,
+    faults: loop.counts,
+    breaches: breaches.slice(0, KEPT_BREACHES),
+    ...watched,
+    trace: loop.trace
+  }
+}
+
+/**
+ * Runs real daemons before stand-ins under load and randomised faults.
+ *
+ * @param options - Seed, time and size.
+ * @returns What was seen, with every broken promise.
+ */
+export const runSoak = async (options: SoakOptions): Promise<SoakSummary> => {
+  const world = await createWorld(options)
+  const { fleet } = world
+  const { clock } = fleet
+  const caller = Caller.create(clock)
+  const watch = DumpWatch.create(fleet)
+  const loop = FaultLoop.create(world, options)
+  const stop = new AbortController()
+  try {
+    const workload = Workload.create({
+      clock,
+      random: options.random,
+      caller,
+      services: Object.keys(SERVICES),
+      urls: () => world.daemons.flatMap(daemon => world.urls.get(daemon.id) ?? [])
+    })
+    const background = [loop.run(stop.signal), lookUntil(watch, world, stop.signal)]
+    await runOpenLoop({ clock, perSecond: options.perSecond, durationMs: options.durationMs }, async () => { await workload.sendOne() })
+    stop.abort()
+    await Promise.all(background)
+    return await summarise(options, world, workload, watch, loop)
+  } finally {
+    await caller.close()
+    await fleet.close()
+  }
+}
