Test the whole path in one process

Change: a daemon, a platform and targets in one process over real sockets: whole answers, refusals before any target, ambiguous lengths, readiness, dump, and a request in flight while the daemon drains.

--- a/packages/daemon/src/compose/daemon.ts
+++ b/packages/daemon/src/compose/daemon.ts
@@ -40,6 +40,11 @@
     return { callers: this.servers?.callers.port ?? 0, admin: this.servers?.admin.port ?? 0 }
   }
 
+  /** Whether the daemon holds a configuration and is not leaving. */
+  isReady (): boolean {
+    return this.parts.isReady() && !this.isDraining
+  }
+
   /** Becomes unready, serves on while the balancer lags, finishes what is in flight and leaves. */
   async drain (): Promise<void> {
     if (this.isDraining) return
@@ -61,7 +66,7 @@
       address: settings.admin,
       registry,
       sources,
-      isReady: () => parts.isReady() && !this.isDraining,
+      isReady: () => this.isReady(),
       drain: () => { this.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) }
     })
     this.servers = { callers, admin }
--- /dev/null
+++ b/packages/standins/src/integration/wholePath.spec.ts
@@ -0,0 +1,78 @@
+import { connect } from 'node:net'
+import { expect } from 'chai'
+import { request } from 'undici'
+import { Caller } from '../load/caller.js'
+import { measuredDocument } from '../measure/documents.js'
+import { InProcessFleet } from './inProcessFleet.js'
+
+const document = measuredDocument({ burnbook: { plannedTargets: 2, slotsPerTarget: 6, floorSlots: 6 } })
+
+const rawExchange = async (port: number, text: string): Promise<string> => await new Promise((resolve, reject) => {
+  const socket = connect(port, '127.0.0.1', () => { socket.write(text) })
+  const chunks: Buffer[] = []
+  socket.on('data', chunk => { chunks.push(chunk) })
+  socket.on('close', () => { resolve(Buffer.concat(chunks).toString('latin1')) })
+  socket.on('error', reject)
+})
+
+describe('the whole path', () => {
+  let fleet: InProcessFleet
+  let caller: Caller
+
+  beforeEach(async () => {
+    fleet = await InProcessFleet.create()
+    await fleet.addTarget('burnbook')
+    await fleet.addTarget('burnbook')
+    await fleet.promote(document)
+    await fleet.addDaemon()
+    caller = Caller.create(fleet.clock)
+  })
+
+  afterEach(async () => {
+    await caller.close()
+    await fleet.close()
+    expect(fleet.breaches).to.deep.equal([])
+  })
+
+  const url = (): string => fleet.daemons[0] === undefined ? '' : fleet.urlOf(fleet.daemons[0])
+
+  it('gives each caller the whole answer to its own request', async () => {
+    const results = await Promise.all(Array.from({ length: 40 }, async (_, index) => index % 2 === 0
+      ? await caller.send({ baseUrl: url(), method: 'GET', path: '/burnbook/read/x', runId: `r${index}`, headers: { 'x-answer-bytes': String(64 + index * 5_000) } })
+      : await caller.send({ baseUrl: url(), method: 'POST', path: '/burnbook/pay/x', runId: `r${index}`, body: `payout ${index}` })))
+    expect(results.map(({ status, verdict, isRight }) => ({ status, verdict, isRight })))
+      .to.deep.equal(results.map(() => ({ status: 200, verdict: 'ran', isRight: true })))
+    expect(fleet.targets.flatMap(target => target.journal)).to.have.length(results.length)
+  })
+
+  it('refuses what the document does not name without asking a target', async () => {
+    const reply = await request(`${url()}/nowhere`)
+    expect(reply.statusCode).to.equal(404)
+    expect(reply.headers['lovagehoist-verdict']).to.equal('not-run')
+    expect(reply.headers['content-type']).to.equal('application/problem+json')
+    await reply.body.dump()
+    expect(fleet.targets.flatMap(target => target.journal)).to.deep.equal([])
+  })
+
+  it('refuses a request whose length is ambiguous without asking a target', async () => {
+    const text = 'POST /burnbook/pay/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /burnbook/read/y HTTP/1.1\r\nHost: a\r\n\r\n'
+    expect(await rawExchange(fleet.daemons[0]?.ports.callers ?? 0, text)).to.match(/^HTTP\/1.1 400 /)
+    expect(fleet.targets.flatMap(target => target.journal)).to.deep.equal([])
+  })
+
+  it('shows readiness, metrics and its state', async () => {
+    const admin = `http://127.0.0.1:${fleet.daemons[0]?.ports.admin ?? 0}`
+    expect((await request(`${admin}/ready`)).statusCode).to.equal(200)
+    expect(await (await request(`${admin}/metrics`)).body.text()).to.include('lovagehoist_invariant_breaches_total')
+    const dump = await (await request(`${admin}/dump`)).body.json() as { readonly config: { readonly version: number } }
+    expect(dump.config.version).to.equal(1)
+  })
+
+  it('finishes a request in flight when it drains', async () => {
+    const running = caller.send({ baseUrl: url(), method: 'POST', path: '/burnbook/pay/x', runId: 'slow', body: 'x', headers: { 'x-work-ms': '200' } })
+    while (fleet.targets.every(target => target.journal.length === 0)) await fleet.clock.sleepMs(1)
+    const left = fleet.daemons[0]?.drain()
+    expect(await running).to.include({ status: 200, isRight: true })
+    await left
+  })
+})
