Add the contract for a daemon's status and for announced configurations

Cause: heartbeats have to carry the version and digest held by each daemon, and nothing told the peers' side what they are. Change: LocalStatus in Base, written by the configuration side and read by whoever makes heartbeats; schema of the values of topic 'config'. All additive; the fake peer network shows the status of each bus in members(). Conclusion: the peers' side reads base.status.current() and base.status.onChange().

--- a/packages/common/src/fakes/fakePeerNetwork.ts
+++ b/packages/common/src/fakes/fakePeerNetwork.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'neverthrow'
 import type { Clock } from '../time/clock.js'
 import type { JsonValue } from '../text/jsonValue.js'
+import { LocalStatus } from '../contracts/localStatus.js'
 import type { InstanceIdentity, Member, PeerBus, PeerError, PeerMethod, SharedEntry, SpreadClass } from '../contracts/peers.js'
 
 interface Held {
@@ -31,10 +32,11 @@
    * Joins a daemon; a second join with the same instance id replaces the first.
    *
    * @param self - The daemon's process.
+   * @param status - What its heartbeats tell the others.
    * @returns Its bus.
    */
-  join (self: InstanceIdentity): FakePeerBus {
-    const bus = new FakePeerBus(self, this)
+  join (self: InstanceIdentity, status: LocalStatus = LocalStatus.create()): FakePeerBus {
+    const bus = new FakePeerBus(self, this, status)
     this.buses.set(self.instanceId, bus)
     return bus
   }
@@ -73,7 +75,7 @@
   private readonly methods = new Map<string, PeerMethod>()
   private nextSequence = 1
 
-  constructor (readonly self: InstanceIdentity, private readonly network: FakePeerNetwork) {}
+  constructor (readonly self: InstanceIdentity, private readonly network: FakePeerNetwork, readonly status: LocalStatus) {}
 
   readonly members = (): readonly Member[] => this.network.all()
     .filter(bus => bus.self.instanceId !== this.self.instanceId)
@@ -82,9 +84,7 @@
       host: '127.0.0.1',
       port: 1,
       status: this.hears(bus) ? 'reachable' as const : 'suspect' as const,
-      configVersion: 0,
-      configDigest: '',
-      isReady: true,
+      ...bus.status.current(),
       ageMs: 0
     }))
 
--- a/packages/daemon/src/compose/base.ts
+++ b/packages/daemon/src/compose/base.ts
@@ -1,4 +1,4 @@
-import { Invariants, createLog, createRegistry } from '@lovagehoist/common'
+import { Invariants, LocalStatus, createLog, createRegistry } from '@lovagehoist/common'
 import type { Clock, InstanceIdentity, Log, Platform, Random, Settings } from '@lovagehoist/common'
 import type { Registry } from 'prom-client'
 import type { DaemonWorld } from './world.js'
@@ -13,6 +13,8 @@
   readonly invariants: Invariants
   readonly platform: Platform & { readonly close: () => Promise<void> }
   readonly identity: InstanceIdentity
+  /** What heartbeats tell other daemons about this one; the configuration side writes it. */
+  readonly status: LocalStatus
 }
 
 /** A loop that runs until its signal aborts. */
@@ -33,5 +35,5 @@
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry, ...onBreach })
   const { id: instanceId, region, availabilityZone } = settings.instance
   const identity = { instanceId, region, availabilityZone, startId: random.id() }
-  return { settings, clock, random, log, registry, invariants, platform: world.openPlatform(settings), identity }
+  return { settings, clock, random, log, registry, invariants, platform: world.openPlatform(settings), identity, status: LocalStatus.create() }
 }
--- a/packages/daemon/src/compose/configSide.ts
+++ b/packages/daemon/src/compose/configSide.ts
@@ -23,6 +23,7 @@
 export const createConfigSide = (base: Base, _bus: PeerBus): ConfigSide => {
   const { settings, platform, clock, log, invariants } = base
   const config = ConfigFollower.create({ environment: settings.environment, platform, clock, log: log.child('config'), invariants, pollMs: CONFIG_POLL_MS })
+  config.onChange(({ version, digest }) => { base.status.set({ configVersion: version, configDigest: digest, isReady: true }) })
   return {
     config,
     tasks: [async signal => { await config.run(signal) }],
