--- /dev/null
+++ b/packages/standins/src/network/relay.spec.ts
@@ -0,0 +1,57 @@
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { once } from 'node:events'
+import { SystemClock } from '@lovagehoist/common'
+import { expect } from 'chai'
+import { Relay } from './relay.js'
+
+describe('Relay', () => {
+  let echo: Server
+  let relay: Relay
+  const clients: Socket[] = []
+  const clock = SystemClock.create()
+
+  beforeEach(async () => {
+    echo = createServer(socket => { socket.pipe(socket) })
+    echo.listen(0, '127.0.0.1')
+    await once(echo, 'listening')
+    relay = await Relay.create(clock, '127.0.0.1', { host: '127.0.0.1', port: (echo.address() as AddressInfo).port })
+  })
+
+  afterEach(async () => {
+    for (const client of clients.splice(0)) client.destroy()
+    await relay.close()
+    echo.close()
+  })
+
+  const dial = (localAddress: string): Socket => {
+    const socket = connect({ port: relay.port, host: '127.0.0.1', localAddress })
+    clients.push(socket)
+    return socket
+  }
+
+  it('passes data in both directions', async () => {
+    const client = dial('127.0.0.2')
+    client.write('hello')
+    const [chunk] = await once(client, 'data') as [Buffer]
+    expect(chunk.toString()).to.equal('hello')
+  })
+
+  it('cuts one source and carries another', async () => {
+    relay.set('127.0.0.3', { isCut: true })
+    const cut = dial('127.0.0.3')
+    let received = 0
+    cut.on('data', chunk => { received += chunk.length })
+    cut.write('lost')
+    const other = dial('127.0.0.2')
+    other.write('carried')
+    const [chunk] = await once(other, 'data') as [Buffer]
+    expect(chunk.toString()).to.equal('carried')
+    while (relay.droppedBytes < 'lost'.length) await clock.sleepMs(1)
+    expect(received).to.equal(0)
+    relay.set('127.0.0.3', { isCut: false })
+    cut.write('again')
+    const [later] = await once(cut, 'data') as [Buffer]
+    expect(later.toString()).to.equal('again')
+  })
+})
