--- a/packages/standins/src/measure/documents.ts
+++ b/packages/standins/src/measure/documents.ts
@@ -9,13 +9,19 @@
   readonly profile?: 'fast' | 'careful'
 }
 
+/** What the two routes of each service have in common. */
+export interface MeasuredRoutes {
+  /** Limit of the whole exchange; absent for the document's default. */
+  readonly timeoutMs?: number
+}
+
 const CONNECTIONS_PER_TARGET = 300
 
-const readRoute = (service: string): JsonValue =>
-  ({ id: `${service}-read`, methods: ['GET'], path: `/${service}/read/*`, service, isIdempotent: true })
+const readRoute = (service: string, routes: MeasuredRoutes): JsonValue =>
+  ({ id: `${service}-read`, methods: ['GET'], path: `/${service}/read/*`, service, isIdempotent: true, ...routes })
 
-const payRoute = (service: string): JsonValue =>
-  ({ id: `${service}-pay`, methods: ['POST'], path: `/${service}/pay/*`, service, priority: 'payment', keyHeader: 'Idempotency-Key' })
+const payRoute = (service: string, routes: MeasuredRoutes): JsonValue =>
+  ({ id: `${service}-pay`, methods: ['POST'], path: `/${service}/pay/*`, service, priority: 'payment', keyHeader: 'Idempotency-Key', ...routes })
 
 const serviceConfig = (service: MeasuredService): JsonValue => ({
   ...service,
@@ -28,12 +34,13 @@
  * Makes a document with two routes for each service: `GET /SERVICE/read/*` is idempotent, `POST /SERVICE/pay/*` is not.
  *
  * @param services - Services by name.
+ * @param routes - Fields that all routes share.
  * @returns The document.
  */
-export const measuredDocument = (services: Readonly<Record<string, MeasuredService>>): JsonValue => ({
+export const measuredDocument = (services: Readonly<Record<string, MeasuredService>>, routes: MeasuredRoutes = {}): JsonValue => ({
   schemaVersion: 1,
   deployment: 'measured',
   accounts: { default: { maxInFlight: 100_000 } },
   services: Object.fromEntries(Object.entries(services).map(([name, service]) => [name, serviceConfig(service)])),
-  routes: Object.keys(services).flatMap(name => [readRoute(name), payRoute(name)])
+  routes: Object.keys(services).flatMap(name => [readRoute(name, routes), payRoute(name, routes)])
 })
--- a/packages/standins/src/measure/fleet.ts
+++ b/packages/standins/src/measure/fleet.ts
@@ -27,6 +27,7 @@
 }
 
 const ZONES = ['a', 'b', 'c'] as const
+const STARTED_AT_ONCE = 8
 const READY_POLL_MS = 50
 const READY_LIMIT_MS = 30_000
 const HOST = '127.0.0.1'
@@ -40,6 +41,8 @@
   readonly targets: FleetTarget[] = []
   readonly daemons: DaemonProcess[] = []
 
+  private daemonCount = 0
+
   private constructor (readonly platformHost: StandinHost, readonly platformUrl: string, private readonly folder: string, private readonly hosts: StandinHost[]) {}
 
   /**
@@ -96,7 +99,7 @@
 
   /** Starts a daemon, lists it and waits until it is ready. */
   async addDaemon (overrides: DaemonOverrides = {}): Promise<DaemonProcess> {
-    const index = this.daemons.length
+    const index = this.daemonCount++
     const daemon = await DaemonProcess.create(this.folder, {
       instance: { id: `daemon-${index}`, region: 'local', availabilityZone: zoneOf(index) },
       environment: ENVIRONMENT,
@@ -115,6 +118,19 @@
     return daemon
   }
 
+  /** Starts daemons, several at a time. */
+  async addDaemons (count: number, overrides: DaemonOverrides = {}): Promise<void> {
+    for (let started = 0; started < count; started += STARTED_AT_ONCE) {
+      const batch = Math.min(STARTED_AT_ONCE, count - started)
+      await Promise.all(Array.from({ length: batch }, async () => await this.addDaemon(overrides)))
+    }
+  }
+
+  /** Lists a target in another state. */
+  async listTarget ({ entry }: FleetTarget, state: DirectoryEntry['state']): Promise<void> {
+    await this.platformHost.register({ ...entry, state })
+  }
+
   /** Addresses that callers reach the daemons at. */
   async callerUrls (): Promise<readonly string[]> {
     return await Promise.all(this.daemons.map(async daemon => `http://${HOST}:${(await daemon.ports).callers}`))
--- a/packages/standins/src/measure/main.ts
+++ b/packages/standins/src/measure/main.ts
@@ -8,6 +8,7 @@
   readonly instances?: string
   readonly seconds?: string
   readonly variant: 'fleet' | 'baseline'
+  readonly slots?: string
 }
 
 const runScenario = async (name: string, options: Options): Promise<void> => {
@@ -18,6 +19,7 @@
     instances: Number(options.instances ?? scenario.defaultInstances),
     durationMs: Number(options.seconds ?? scenario.defaultSeconds) * MS_PER_SECOND,
     variant: options.variant,
+    ...(options.slots === undefined ? {} : { slots: options.slots }),
     progress: line => { process.stderr.write(`${line}\n`) }
   })
   process.stdout.write(`${JSON.stringify(figures)}\n`)
@@ -33,6 +35,7 @@
   .option('--instances <number>', 'daemons')
   .option('--seconds <number>', 'time under load')
   .option('--variant <name>', '"fleet" or "baseline"', 'fleet')
+  .option('--slots <name>', 'way to share slots: "shared", "least-loaded" or "two-choices"')
   .action(async (name: string, options: Options) => {
     if (name === 'list') listScenarios()
     else await runScenario(name, options)
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,7 +1,11 @@
 import type { Scenario } from '../scenario.js'
+import { drain } from './drain.js'
 import { overhead } from './overhead.js'
+import { rush } from './rush.js'
 
 /** Every measurement, by name. */
 export const scenarios: Readonly<Record<string, Scenario>> = {
-  [overhead.name]: overhead
+  [overhead.name]: overhead,
+  [rush.name]: rush,
+  [drain.name]: drain
 }
--- a/packages/standins/src/process/hostMain.ts
+++ b/packages/standins/src/process/hostMain.ts
@@ -45,7 +45,7 @@
 server.addMethod('journal', ({ id }: { readonly id: string }) => findTarget(id).journal)
 server.addMethod('targetCounts', ({ id }: { readonly id: string }) => {
   const target = findTarget(id)
-  return { runs: target.journal.length, shed: target.shed, connections: target.connections }
+  return { runs: target.journal.length, shed: target.shed, connections: target.connections, lastRequestAtMs: target.lastRequestAtMs }
 })
 
 process.on('message', message => {
--- a/packages/standins/src/process/standinHost.ts
+++ b/packages/standins/src/process/standinHost.ts
@@ -14,6 +14,8 @@
   readonly runs: number
   readonly shed: number
   readonly connections: number
+  /** Wall-clock time of the last request that reached it, in milliseconds since the Unix epoch; 0 for none. */
+  readonly lastRequestAtMs: number
 }
 
 /** A process of stand-ins, driven over its IPC channel. */
--- a/packages/standins/src/target/targetStandin.ts
+++ b/packages/standins/src/target/targetStandin.ts
@@ -38,6 +38,7 @@
   private readonly sockets = new Set<Socket>()
   private readonly startedAtMs: number
   private shedCount = 0
+  private lastAtMs = 0
 
   private constructor (private readonly options: TargetStandinOptions, private readonly server: Server) {
     this.behaviour = { ...HEALTHY_BEHAVIOUR, ...options.behaviour }
@@ -74,6 +75,11 @@
     return this.shedCount
   }
 
+  /** Wall-clock time of the last request, in milliseconds since the Unix epoch; 0 for none. */
+  get lastRequestAtMs (): number {
+    return this.lastAtMs
+  }
+
   /** Connections open now. */
   get connections (): number {
     return this.sockets.size
@@ -105,6 +111,7 @@
       sendJson(response, this.behaviour.isProbeHealthy ? 200 : 500, {})
       return
     }
+    this.lastAtMs = this.options.clock.wallMs()
     const breakAt = this.drawBreak()
     if (breakAt === 'after-head') request.socket.destroy()
     const body = await this.readBody(request, breakAt)
