Add communication between daemons over few partners

Cause: daemons heard only themselves. Change: GossipPeerBus over JSON-RPC in msgpack or JSON: heartbeats with at most seven partners chosen from rings over the zone, the region and all regions; membership from the platform's list corrected by confirmed exchanges, indirect asking, epochs and start ids; pushed entries and anti-entropy under a byte budget; validation of each message; HTTP with optional mutual TLS. The transport is an interface with a fake on the manual clock. bus.describeSelf is called by the composition, so Member.configVersion, configDigest (first 12 digits unless equal to the own one) and isReady are real.

--- a/packages/daemon/src/compose/parts.ts
+++ b/packages/daemon/src/compose/parts.ts
@@ -32,6 +32,10 @@
   const base = createBase(settings, world)
   const peers = createPeerSide(base)
   const configSide = createConfigSide(base, peers.bus)
+  peers.describeSelf(() => {
+    const { version: configVersion = 0, digest: configDigest = '' } = configSide.config.current() ?? {}
+    return { configVersion, configDigest, isReady: configSide.isReady() }
+  })
   const targets = createTargetSide(base, configSide.config, peers.bus)
   const callers = createCallerSide(base, configSide.config, targets)
   const sides = [peers, configSide, targets, callers]
--- a/packages/daemon/src/compose/peerSide.ts
+++ b/packages/daemon/src/compose/peerSide.ts
@@ -1,5 +1,6 @@
 import type { PeerBus, StateSource } from '@lovagehoist/common'
-import { SoloPeerBus } from '@lovagehoist/peers'
+import { GossipPeerBus, HttpPeerTransport, PeerMetrics, SoloPeerBus } from '@lovagehoist/peers'
+import type { SelfDescription } from '@lovagehoist/peers'
 import type { Base, Task } from './base.js'
 
 /** Parts that talk to other daemons. */
@@ -8,22 +9,44 @@
   readonly tasks: readonly Task[]
   readonly sources: readonly StateSource[]
   readonly listen: () => Promise<{ readonly port: number }>
+  /** Says what other daemons are told about this one. */
+  readonly describeSelf: (read: () => SelfDescription) => void
   readonly close: () => Promise<void>
 }
 
+const createSoloSide = (base: Base): PeerSide => ({
+  bus: SoloPeerBus.create(base.identity, base.clock),
+  tasks: [],
+  sources: [{ name: 'instance', dump: () => ({ ...base.identity }) }],
+  listen: async () => ({ port: 0 }),
+  describeSelf: () => {},
+  close: async () => {}
+})
+
+const createGossipSide = (base: Base): PeerSide => {
+  const { settings, identity, clock, random, registry, invariants, platform } = base
+  const { host, port, tls, budgetBytesPerSecond } = settings.peers
+  const log = base.log.child('peers')
+  const metrics = PeerMetrics.create(registry)
+  const transport = HttpPeerTransport.create({ host, port, tls, clock, log, onRefused: reason => { metrics.refuse(reason) } })
+  const bus = GossipPeerBus.create({
+    self: identity, host, environment: settings.environment, budgetBytesPerSecond, codec: 'msgpack', clock, random, log, registry, invariants, directory: platform.directory, transport, metrics
+  })
+  return {
+    bus,
+    tasks: [async signal => { await bus.run(signal) }, async signal => { await transport.run(signal) }],
+    sources: [{ name: 'instance', dump: () => ({ ...identity }) }, { name: 'peers', dump: () => bus.dump() }],
+    listen: async () => ({ port: await bus.listen() }),
+    describeSelf: read => { bus.describeSelf(read) },
+    close: async () => { await bus.close() }
+  }
+}
+
 /**
  * Composes the parts that talk to other daemons.
  *
  * @param base - What every part needs.
  * @returns The parts.
  */
-export const createPeerSide = (base: Base): PeerSide => {
-  const bus = SoloPeerBus.create(base.identity, base.clock)
-  return {
-    bus,
-    tasks: [],
-    sources: [{ name: 'instance', dump: () => ({ ...base.identity }) }],
-    listen: async () => ({ port: 0 }),
-    close: async () => {}
-  }
-}
+export const createPeerSide = (base: Base): PeerSide =>
+  base.settings.mechanisms.control === 'off' ? createSoloSide(base) : createGossipSide(base)
--- /dev/null
+++ b/packages/peers/src/fakes/fakeFleet.ts
@@ -0,0 +1,99 @@
+import { Invariants, SeededRandom, createRegistry, silentLog } from '@lovagehoist/common'
+import type { DirectoryEntry, InvariantBreach, Member } from '@lovagehoist/common'
+import type { ManualClock } from '@lovagehoist/common/fakes'
+import { ok } from 'neverthrow'
+import { GossipPeerBus } from '../bus/gossipPeerBus.js'
+import { FakeLinks } from './fakeTransport.js'
+
+const BUDGET_BYTES_PER_SECOND = 18_000
+const ZONES = ['a', 'b', 'c'] as const
+
+/** A daemon's process in a fake fleet. */
+export interface FakeDaemon {
+  readonly bus: GossipPeerBus
+  readonly port: number
+  readonly stop: AbortController
+  readonly done: Promise<void>
+}
+
+/** Real buses in one process, on a manual clock and a fake network. */
+export class FakeFleet {
+  readonly daemons = new Map<string, FakeDaemon>()
+  readonly links: FakeLinks
+  readonly breaches: InvariantBreach[] = []
+  private listed: readonly DirectoryEntry[] = []
+  private nextStart = 1
+
+  constructor (readonly clock: ManualClock, private readonly seed: number) {
+    this.links = new FakeLinks(clock)
+  }
+
+  /** Starts a daemon's process, in place of an earlier one of the same index. */
+  async start (index: number): Promise<FakeDaemon> {
+    const port = index + 1
+    const instanceId = `daemon-${index}`
+    const startId = `start-${this.nextStart++}`
+    const place = { region: index % 2 === 0 ? 'north' : 'south', availabilityZone: ZONES[index % ZONES.length] ?? 'a' }
+    const registry = createRegistry({})
+    const invariants = Invariants.create({ clock: this.clock, log: silentLog, registry, onBreach: breach => { this.breaches.push(breach) } })
+    const bus = GossipPeerBus.create({
+      self: { instanceId, startId, ...place },
+      host: '10.0.0.1',
+      environment: 'production',
+      budgetBytesPerSecond: BUDGET_BYTES_PER_SECOND,
+      codec: 'msgpack',
+      clock: this.clock,
+      random: SeededRandom.create(this.seed * 1_000 + this.nextStart),
+      log: silentLog,
+      registry,
+      invariants,
+      directory: { list: async () => ok(this.listed) },
+      transport: this.links.open(port)
+    })
+    await bus.listen()
+    this.list({ id: instanceId, role: 'daemon', service: '', host: '10.0.0.1', port, state: 'live', startedAtMs: 0, slots: 0, ...place })
+    const stop = new AbortController()
+    const daemon = { bus, port, stop, done: bus.run(stop.signal) }
+    this.daemons.set(instanceId, daemon)
+    return daemon
+  }
+
+  /** Ends a process at once, without a word to the others. */
+  kill (instanceId: string): void {
+    const daemon = this.daemons.get(instanceId)
+    if (daemon === undefined) return
+    this.links.listeners.delete(daemon.port)
+    for (const to of this.ports()) this.links.cut.add(`${daemon.port}>${to}`)
+    daemon.stop.abort()
+    this.daemons.delete(instanceId)
+  }
+
+  /** Lets new processes on a port be heard again. */
+  mend (port: number): void {
+    for (const to of this.ports()) this.links.cut.delete(`${port}>${to}`)
+  }
+
+  list (entry: DirectoryEntry): void {
+    this.listed = [...this.listed.filter(({ id }) => id !== entry.id), entry]
+  }
+
+  unlist (instanceId: string): void {
+    this.listed = this.listed.filter(({ id }) => id !== instanceId)
+  }
+
+  /** Status of one daemon in the eyes of another. */
+  statusAt (viewer: string, instanceId: string): Member['status'] | undefined {
+    return this.daemons.get(viewer)?.bus.members().find(member => member.instanceId === instanceId)?.status
+  }
+
+  /** Ends all processes. */
+  async close (): Promise<void> {
+    for (const { stop } of this.daemons.values()) stop.abort()
+    await this.clock.advanceMs(3_000)
+    await Promise.all([...this.daemons.values()].map(async ({ done }) => { await done }))
+  }
+
+  private ports (): readonly number[] {
+    return this.listed.map(({ port }) => port)
+  }
+}
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,1 +1,8 @@
 export * from './solo/soloPeerBus.js'
+export * from './bus/gossipPeerBus.js'
+export * from './bus/peerMetrics.js'
+export * from './transport/peerTransport.js'
+export * from './transport/httpTransport.js'
+export * from './transport/tlsFiles.js'
+export * from './wire/codec.js'
+export type { SelfDescription } from './membership/memberRecord.js'
--- /dev/null
+++ b/packages/peers/src/membership/membershipEntries.ts
@@ -0,0 +1,61 @@
+import type { JsonValue } from '@lovagehoist/common'
+import { descriptionSchema, selfSchema, suspicionSchema } from '../wire/messages.js'
+import type { WireEntry } from '../wire/messages.js'
+import type { SelfDescription, SelfWord } from './memberRecord.js'
+import { refOf } from './memberRecord.js'
+import type { MemberTable } from './memberTable.js'
+
+/** Key of a daemon's own entry. */
+export const SELF_KEY = 'self'
+/** Key of a daemon's description. */
+export const DESCRIPTION_KEY = 'state'
+/** Start of the keys of suspicions. */
+export const SUSPICION_PREFIX = 'suspect/'
+
+const DIGEST_DIGITS = 12
+
+/** Makes the value of a daemon's own entry. */
+export const selfValue = (word: SelfWord): JsonValue =>
+  [word.instanceId, word.startId, word.epoch, word.region, word.availabilityZone, word.host, word.port]
+
+/** Makes the value of a daemon's description. */
+export const descriptionValue = (description: SelfDescription, isLeaving: boolean): JsonValue =>
+  [description.configVersion, description.configDigest.slice(0, DIGEST_DIGITS), Number(description.isReady), Number(isLeaving)]
+
+/** Reads the value of a daemon's own entry; undefined when it is malformed or belongs to another process. */
+export const readSelf = (ref: number, value: JsonValue): SelfWord | undefined => {
+  const parsed = selfSchema.safeParse(value)
+  if (!parsed.success) return undefined
+  const [instanceId, startId, epoch, region, availabilityZone, host, port] = parsed.data
+  return refOf(instanceId, startId) === ref ? { instanceId, startId, epoch, region, availabilityZone, host, port } : undefined
+}
+
+type Reader = (members: MemberTable, wire: WireEntry, onSuspected: (epoch: number) => void) => void
+
+const readDescription: Reader = (members, [ref, , , , , , value]) => {
+  const parsed = descriptionSchema.safeParse(value)
+  if (!parsed.success) return
+  const [configVersion, configDigest, isReady, isLeaving] = parsed.data
+  members.describe(ref, { configVersion, configDigest, isReady: isReady === 1 }, isLeaving === 1)
+}
+
+const readSuspicion: Reader = (members, [, , , , ageMs, , value], onSuspected) => {
+  const parsed = suspicionSchema.safeParse(value)
+  if (!parsed.success) return
+  const [ref, epoch] = parsed.data
+  if (ref === members.selfRef) onSuspected(epoch)
+  else members.suspect(ref, epoch, ageMs)
+}
+
+/**
+ * Applies an entry of class `membership` other than a daemon's own one.
+ *
+ * @param members - Members to change.
+ * @param wire - The entry.
+ * @param onSuspected - Called with the epoch when this process is suspected.
+ */
+export const applyMembership = (members: MemberTable, wire: WireEntry, onSuspected: (epoch: number) => void): void => {
+  const key = wire[2]
+  if (key === DESCRIPTION_KEY) readDescription(members, wire, onSuspected)
+  else if (key.startsWith(SUSPICION_PREFIX)) readSuspicion(members, wire, onSuspected)
+}
--- /dev/null
+++ b/packages/peers/src/transport/httpTransport.ts
@@ -0,0 +1,175 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer as createTlsServer } from 'node:https'
+import type { Server as TlsServer } from 'node:https'
+import type { AddressInfo } from 'node:net'
+import { withinMs } from '@lovagehoist/common'
+import type { Clock, Log } from '@lovagehoist/common'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import polka from 'polka'
+import { Agent, request } from 'undici'
+import { MAX_MESSAGE_BYTES } from '../wire/messages.js'
+import type { Packet } from '../wire/codec.js'
+import type { PacketListener, PeerAddress, PeerTransport } from './peerTransport.js'
+import { readTlsFiles, watchTlsFiles } from './tlsFiles.js'
+import type { TlsFilePaths, TlsMaterial } from './tlsFiles.js'
+
+const PATH = '/peers'
+const CONNECTIONS_PER_PEER = 2
+const KEEP_ALIVE_MS = 30_000
+const SERVER_KEEP_ALIVE_MS = 60_000
+const STATUS_OK = 200
+const STATUS_BAD_REQUEST = 400
+const STATUS_TOO_LARGE = 413
+
+/** What the transport needs. */
+export interface HttpTransportOptions {
+  readonly host: string
+  readonly port: number
+  readonly clock: Clock
+  readonly log: Log
+  /** Certificate, key and authority; absent for plain HTTP. */
+  readonly tls?: TlsFilePaths | undefined
+  /** Called when a message or a connection is refused before it is read. */
+  readonly onRefused: (reason: 'oversized' | 'stranger') => void
+}
+
+const createAgent = (tls: TlsMaterial | undefined): Agent => new Agent({
+  connections: CONNECTIONS_PER_PEER,
+  pipelining: 1,
+  keepAliveTimeout: KEEP_ALIVE_MS,
+  ...(tls === undefined ? {} : { connect: { ...tls, rejectUnauthorized: true, checkServerIdentity: () => undefined } })
+})
+
+const createPeerServer = (tls: TlsMaterial | undefined): Server | TlsServer => {
+  const server = tls === undefined ? createServer() : createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true })
+  server.keepAliveTimeout = SERVER_KEEP_ALIVE_MS
+  return server
+}
+
+const readLimited = async (message: AsyncIterable<Buffer>): Promise<Buffer | undefined> => {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of message) {
+    bytes += chunk.length
+    if (bytes > MAX_MESSAGE_BYTES) return undefined
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks)
+}
+
+/** Carries packets as HTTP requests, over TLS with certificates on both sides when the settings name them. */
+export class HttpPeerTransport implements PeerTransport {
+  private listener: PacketListener = async () => undefined
+  private agent = createAgent(undefined)
+  private server: Server | TlsServer | undefined
+  private material: TlsMaterial | undefined
+
+  private constructor (private readonly options: HttpTransportOptions) {}
+
+  /**
+   * Creates a transport that does not listen yet.
+   *
+   * @param options - Address, time and certificates.
+   * @returns The transport.
+   */
+  static create (options: HttpTransportOptions): HttpPeerTransport {
+    return new HttpPeerTransport(options)
+  }
+
+  readonly send = async (address: PeerAddress, packet: Packet, timeoutMs: number): Promise<Result<Packet, string>> => {
+    const stop = new AbortController()
+    try {
+      const timed = await withinMs(this.options.clock, timeoutMs, this.exchange(address, packet, stop.signal))
+      return timed.type === 'timeout' ? err(`no answer within ${timeoutMs} ms`) : timed.value
+    } catch (error) {
+      return err(String(error))
+    } finally {
+      stop.abort()
+    }
+  }
+
+  readonly listen = async (listener: PacketListener): Promise<number> => {
+    const { tls, host, port } = this.options
+    this.listener = listener
+    if (tls !== undefined) this.use(await readTlsFiles(tls))
+    const server = createPeerServer(this.material)
+    server.on('tlsClientError', (error: Error) => { this.refuse(error) })
+    const app = polka({ server: server as Server })
+    app.post(PATH, async (message: IncomingMessage, response: ServerResponse) => { await this.serve(message, response) })
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      app.listen(port, host, () => { resolve() })
+    })
+    this.server = server
+    return (server.address() as AddressInfo).port
+  }
+
+  /**
+   * Follows changes of the certificate files until stopped.
+   *
+   * @param signal - Ends the watch.
+   */
+  async run (signal: AbortSignal): Promise<void> {
+    const { tls: paths, clock, log } = this.options
+    if (paths === undefined || this.material === undefined) return
+    await watchTlsFiles({ paths, initial: this.material, clock, log, onChange: material => { this.use(material) } }, signal)
+  }
+
+  readonly close = async (): Promise<void> => {
+    await this.agent.destroy()
+    await new Promise<void>(resolve => {
+      if (this.server === undefined) resolve()
+      this.server?.close(() => { resolve() })
+      this.server?.closeAllConnections()
+    })
+  }
+
+  private use (material: TlsMaterial): void {
+    this.material = material
+    if (this.server !== undefined && 'setSecureContext' in this.server) this.server.setSecureContext(material)
+    const old = this.agent
+    this.agent = createAgent(material)
+    old.close().catch((error: unknown) => { this.options.log.debug('closing connections failed', { error: String(error) }) })
+  }
+
+  private async exchange (address: PeerAddress, packet: Packet, signal: AbortSignal): Promise<Result<Packet, string>> {
+    const scheme = this.options.tls === undefined ? 'http' : 'https'
+    const host = address.host.includes(':') ? `[${address.host}]` : address.host
+    const reply = await request(`${scheme}://${host}:${address.port}${PATH}`, {
+      method: 'POST',
+      headers: { 'content-type': packet.contentType },
+      body: packet.body,
+      dispatcher: this.agent,
+      signal
+    })
+    const body = await readLimited(reply.body as unknown as AsyncIterable<Buffer>)
+    if (body === undefined) return err('the answer is too long')
+    if (reply.statusCode !== STATUS_OK) return err(`status ${reply.statusCode}`)
+    return ok({ contentType: String(reply.headers['content-type'] ?? ''), body })
+  }
+
+  private async serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.sendDate = false
+    try {
+      const body = await readLimited(message as AsyncIterable<Buffer>)
+      if (body === undefined) {
+        this.options.onRefused('oversized')
+        response.writeHead(STATUS_TOO_LARGE, { 'content-length': 0, connection: 'close' }).end()
+        return
+      }
+      const answer = await this.listener({ contentType: message.headers['content-type'] ?? '', body })
+      if (answer === undefined) response.writeHead(STATUS_BAD_REQUEST, { 'content-length': 0 }).end()
+      else response.writeHead(STATUS_OK, { 'content-type': answer.contentType, 'content-length': answer.body.length }).end(answer.body)
+    } catch (error) {
+      this.options.log.debug('a peer message broke off', { error: String(error) })
+      response.destroy()
+    }
+  }
+
+  private refuse (error: Error): void {
+    this.options.onRefused('stranger')
+    this.options.log.debug('a stranger was refused', { error: error.message })
+  }
+}
