Part real daemons in one direction in the soak run

Change: daemons send from their own peers address and may advertise another one; the fleet of measurements puts a relay before each daemon's listener; the soak run cuts single links and all links to one daemon.

--- a/packages/common/src/settings/schema.ts
+++ b/packages/common/src/settings/schema.ts
@@ -25,6 +25,8 @@
 const peers = z.strictObject({
   host: ipAddress,
   port,
+  /** Address that other daemons are told, where it differs from the one listened on. */
+  advertised: address.optional(),
   /** Certificate, key and authority of the fleet, in PEM; absent for plain HTTP. */
   tls: z.strictObject({ caFile: file, certFile: file, keyFile: file }).readonly().optional(),
   /** Bytes a second that control may send, averaged over ten seconds. */
--- a/packages/daemon/src/compose/peerSide.ts
+++ b/packages/daemon/src/compose/peerSide.ts
@@ -25,12 +25,12 @@
 
 const createGossipSide = (base: Base): PeerSide => {
   const { settings, identity, clock, random, registry, invariants, platform } = base
-  const { host, port, tls, budgetBytesPerSecond } = settings.peers
+  const { host, port, tls, advertised, budgetBytesPerSecond } = settings.peers
   const log = base.log.child('peers')
   const metrics = PeerMetrics.create(registry)
   const transport = HttpPeerTransport.create({ host, port, tls, clock, log, onRefused: reason => { metrics.refuse(reason) } })
   const bus = GossipPeerBus.create({
-    self: identity, host, environment: settings.environment, budgetBytesPerSecond, codec: 'msgpack', clock, random, log, registry, invariants, directory: platform.directory, transport, metrics
+    self: identity, host, advertised, environment: settings.environment, budgetBytesPerSecond, codec: 'msgpack', clock, random, log, registry, invariants, directory: platform.directory, transport, metrics
   })
   return {
     bus,
--- a/packages/peers/src/bus/gossipPeerBus.ts
+++ b/packages/peers/src/bus/gossipPeerBus.ts
@@ -11,7 +11,7 @@
 import { applyMembership } from '../membership/membershipEntries.js'
 import { SelfState } from '../membership/selfState.js'
 import { Spreader } from '../spread/spreader.js'
-import type { PeerTransport } from '../transport/peerTransport.js'
+import type { PeerAddress, PeerTransport } from '../transport/peerTransport.js'
 import type { CodecName } from '../wire/codec.js'
 import type { WireEntry } from '../wire/messages.js'
 import { GossipLoops } from './gossipLoops.js'
@@ -26,6 +26,8 @@
   readonly self: InstanceIdentity
   /** Address that others reach this daemon at. */
   readonly host: string
+  /** Address that other daemons are told, where it differs from the one listened on. */
+  readonly advertised?: PeerAddress | undefined
   readonly environment: string
   readonly budgetBytesPerSecond: number
   readonly codec: CodecName
@@ -90,7 +92,7 @@
    */
   async listen (): Promise<number> {
     const port = await this.options.transport.listen(this.server.receive)
-    this.selfState.listen({ host: this.options.host, port })
+    this.selfState.listen(this.options.advertised ?? { host: this.options.host, port })
     return port
   }
 
--- a/packages/peers/src/transport/httpTransport.ts
+++ b/packages/peers/src/transport/httpTransport.ts
@@ -25,6 +25,7 @@
 
 /** What the transport needs. */
 export interface HttpTransportOptions {
+  /** Address to listen on, and source address of what is sent. */
   readonly host: string
   readonly port: number
   readonly clock: Clock
@@ -35,11 +36,11 @@
   readonly onRefused: (reason: 'oversized' | 'stranger') => void
 }
 
-const createAgent = (tls: TlsMaterial | undefined): Agent => new Agent({
+const createAgent = (localAddress: string, tls: TlsMaterial | undefined): Agent => new Agent({
   connections: CONNECTIONS_PER_PEER,
   pipelining: 1,
   keepAliveTimeout: KEEP_ALIVE_MS,
-  ...(tls === undefined ? {} : { connect: { ...tls, rejectUnauthorized: true, checkServerIdentity: () => undefined } })
+  connect: { localAddress, ...(tls === undefined ? {} : { ...tls, rejectUnauthorized: true, checkServerIdentity: () => undefined }) }
 })
 
 const createPeerServer = (tls: TlsMaterial | undefined): Server | TlsServer => {
@@ -62,11 +63,13 @@
 /** Carries packets as HTTP requests, over TLS with certificates on both sides when the settings name them. */
 export class HttpPeerTransport implements PeerTransport {
   private listener: PacketListener = async () => undefined
-  private agent = createAgent(undefined)
+  private agent: Agent
   private server: Server | TlsServer | undefined
   private material: TlsMaterial | undefined
 
-  private constructor (private readonly options: HttpTransportOptions) {}
+  private constructor (private readonly options: HttpTransportOptions) {
+    this.agent = createAgent(options.host, undefined)
+  }
 
   /**
    * Creates a transport that does not listen yet.
@@ -130,7 +133,7 @@
     this.material = material
     if (this.server !== undefined && 'setSecureContext' in this.server) this.server.setSecureContext(material)
     const old = this.agent
-    this.agent = createAgent(material)
+    this.agent = createAgent(this.options.host, material)
     old.close().catch((error: unknown) => { this.options.log.debug('closing connections failed', { error: String(error) }) })
   }
 
--- a/packages/standins/src/measure/fleet.ts
+++ b/packages/standins/src/measure/fleet.ts
@@ -6,6 +6,7 @@
 import { createPlatform } from '@lovagehoist/platform'
 import { promote, storeDocument } from '@lovagehoist/operators'
 import { request } from 'undici'
+import { FleetRelays } from './fleetRelays.js'
 import { DaemonProcess } from '../process/daemonProcess.js'
 import { StandinHost } from '../process/standinHost.js'
 import type { TargetBehaviour } from '../target/behaviour.js'
@@ -42,6 +43,8 @@
   readonly daemons: DaemonProcess[] = []
 
   private daemonCount = 0
+  private relayHost: StandinHost | undefined
+  private relays: FleetRelays | undefined
 
   private constructor (readonly platformHost: StandinHost, readonly platformUrl: string, private readonly folder: string, private readonly hosts: StandinHost[]) {}
 
@@ -100,24 +103,39 @@
   /** Starts a daemon, lists it and waits until it is ready. */
   async addDaemon (overrides: DaemonOverrides = {}): Promise<DaemonProcess> {
     const index = this.daemonCount++
+    const id = `daemon-${index}`
+    const peers = await this.relays?.peerSettings(id, index)
     const daemon = await DaemonProcess.create(this.folder, {
-      instance: { id: `daemon-${index}`, region: 'local', availabilityZone: zoneOf(index) },
+      instance: { id, region: 'local', availabilityZone: zoneOf(index) },
       environment: ENVIRONMENT,
       callers: { host: HOST, port: 0 },
       admin: { host: HOST, port: 0 },
-      peers: { host: HOST, port: 0 },
+      peers: peers ?? { host: HOST, port: 0 },
       platform: this.platformUrls,
       ...overrides
     } as { readonly instance: { readonly id: string } })
     this.daemons.push(daemon)
     const ports = await daemon.ports
+    await this.relays?.connect(id, index, ports.peers)
+    const port = peers?.advertised.port ?? ports.peers
     await this.platformHost.register({
-      id: daemon.id, role: 'daemon', service: '', host: HOST, port: ports.peers ?? 0, state: 'live', startedAtMs: this.clock.wallMs(), slots: 0, region: 'local', availabilityZone: zoneOf(index)
+      id, role: 'daemon', service: '', host: HOST, port, state: 'live', startedAtMs: this.clock.wallMs(), slots: 0, region: 'local', availabilityZone: zoneOf(index)
     })
     await this.waitReady(ports.admin)
     return daemon
   }
 
+  /** Cuts or mends the direction from one daemon to another; needs a fleet with relays. */
+  async setLink (fromId: string, toId: string, isCut: boolean): Promise<void> {
+    await this.relays?.setLink(fromId, toId, isCut)
+  }
+
+  /** Puts a relay before the peers' listener of every daemon that is started from now on. */
+  useRelays (): void {
+    this.relayHost ??= StandinHost.create(0)
+    this.relays = FleetRelays.create(this.relayHost)
+  }
+
   /** Starts daemons, several at a time. */
   async addDaemons (count: number, overrides: DaemonOverrides = {}): Promise<void> {
     for (let started = 0; started < count; started += STARTED_AT_ONCE) {
@@ -151,7 +169,7 @@
   async close (): Promise<void> {
     for (const daemon of this.daemons) daemon.signal('SIGKILL')
     await Promise.all(this.daemons.map(async daemon => await daemon.exited))
-    for (const host of [this.platformHost, ...this.hosts]) host.stop()
+    for (const host of [this.platformHost, this.relayHost, ...this.hosts]) host?.stop()
     await rm(this.folder, { recursive: true, force: true })
   }
 
--- a/packages/standins/src/network/relay.spec.ts
+++ b/packages/standins/src/network/relay.spec.ts
@@ -15,7 +15,8 @@
     echo = createServer(socket => { socket.pipe(socket) })
     echo.listen(0, '127.0.0.1')
     await once(echo, 'listening')
-    relay = await Relay.create(clock, '127.0.0.1', { host: '127.0.0.1', port: (echo.address() as AddressInfo).port })
+    relay = await Relay.create(clock, '127.0.0.1')
+    relay.connectTo({ host: '127.0.0.1', port: (echo.address() as AddressInfo).port })
   })
 
   afterEach(async () => {
--- a/packages/standins/src/network/relay.ts
+++ b/packages/standins/src/network/relay.ts
@@ -10,29 +10,35 @@
   readonly delayMs: number
 }
 
+/** Listener behind a relay. */
+export interface RelayDestination {
+  readonly host: string
+  readonly port: number
+}
+
 const NO_FAULT: LinkFault = { isCut: false, delayMs: 0 }
 
 /** Passes TCP connections on to a listener, and cuts or delays what comes from chosen source addresses. */
 export class Relay {
   private readonly faults = new Map<string, LinkFault>()
   private readonly sockets = new Set<Socket>()
+  private destination: RelayDestination | undefined
   private dropped = 0
 
-  private constructor (private readonly server: Server, private readonly clock: Clock, private readonly destination: { readonly host: string, readonly port: number }) {
+  private constructor (private readonly server: Server, private readonly clock: Clock) {
     server.on('connection', socket => { this.pass(socket) })
   }
 
   /**
-   * Starts a relay.
+   * Starts a relay that refuses connections until it is told where they go.
    *
    * @param clock - Source of time.
    * @param host - Loopback address to listen on.
-   * @param destination - Listener that connections are passed on to.
    * @returns The relay, once it listens.
    */
-  static async create (clock: Clock, host: string, destination: { readonly host: string, readonly port: number }): Promise<Relay> {
+  static async create (clock: Clock, host: string): Promise<Relay> {
     const server = createServer({ allowHalfOpen: false })
-    const relay = new Relay(server, clock, destination)
+    const relay = new Relay(server, clock)
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
       server.listen(0, host, () => { resolve() })
@@ -40,6 +46,11 @@
     return relay
   }
 
+  /** Names the listener that connections are passed on to. */
+  connectTo (destination: RelayDestination): void {
+    this.destination = destination
+  }
+
   /** Port that the relay listens on. */
   get port (): number {
     return (this.server.address() as AddressInfo).port
@@ -65,6 +76,10 @@
 
   private pass (inbound: Socket): void {
     const source = inbound.remoteAddress ?? ''
+    if (this.destination === undefined) {
+      inbound.destroy()
+      return
+    }
     const outbound = connect(this.destination.port, this.destination.host)
     this.copy(inbound, outbound, source)
     this.copy(outbound, inbound, source)
--- a/packages/standins/src/process/hostMain.ts
+++ b/packages/standins/src/process/hostMain.ts
@@ -2,6 +2,8 @@
 import type { JSONRPCRequest } from 'json-rpc-2.0'
 import { SeededRandom, SystemClock } from '@lovagehoist/common'
 import type { DirectoryEntry } from '@lovagehoist/common'
+import { Relay } from '../network/relay.js'
+import type { LinkFault } from '../network/relay.js'
 import { PlatformStandin } from '../platform/platformStandin.js'
 import type { PlatformSwitches } from '../platform/platformSwitches.js'
 import type { TargetBehaviour } from '../target/behaviour.js'
@@ -13,6 +15,7 @@
 const clock = SystemClock.create()
 const random = SeededRandom.create(Number(process.argv[2] ?? DEFAULT_SEED))
 const targets = new Map<string, TargetStandin>()
+const relays = new Map<string, Relay>()
 let platform: PlatformStandin | undefined
 
 const findTarget = (id: string): TargetStandin => {
@@ -47,6 +50,13 @@
   const target = findTarget(id)
   return { runs: target.journal.length, shed: target.shed, connections: target.connections, lastRequestAtMs: target.lastRequestAtMs }
 })
+server.addMethod('startRelay', async ({ id, host }: { readonly id: string, readonly host: string }) => {
+  const relay = await Relay.create(clock, host)
+  relays.set(id, relay)
+  return relay.port
+})
+server.addMethod('connectRelay', ({ id, host, port }: { readonly id: string, readonly host: string, readonly port: number }) => { relays.get(id)?.connectTo({ host, port }) })
+server.addMethod('setRelay', ({ id, sourceHost, fault }: { readonly id: string, readonly sourceHost: string, readonly fault: Partial<LinkFault> }) => { relays.get(id)?.set(sourceHost, fault) })
 
 process.on('message', message => {
   Promise.resolve(server.receive(message as JSONRPCRequest)).then(
--- a/packages/standins/src/process/standinHost.ts
+++ b/packages/standins/src/process/standinHost.ts
@@ -4,6 +4,7 @@
 import { JSONRPCClient } from 'json-rpc-2.0'
 import type { JSONRPCResponse } from 'json-rpc-2.0'
 import type { DirectoryEntry } from '@lovagehoist/common'
+import type { LinkFault } from '../network/relay.js'
 import type { PlatformCounts } from '../platform/platformStandin.js'
 import type { PlatformSwitches } from '../platform/platformSwitches.js'
 import type { TargetBehaviour } from '../target/behaviour.js'
@@ -76,6 +77,18 @@
     return await this.client.request('targetCounts', { id })
   }
 
+  async startRelay (id: string, host: string): Promise<number> {
+    return await this.client.request('startRelay', { id, host })
+  }
+
+  async connectRelay (id: string, host: string, port: number): Promise<void> {
+    await this.client.request('connectRelay', { id, host, port })
+  }
+
+  async setRelay (id: string, sourceHost: string, fault: Partial<LinkFault>): Promise<void> {
+    await this.client.request('setRelay', { id, sourceHost, fault })
+  }
+
   /** Ends the process. */
   stop (): void {
     this.child.disconnect()
--- a/packages/standins/src/soak/faults.ts
+++ b/packages/standins/src/soak/faults.ts
@@ -113,6 +113,19 @@
     daemon.signal('SIGSTOP')
     return async () => { daemon.signal('SIGCONT') }
   },
+  linkIsCutOneWay: async ({ fleet, random, daemons }) => {
+    const [from, to] = [pickOne(random, daemons), pickOne(random, daemons)]
+    if (from === undefined || to === undefined) return nothing
+    await fleet.setLink(from.id, to.id, true)
+    return async () => { await fleet.setLink(from.id, to.id, false) }
+  },
+  daemonHearsNobody: async ({ fleet, random, daemons }) => {
+    const deaf = pickOne(random, daemons)
+    if (deaf === undefined) return nothing
+    const others = daemons.filter(daemon => daemon !== deaf)
+    await Promise.all(others.map(async other => { await fleet.setLink(other.id, deaf.id, true) }))
+    return async () => { await Promise.all(others.map(async other => { await fleet.setLink(other.id, deaf.id, false) })) }
+  },
   promotionsRace: async world => {
     await Promise.all([world.promote(), world.promote()])
     return nothing
--- a/packages/standins/src/soak/runSoak.ts
+++ b/packages/standins/src/soak/runSoak.ts
@@ -58,6 +58,7 @@
 
 const createWorld = async (options: SoakOptions): Promise<FaultWorld> => {
   const fleet = await Fleet.create(options.seed, 4)
+  fleet.useRelays()
   for (const [service, count] of Object.entries(SERVICES)) {
     for (let index = 0; index < count; index++) await fleet.addTarget(service, { slots: SLOTS })
   }
