--- /dev/null
+++ b/packages/common/src/document/rules.ts
@@ -0,0 +1,64 @@
+import type { LocatedError } from '../text/locatedError.js'
+import type { LocatedValue } from '../text/readJsonc.js'
+import type { EnvironmentDocument } from './schema.js'
+
+/** A check between the fields of a document. */
+export type DocumentRule = (located: LocatedValue<EnvironmentDocument>) => readonly LocatedError[]
+
+const isTimeZone = (name: string): boolean => {
+  try {
+    return new Intl.DateTimeFormat('en', { timeZone: name }).resolvedOptions().timeZone !== ''
+  } catch {
+    return false
+  }
+}
+
+const floorsWithinCapacity: DocumentRule = ({ value, errorAt }) =>
+  Object.entries(value.services)
+    .filter(([, service]) => service.floorSlots > service.plannedTargets * service.slotsPerTarget)
+    .map(([id, service]) => errorAt(['services', id, 'floorSlots'],
+      `at most plannedTargets x slotsPerTarget = ${service.plannedTargets * service.slotsPerTarget}`))
+
+const connectionsCoverSlots: DocumentRule = ({ value, errorAt }) =>
+  Object.entries(value.services)
+    .filter(([, service]) => service.floorSlots > 0 && service.connectionsPerTarget < service.slotsPerTarget)
+    .map(([id, service]) => errorAt(['services', id, 'connectionsPerTarget'],
+      `at least slotsPerTarget = ${service.slotsPerTarget}: each slot of the floor needs a connection`))
+
+const routesNameServices: DocumentRule = ({ value, errorAt }) =>
+  value.routes.flatMap((route, index) =>
+    value.services[route.service] === undefined ? [errorAt(['routes', index, 'service'], 'the name of a service in this document')] : [])
+
+const routeIdsAreUnique: DocumentRule = ({ value, errorAt }) => {
+  const seen = new Set<string>()
+  return value.routes.flatMap((route, index) => {
+    if (!seen.has(route.id)) {
+      seen.add(route.id)
+      return []
+    }
+    return [errorAt(['routes', index, 'id'], 'an id that no earlier route has')]
+  })
+}
+
+const eventsNameServices: DocumentRule = ({ value, errorAt }) =>
+  value.events.flatMap((event, index) => event.services.flatMap((id, position) =>
+    value.services[id] === undefined ? [errorAt(['events', index, 'services', position], 'the name of a service in this document')] : []))
+
+const eventsNameTimeZones: DocumentRule = ({ value, errorAt }) =>
+  value.events.flatMap((event, index) =>
+    isTimeZone(event.timeZone) ? [] : [errorAt(['events', index, 'timeZone'], 'a time zone of the IANA list, such as "Europe/Budapest"')])
+
+const removedServicesAreGone: DocumentRule = ({ value, errorAt }) =>
+  value.removedServices.flatMap((id, index) =>
+    value.services[id] === undefined ? [] : [errorAt(['removedServices', index], 'a service that this document no longer has')])
+
+/** Checks that need nothing but the document. */
+export const documentRules: readonly DocumentRule[] = [
+  floorsWithinCapacity,
+  connectionsCoverSlots,
+  routesNameServices,
+  routeIdsAreUnique,
+  eventsNameServices,
+  eventsNameTimeZones,
+  removedServicesAreGone
+]
--- a/packages/common/src/text/readJsonc.ts
+++ b/packages/common/src/text/readJsonc.ts
@@ -1,10 +1,13 @@
-import { findNodeAtLocation, parseTree, printParseErrorCode, getNodeValue } from 'jsonc-parser'
+import { findNodeAtLocation, parse, parseTree, printParseErrorCode, getNodeValue } from 'jsonc-parser'
 import type { Node, ParseError } from 'jsonc-parser'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { z } from 'zod'
 import type { LocatedError } from './locatedError.js'
 
+/** Faults of shape that are reported at once. */
+const MAX_ISSUES = 100
+
 const positionOf = (text: string, offset: number): { readonly line: number, readonly column: number } => {
   const before = text.slice(0, offset).split('\n')
   return { line: before.length, column: (before.at(-1) ?? '').length + 1 }
@@ -37,6 +40,14 @@
   })
 }
 
+/**
+ * Reads JSON with comments without checking it.
+ *
+ * @param text - Content.
+ * @returns The value; as far as it could be read when the text is broken.
+ */
+export const parseJsonc = (text: string): unknown => parse(text, [], { allowTrailingComma: true })
+
 /** Value of a text together with the position of each field. */
 export interface LocatedValue<T> {
   readonly value: T
@@ -66,7 +77,7 @@
   }
   const checked = schema.safeParse(getNodeValue(root))
   if (!checked.success) {
-    return err(checked.error.issues.flatMap(issue => issueErrors(file, text, root, issue)))
+    return err(checked.error.issues.slice(0, MAX_ISSUES).flatMap(issue => issueErrors(file, text, root, issue)))
   }
   const errorAt = (path: readonly (string | number)[], expected: string): LocatedError =>
     ({ file, ...positionOf(text, nodeAt(root, path).offset), field: path.join('.'), expected })
--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -4,14 +4,28 @@
 import { SeededRandom, SystemClock, formatLocatedError, loadSettings } from '@lovagehoist/common'
 import type { Settings } from '@lovagehoist/common'
 import { createPlatform } from '@lovagehoist/platform'
-import { Daemon } from '../compose/daemon.js'
+import { Daemon, ListenError } from '../compose/daemon.js'
 import type { DaemonWorld } from '../compose/world.js'
 
 const VERSION = '0.1.0'
 const EXIT_OK = 0
 const EXIT_BAD_INPUT = 2
+const EXIT_ADDRESS = 3
 const SEED_LIMIT = 0x7fffffff
 
+const HELP = `
+Example:
+  lovagehoistd --settings daemon.jsonc
+
+Signals:
+  SIGTERM, SIGINT  become unready, finish what is in flight, leave
+
+Exit codes:
+  0  left after a drain
+  1  a fault of the program
+  2  arguments or settings have to be changed; the message says what
+  3  an address of the settings can't be listened on, for instance because its port is in use`
+
 const createWorld = (): DaemonWorld => {
   const clock = SystemClock.create()
   return {
@@ -34,27 +48,44 @@
   return undefined
 }
 
-/**
- * Runs the daemon until it has left.
- *
- * @param argv - Arguments of the process.
- * @returns The exit code.
- */
-export const main = async (argv: readonly string[]): Promise<number> => {
+const startDaemon = async (settings: Settings): Promise<Daemon | undefined> => {
+  try {
+    return await Daemon.create(settings, createWorld())
+  } catch (error) {
+    if (!(error instanceof ListenError)) throw error
+    process.stderr.write(`${error.message}: change "${error.field}" in the settings, or stop the process that has the port\n`)
+    return undefined
+  }
+}
+
+const parseArguments = (argv: readonly string[]): { readonly settings: string } | number => {
   const program = new Command('lovagehoistd')
     .description('lovagehoist daemon: serves callers from targets')
     .version(VERSION)
     .requiredOption('--settings <file>', 'settings file, JSON with comments')
+    .addHelpText('after', HELP)
     .exitOverride()
   try {
-    program.parse([...argv])
+    return program.parse([...argv]).opts<{ readonly settings: string }>()
   } catch (error) {
     if (error instanceof CommanderError) return error.exitCode === 0 ? EXIT_OK : EXIT_BAD_INPUT
     throw error
   }
-  const settings = await readSettings(program.opts<{ readonly settings: string }>().settings)
+}
+
+/**
+ * Runs the daemon until it has left.
+ *
+ * @param argv - Arguments of the process.
+ * @returns The exit code.
+ */
+export const main = async (argv: readonly string[]): Promise<number> => {
+  const options = parseArguments(argv)
+  if (typeof options === 'number') return options
+  const settings = await readSettings(options.settings)
   if (settings === undefined) return EXIT_BAD_INPUT
-  const daemon = await Daemon.create(settings, createWorld())
+  const daemon = await startDaemon(settings)
+  if (daemon === undefined) return EXIT_ADDRESS
   const leave = (): void => { daemon.drain().catch(error => { process.stderr.write(`${String(error)}\n`) }) }
   process.once('SIGTERM', leave)
   process.once('SIGINT', leave)
--- a/packages/daemon/src/compose/daemon.ts
+++ b/packages/daemon/src/compose/daemon.ts
@@ -6,14 +6,29 @@
 import type { DaemonWorld } from './world.js'
 
 interface Servers {
-  readonly callers: CallerServer
-  readonly admin: AdminServer
+  readonly callers?: CallerServer
+  readonly admin?: AdminServer
+}
+
+/** An address of the settings that could not be listened on. */
+export class ListenError extends Error {
+  constructor (readonly field: 'callers' | 'admin' | 'peers', readonly address: { readonly host: string, readonly port: number }, readonly code: string) {
+    super(`${field}: ${address.host} port ${address.port} can't be listened on (${code})`)
+  }
+}
+
+const listenOn = async <T>(field: ListenError['field'], address: ListenError['address'], open: () => Promise<T>): Promise<T> => {
+  try {
+    return await open()
+  } catch (error) {
+    throw new ListenError(field, address, (error as { readonly code?: string }).code ?? String(error))
+  }
 }
 
 /** One running daemon. */
 export class Daemon {
   private isDraining = false
-  private servers: Servers | undefined
+  private servers: Servers = {}
   private resolveDone: () => void = () => {}
   /** Resolves when the daemon has left. */
   readonly done: Promise<void>
@@ -27,17 +42,22 @@
    *
    * @param settings - Settings of the daemon.
    * @param world - Time, randomness, platform and output.
-   * @returns The daemon, once it listens.
+   * @returns The daemon, once it listens; fails with a `ListenError` when an address can't be had.
    */
   static async create (settings: Settings, world: DaemonWorld): Promise<Daemon> {
     const daemon = new Daemon(settings, world, composeParts(settings, world))
-    await daemon.listen()
+    try {
+      await daemon.listen()
+    } catch (error) {
+      await daemon.leave()
+      throw error
+    }
     return daemon
   }
 
   /** Ports that the daemon listens on. */
   get ports (): { readonly callers: number, readonly admin: number } {
-    return { callers: this.servers?.callers.port ?? 0, admin: this.servers?.admin.port ?? 0 }
+    return { callers: this.servers.callers?.port ?? 0, admin: this.servers.admin?.port ?? 0 }
   }
 
   /** Becomes unready, serves on while the balancer lags, finishes what is in flight and leaves. */
@@ -46,26 +66,41 @@
     this.isDraining = true
     this.parts.log.info('draining')
     await this.world.clock.sleepMs(this.settings.drain.balancerLagMs)
-    await this.servers?.callers.close()
-    await this.parts.stop()
-    await this.servers?.admin.close()
+    await this.leave()
     this.parts.log.info('daemon left')
     this.resolveDone()
   }
 
+  private async leave (): Promise<void> {
+    await this.servers.callers?.close()
+    await this.parts.stop()
+    await this.servers.admin?.close()
+  }
+
   private async listen (): Promise<void> {
     const { settings, parts } = this
-    const { log, registry, sources, handler } = parts
-    const callers = await CallerServer.create({ address: settings.callers, limits: settings.limits, log: log.child('callers'), handler })
-    const admin = await AdminServer.create({
-      address: settings.admin,
+    const { log, handler } = parts
+    const callers = await listenOn('callers', settings.callers, async () =>
+      await CallerServer.create({ address: settings.callers, limits: settings.limits, log: log.child('callers'), handler }))
+    this.servers = { callers }
+    const admin = await listenOn('admin', settings.admin, async () => await this.openAdmin())
+    this.servers = { callers, admin }
+    const { peersPort } = await listenOn('peers', settings.peers, parts.start)
+    log.info('daemon started', { ...this.ports, peers: peersPort })
+  }
+
+  private async openAdmin (): Promise<AdminServer> {
+    const { log, registry, sources, isReady, viewFleet, viewTargets, bus, readToken } = this.parts
+    return await AdminServer.create({
+      address: this.settings.admin,
       registry,
       sources,
-      isReady: () => parts.isReady() && !this.isDraining,
+      viewFleet,
+      viewTargets,
+      bus,
+      readToken,
+      isReady: () => isReady() && !this.isDraining,
       drain: () => { this.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) }
     })
-    this.servers = { callers, admin }
-    const { peersPort } = await parts.start()
-    log.info('daemon started', { ...this.ports, peers: peersPort })
   }
 }
--- a/packages/daemon/src/compose/parts.ts
+++ b/packages/daemon/src/compose/parts.ts
@@ -1,5 +1,8 @@
+import { readFile } from 'node:fs/promises'
 import type { RequestHandler } from '@lovagehoist/callers'
-import type { JsonValue, Log, Settings, StateSource } from '@lovagehoist/common'
+import type { JsonValue, Log, PeerBus, Settings, StateSource } from '@lovagehoist/common'
+import { createSettingsSource } from '@lovagehoist/operators'
+import type { AdminServerOptions } from '@lovagehoist/operators'
 import type { Registry } from 'prom-client'
 import { createBase } from './base.js'
 import { createCallerSide } from './callerSide.js'
@@ -9,7 +12,8 @@
 import type { DaemonWorld } from './world.js'
 
 /** The composed parts of a daemon, before it listens. */
-export interface DaemonParts {
+export interface DaemonParts extends Pick<AdminServerOptions, 'viewFleet' | 'viewTargets' | 'readToken'> {
+  readonly bus: PeerBus
   readonly log: Log
   readonly registry: Registry
   readonly sources: readonly StateSource[]
@@ -33,15 +37,20 @@
   const peers = createPeerSide(base)
   const configSide = createConfigSide(base, peers.bus)
   const targets = createTargetSide(base, configSide.config, peers.bus)
-  const callers = createCallerSide(base, configSide.config, targets)
+  const callers = createCallerSide(base, configSide.serving, targets)
   const sides = [peers, configSide, targets, callers]
   const breaches = { name: 'breaches', dump: () => JSON.parse(JSON.stringify(base.invariants.breaches())) as JsonValue }
+  const { tokenFile } = settings.admin
   const stopping = new AbortController()
   let running: ReadonlyArray<Promise<void>> = []
   return {
     log: base.log,
     registry: base.registry,
-    sources: [...sides.flatMap(side => side.sources), breaches],
+    bus: peers.bus,
+    viewFleet: configSide.viewFleet,
+    viewTargets: service => targets.directory.targets(service).map(target => ({ ...target, ...targets.health.rate(target) })),
+    readToken: tokenFile === undefined ? undefined : async () => await readFile(tokenFile, 'utf8'),
+    sources: [createSettingsSource(settings), ...sides.flatMap(side => side.sources), breaches],
     handler: callers.handler,
     isReady: configSide.isReady,
     start: async () => {
--- a/packages/operators/src/admin/adminServer.ts
+++ b/packages/operators/src/admin/adminServer.ts
@@ -3,7 +3,16 @@
 import type { AddressInfo } from 'node:net'
 import polka from 'polka'
 import type { Registry } from 'prom-client'
-import type { JsonValue, Settings, StateSource } from '@lovagehoist/common'
+import type { JsonValue, PeerBus, Settings, StateSource, Target, TargetRating } from '@lovagehoist/common'
+import type { FleetView } from '../inForce/fleetView.js'
+import { checkAccess } from './access.js'
+import type { ReadToken } from './access.js'
+import { dumpState } from './boundedDump.js'
+import { addRelay } from './relay.js'
+import { sendJson } from './sendJson.js'
+
+/** A target with the rating that this daemon gives it. */
+export type RatedTarget = Target & TargetRating
 
 /** What the admin interface shows and does. */
 export interface AdminServerOptions {
@@ -12,12 +21,51 @@
   readonly sources: readonly StateSource[]
   readonly isReady: () => boolean
   readonly drain: () => void
+  readonly viewFleet: () => FleetView
+  readonly viewTargets: (service: string) => readonly RatedTarget[]
+  readonly bus: PeerBus
+  /** Reads the token that dumps and changes require; undefined to allow loopback callers only. */
+  readonly readToken: ReadToken
+}
+
+/** Answers a request. */
+export type AdminHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>
+
+const MAX_CONNECTIONS = 64
+const REQUEST_TIMEOUT_MS = 10_000
+
+const paramOf = (request: IncomingMessage, name: string): string =>
+  (request as IncomingMessage & { readonly params: Readonly<Record<string, string>> }).params[name] ?? ''
+
+const addOpenPaths = (app: polka.Polka, options: AdminServerOptions): void => {
+  app.get('/live', (_request: IncomingMessage, response: ServerResponse) => { sendJson(response, 200, { isLive: true }) })
+  app.get('/ready', (_request: IncomingMessage, response: ServerResponse) => {
+    const isReady = options.isReady()
+    sendJson(response, isReady ? 200 : 503, { isReady })
+  })
+  app.get('/metrics', async (_request: IncomingMessage, response: ServerResponse) => {
+    response.setHeader('content-type', options.registry.contentType)
+    response.end(await options.registry.metrics())
+  })
 }
 
-const sendJson = (response: ServerResponse, status: number, value: JsonValue): void => {
-  response.statusCode = status
-  response.setHeader('content-type', 'application/json')
-  response.end(JSON.stringify(value))
+const addGuardedPaths = (app: polka.Polka, options: AdminServerOptions): void => {
+  const guard = (handler: AdminHandler): AdminHandler => async (request, response) => {
+    const refusal = await checkAccess(request, options.readToken)
+    if (refusal === undefined) await handler(request, response)
+    else sendJson(response, refusal.status, { error: refusal.detail })
+  }
+  const drain = (): JsonValue => {
+    options.drain()
+    return { isDraining: true }
+  }
+  app.get('/dump', guard((_request, response) => { sendJson(response, 200, dumpState(options.sources)) }))
+  app.get('/config', guard((_request, response) => { sendJson(response, 200, options.viewFleet()) }))
+  app.get('/targets/:service', guard((request, response) => {
+    sendJson(response, 200, { targets: options.viewTargets(paramOf(request, 'service')).map(target => ({ ...target })) })
+  }))
+  app.post('/drain', guard((_request, response) => { sendJson(response, 202, drain()) }))
+  addRelay({ app, guard, paramOf, bus: options.bus, dump: () => dumpState(options.sources), drain })
 }
 
 /** HTTP server on the admin address: readiness, liveness, metrics, state dump, drain. */
@@ -28,27 +76,14 @@
    * Starts to listen.
    *
    * @param options - Address and what is shown.
-   * @returns The server, once it listens.
+   * @returns The server, once it listens; fails when the address can't be had.
    */
   static async create (options: AdminServerOptions): Promise<AdminServer> {
-    const server = createServer()
+    const server = createServer({ requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: REQUEST_TIMEOUT_MS })
+    server.maxConnections = MAX_CONNECTIONS
     const app = polka({ server })
-    app.get('/live', (_request: IncomingMessage, response: ServerResponse) => { sendJson(response, 200, { isLive: true }) })
-    app.get('/ready', (_request: IncomingMessage, response: ServerResponse) => {
-      const isReady = options.isReady()
-      sendJson(response, isReady ? 200 : 503, { isReady })
-    })
-    app.get('/metrics', async (_request: IncomingMessage, response: ServerResponse) => {
-      response.setHeader('content-type', options.registry.contentType)
-      response.end(await options.registry.metrics())
-    })
-    app.get('/dump', (_request: IncomingMessage, response: ServerResponse) => {
-      sendJson(response, 200, Object.fromEntries(options.sources.map(source => [source.name, source.dump()])))
-    })
-    app.post('/drain', (_request: IncomingMessage, response: ServerResponse) => {
-      options.drain()
-      sendJson(response, 202, { isDraining: true })
-    })
+    addOpenPaths(app, options)
+    addGuardedPaths(app, options)
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
       app.listen(options.address.port, options.address.host, () => { resolve() })
--- a/packages/operators/src/cli/context.ts
+++ b/packages/operators/src/cli/context.ts
@@ -1,6 +1,8 @@
 import { readFile } from 'node:fs/promises'
 import { formatLocatedError, readJsonc } from '@lovagehoist/common'
-import type { Clock, Platform, Random } from '@lovagehoist/common'
+import type { Clock, JsonValue, Platform, Random } from '@lovagehoist/common'
+import type { Command } from 'commander'
+import type { AdminClient } from './adminClient.js'
 import { operatorSettingsSchema } from './operatorSettings.js'
 import type { OperatorSettings } from './operatorSettings.js'
 import { ExitCode } from './exitCode.js'
@@ -18,6 +20,7 @@
   readonly clock: Clock
   readonly random: Random
   readonly openPlatform: (settings: OperatorSettings) => Platform
+  readonly openAdmin: (settings: OperatorSettings) => AdminClient
   readonly print: (line: string) => void
   readonly printError: (line: string) => void
 }
@@ -28,6 +31,15 @@
   readonly json?: boolean
 }
 
+/** What a command works with. */
+export interface CommandContext extends CommandWorld {
+  readonly settings: OperatorSettings
+  readonly platform: Platform
+  readonly admin: AdminClient
+  /** Prints data: as JSON when that was asked for, otherwise as text. */
+  readonly show: (data: JsonValue, text: string) => void
+}
+
 /**
  * Reads the settings file of the command line.
  *
@@ -54,3 +66,28 @@
     throw new CommandFailure(ExitCode.badInput, `${file}: expected a readable file (${(error as { code?: string }).code ?? 'unknown'})`)
   }
 }
+
+/**
+ * Makes the function that prints a command's data.
+ *
+ * @param world - Where it is printed.
+ * @param command - Command with its options.
+ * @returns Prints JSON with `--json`, otherwise text.
+ */
+export const createShow = (world: CommandWorld, command: Command) => (data: JsonValue, text: string): void => {
+  world.print(command.optsWithGlobals<CommonOptions>().json === true ? JSON.stringify(data) : text)
+}
+
+/**
+ * Opens what a command works with.
+ *
+ * @param world - What commands reach the world through.
+ * @param command - Command with its options.
+ * @returns The context; throws a `CommandFailure` when the settings are wrong.
+ */
+export const openContext = async (world: CommandWorld, command: Command): Promise<CommandContext> => {
+  const settings = await readOperatorSettings(command.optsWithGlobals<CommonOptions>().settings)
+  const { clock, random, openPlatform, openAdmin, print, printError } = world
+  const show = createShow(world, command)
+  return { clock, random, openPlatform, openAdmin, print, printError, settings, platform: openPlatform(settings), admin: openAdmin(settings), show }
+}
--- a/packages/operators/src/cli/exitCode.ts
+++ b/packages/operators/src/cli/exitCode.ts
@@ -7,9 +7,18 @@
   badInput: 2,
   /** Another operator's promotion won. */
   conflict: 3,
-  /** The condition that the command waited for did not come about in time. */
+  /** The document is accepted by the table, but it is not known to be in force on every instance. */
   notInForce: 4
 } as const
 
 /** One of the exit codes. */
 export type ExitCodeValue = typeof ExitCode[keyof typeof ExitCode]
+
+/** Text of the exit codes for the help. */
+export const EXIT_CODE_HELP = `
+Exit codes:
+  0  done
+  1  the platform or a daemon gave no answer, or the outcome is unknown
+  2  arguments, settings or document have to be changed; the message says what
+  3  another promotion won, or the version seen is no longer there; the message says whose
+  4  accepted by the table, but not known to be in force on every instance in time`
--- a/packages/operators/src/cli/main.ts
+++ b/packages/operators/src/cli/main.ts
@@ -1,15 +1,12 @@
 import { randomInt } from 'node:crypto'
-import { Command, CommanderError } from 'commander'
 import { SeededRandom, SystemClock } from '@lovagehoist/common'
 import { createPlatform } from '@lovagehoist/platform'
-import { addConfigCommands } from '../commands/configCommands.js'
-import { addInstanceCommands } from '../commands/instanceCommands.js'
-import { CommandFailure } from './context.js'
+import { createAdminClient } from './adminClient.js'
 import type { CommandWorld } from './context.js'
-import { ExitCode } from './exitCode.js'
+import { runCommand } from './program.js'
 
-const VERSION = '0.1.0'
 const SEED_LIMIT = 0x7fffffff
+const ARGUMENTS_START = 2
 
 const createWorld = (): CommandWorld & { readonly close: () => Promise<void> } => {
   const clock = SystemClock.create()
@@ -22,6 +19,7 @@
       closers.push(clients.close)
       return clients
     },
+    openAdmin: createAdminClient,
     print: line => { process.stdout.write(`${line}\n`) },
     printError: line => { process.stderr.write(`${line}\n`) },
     close: async () => { await Promise.all(closers.map(async close => { await close() })) }
@@ -36,22 +34,8 @@
  */
 export const main = async (argv: readonly string[]): Promise<number> => {
   const world = createWorld()
-  const program = new Command('lovagehoist')
-    .description('operate a lovagehoist fleet')
-    .version(VERSION)
-    .option('--settings <file>', 'settings file of the operator', 'operator.jsonc')
-    .option('--json', 'print data as JSON')
-    .exitOverride()
-  addConfigCommands(program, world)
-  addInstanceCommands(program, world)
   try {
-    await program.parseAsync([...argv])
-    return ExitCode.ok
-  } catch (error) {
-    if (error instanceof CommanderError) return error.exitCode === 0 ? ExitCode.ok : ExitCode.badInput
-    if (!(error instanceof CommandFailure)) throw error
-    world.printError(error.message)
-    return error.exitCode
+    return await runCommand(argv.slice(ARGUMENTS_START), world)
   } finally {
     await world.close()
   }
--- /dev/null
+++ b/packages/operators/src/commands/configPromote.ts
@@ -0,0 +1,60 @@
+import type { Command } from 'commander'
+import { CommandFailure, openContext } from '../cli/context.js'
+import type { CommandContext, CommandWorld } from '../cli/context.js'
+import { ExitCode } from '../cli/exitCode.js'
+import { wholeNumber } from '../cli/numberOption.js'
+import { promote } from '../promotion/promote.js'
+import { failureOf } from './failures.js'
+import { waitInForce } from './waitInForce.js'
+
+interface PromoteOptions {
+  readonly seen?: number
+  readonly timeout: number
+}
+
+const MS_PER_SECOND = 1_000
+const DEFAULT_TIMEOUT_SECONDS = 30
+
+const promoteDigest = async (context: CommandContext, digest: string, options: PromoteOptions): Promise<void> => {
+  const { platform, clock, random, settings, show } = context
+  if (!/^[0-9a-f]{64}$/.test(digest)) throw new CommandFailure(ExitCode.badInput, `${digest}: expected a digest of 64 hexadecimal digits, as "config trial" prints it`)
+  const environment = settings.environments.production
+  const operationId = random.id()
+  const won = await promote({ platform, clock, random }, {
+    environment,
+    digest,
+    operationId,
+    promotedBy: settings.operator,
+    trialEnvironment: settings.environments.trial,
+    ...(options.seen === undefined ? {} : { seenVersion: options.seen })
+  })
+  if (won.isErr()) throw failureOf(won.error)
+  const { version } = won.value
+  context.printError(`version ${version} won in ${environment}; waiting for its instances`)
+  const { instances, waitedMs } = await waitInForce(context, environment, won.value, options.timeout * MS_PER_SECOND)
+  const outOfService = instances.filter(({ standing }) => standing === 'out-of-service').map(({ instanceId }) => instanceId)
+  const data = { environment, version, digest, operationId, isInForce: true, instances: instances.length, outOfService, waitedMs: Math.round(waitedMs) }
+  const suffix = outOfService.length === 0 ? '' : `; out of service until they catch up: ${outOfService.join(', ')}`
+  show(data, `version ${version} is accepted: in force on ${instances.length - outOfService.length} of ${instances.length} instances after ${data.waitedMs} ms${suffix}`)
+}
+
+/**
+ * Adds `config promote`.
+ *
+ * @param config - The `config` command.
+ * @param world - What commands reach the world through.
+ */
+export const addConfigPromote = (config: Command, world: CommandWorld): void => {
+  config.command('promote <digest>')
+    .description('put a document that held in trial into force in production')
+    .option('--seen <version>', 'production version to replace; without it the one that was there at the trial', wholeNumber)
+    .option('--timeout <seconds>', 'time in which it has to be in force on every instance', wholeNumber, DEFAULT_TIMEOUT_SECONDS)
+    .addHelpText('after', `
+Of promotions over the same version exactly one wins; the others end with code 3 and say who won. A lost answer is
+settled by reading, so the command never has to be repeated to find out.
+
+Examples:
+  lovagehoist config promote 5f3c...e1
+  lovagehoist config promote 5f3c...e1 --seen 41`)
+    .action(async (digest: string, options: PromoteOptions, command: Command) => { await promoteDigest(await openContext(world, command), digest, options) })
+}
--- a/packages/operators/src/commands/instanceCommands.ts
+++ b/packages/operators/src/commands/instanceCommands.ts
@@ -1,46 +1,67 @@
-import { readFile } from 'node:fs/promises'
 import type { Command } from 'commander'
-import { request } from 'undici'
-import { CommandFailure, readOperatorSettings } from '../cli/context.js'
-import type { CommandWorld, CommonOptions } from '../cli/context.js'
+import type { JsonValue } from '@lovagehoist/common'
+import { CommandFailure, openContext } from '../cli/context.js'
+import type { CommandContext, CommandWorld } from '../cli/context.js'
 import { ExitCode } from '../cli/exitCode.js'
+import { renderTable } from '../cli/table.js'
+import { callDaemon } from './anyDaemon.js'
+import { readAllViews } from './readViews.js'
 
-const callAdmin = async (options: CommonOptions, instanceId: string, method: 'GET' | 'POST', path: string): Promise<string> => {
-  const settings = await readOperatorSettings(options.settings)
-  const baseUrl = settings.admin[instanceId]
-  if (baseUrl === undefined) throw new CommandFailure(ExitCode.badInput, `${instanceId}: expected an instance named under "admin" in ${options.settings}`)
-  const token = settings.adminTokenFile === undefined ? undefined : (await readFile(settings.adminTokenFile, 'utf8')).trim()
-  try {
-    const reply = await request(`${baseUrl}${path}`, { method, headers: token === undefined ? {} : { authorization: `Bearer ${token}` } })
-    return await reply.body.text()
-  } catch (error) {
-    throw new CommandFailure(ExitCode.unavailable, `${instanceId}: ${String(error)}`)
-  }
+const showDump = async (context: CommandContext, instanceId: string): Promise<void> => {
+  const dump = await callDaemon(context, instanceId, 'GET', 'dump')
+  context.show(dump, JSON.stringify(dump, null, 2))
+}
+
+const drain = async (context: CommandContext, instanceId: string): Promise<void> => {
+  const answer = await callDaemon(context, instanceId, 'POST', 'drain')
+  context.show({ instanceId, ...answer as { readonly [field: string]: JsonValue } }, `${instanceId} is draining: it becomes unready, ends what is in flight and leaves`)
+}
+
+const showInstances = async (context: CommandContext): Promise<void> => {
+  const { platform, admin, show } = context
+  const [listed, all] = [await platform.directory.list(), await readAllViews(admin)]
+  if (listed.isErr() && all.views.length === 0) throw new CommandFailure(ExitCode.unavailable, listed.error.message)
+  const known = new Map(all.views.flatMap(view => view.instances).map(instance => [instance.instanceId, instance]))
+  const entries = listed.unwrapOr([]).filter(entry => entry.role === 'daemon')
+  const states = new Map(entries.map(entry => [entry.id, entry]))
+  const instances = [...new Set([...states.keys(), ...known.keys()])].sort().map(instanceId => {
+    const [entry, view] = [states.get(instanceId), known.get(instanceId)]
+    return {
+      instanceId,
+      region: entry?.region ?? view?.region ?? '',
+      availabilityZone: entry?.availabilityZone ?? view?.availabilityZone ?? '',
+      listedAs: entry?.state ?? null,
+      link: view?.status ?? null,
+      isReady: view?.isReady ?? null
+    }
+  })
+  show({ instances }, renderTable(
+    ['INSTANCE', 'REGION', 'ZONE', 'LISTED', 'LINK', 'READY'],
+    instances.map(row => [row.instanceId, row.region, row.availabilityZone, row.listedAs ?? '-', row.link ?? '-', row.isReady === null ? '-' : row.isReady ? 'yes' : 'no'])
+  ))
 }
 
 /**
- * Adds the commands that look at instances and targets.
+ * Adds the commands on instances.
  *
  * @param program - Command line.
  * @param world - What commands reach the world through.
  */
 export const addInstanceCommands = (program: Command, world: CommandWorld): void => {
-  program.command('dump <instance>').description('print the state of a daemon').action(async (instance: string, _: unknown, command: Command) => {
-    world.print(await callAdmin(command.optsWithGlobals<CommonOptions>(), instance, 'GET', '/dump'))
-  })
-  program.command('drain <instance>').description('let a daemon finish its work and leave').action(async (instance: string, _: unknown, command: Command) => {
-    world.print(await callAdmin(command.optsWithGlobals<CommonOptions>(), instance, 'POST', '/drain'))
-  })
-  const list = async (command: Command, keep: (entry: { readonly role: string, readonly service: string }) => boolean): Promise<void> => {
-    const settings = await readOperatorSettings(command.optsWithGlobals<CommonOptions>().settings)
-    const entries = await world.openPlatform(settings).directory.list()
-    if (entries.isErr()) throw new CommandFailure(ExitCode.unavailable, entries.error.message)
-    world.print(JSON.stringify(entries.value.filter(keep)))
-  }
-  program.command('targets <service>').description('list the targets of a service').action(async (service: string, _: unknown, command: Command) => {
-    await list(command, entry => entry.role === 'target' && entry.service === service)
-  })
-  program.command('instances').description('list the daemons').action(async (_: unknown, command: Command) => {
-    await list(command, entry => entry.role === 'daemon')
-  })
+  program.command('instances')
+    .description('list the daemons: as the platform lists them and as daemons hear them')
+    .addHelpText('after', '\nExample:\n  lovagehoist instances --json')
+    .action(async (_: unknown, command: Command) => { await showInstances(await openContext(world, command)) })
+  program.command('dump <instance>')
+    .description('print the state of a daemon, without secrets')
+    .addHelpText('after', `
+An instance without address under "admin" is asked through one that has.
+
+Example:
+  lovagehoist dump daemon-3 --json | jq .config`)
+    .action(async (instanceId: string, _: unknown, command: Command) => { await showDump(await openContext(world, command), instanceId) })
+  program.command('drain <instance>')
+    .description('let a daemon become unready, finish its work and leave')
+    .addHelpText('after', '\nExample:\n  lovagehoist drain daemon-3')
+    .action(async (instanceId: string, _: unknown, command: Command) => { await drain(await openContext(world, command), instanceId) })
 }
--- /dev/null
+++ b/packages/operators/src/commands/targetsCommand.ts
@@ -0,0 +1,67 @@
+import type { Command } from 'commander'
+import { z } from 'zod'
+import type { JsonValue } from '@lovagehoist/common'
+import { CommandFailure, openContext } from '../cli/context.js'
+import type { CommandContext, CommandWorld } from '../cli/context.js'
+import { ExitCode } from '../cli/exitCode.js'
+import { renderTable } from '../cli/table.js'
+import { callAnyDaemon } from './anyDaemon.js'
+
+interface TargetsOptions {
+  readonly from?: string
+}
+
+const answerSchema = z.object({
+  targets: z.array(z.object({
+    id: z.string(),
+    availabilityZone: z.string(),
+    host: z.string(),
+    port: z.number(),
+    slots: z.number(),
+    isLeaving: z.boolean(),
+    status: z.string(),
+    weight: z.number(),
+    idempotentOnly: z.boolean()
+  }))
+})
+
+const PERCENT = 100
+
+const readTargets = async (context: CommandContext, service: string, { from }: TargetsOptions): Promise<JsonValue> => {
+  const call = { method: 'GET', path: `/targets/${encodeURIComponent(service)}` } as const
+  if (from === undefined) return await callAnyDaemon(context, call)
+  const reply = await context.admin.call(from, call)
+  if (reply.isErr()) throw new CommandFailure(ExitCode.unavailable, reply.error.message)
+  return reply.value
+}
+
+const showTargets = async (context: CommandContext, service: string, options: TargetsOptions): Promise<void> => {
+  const answer = answerSchema.safeParse(await readTargets(context, service, options))
+  if (!answer.success) throw new CommandFailure(ExitCode.unavailable, 'the daemon answered in a shape that this version does not know')
+  const targets = answer.data.targets.sort((a, b) => a.id < b.id ? -1 : 1)
+  context.show({ service, targets }, renderTable(
+    ['TARGET', 'ZONE', 'ADDRESS', 'SLOTS', 'STATUS', 'WEIGHT', 'WORK'],
+    targets.map(target => [
+      target.id, target.availabilityZone, `${target.host}:${target.port}`, String(target.slots), target.isLeaving ? 'leaving' : target.status,
+      `${Math.round(target.weight * PERCENT)}%`, target.idempotentOnly ? 'idempotent' : 'all'
+    ])
+  ))
+}
+
+/**
+ * Adds `targets`.
+ *
+ * @param program - Command line.
+ * @param world - What commands reach the world through.
+ */
+export const addTargetsCommand = (program: Command, world: CommandWorld): void => {
+  program.command('targets <service>')
+    .description('list the targets of a service with the rating that a daemon gives them')
+    .option('--from <instance>', 'daemon to ask; the first that answers when absent')
+    .addHelpText('after', `
+WEIGHT is the share of the work that an unburdened target would get; WORK says whether only idempotent requests go there.
+
+Example:
+  lovagehoist targets sackpay --from daemon-3`)
+    .action(async (service: string, options: TargetsOptions, command: Command) => { await showTargets(await openContext(world, command), service, options) })
+}
--- /dev/null
+++ b/packages/operators/src/commands/waitInForce.ts
@@ -0,0 +1,39 @@
+import { CommandFailure } from '../cli/context.js'
+import type { CommandContext } from '../cli/context.js'
+import { ExitCode } from '../cli/exitCode.js'
+import type { EnvironmentRow } from '../environment/environmentRow.js'
+import { awaitInForce } from '../inForce/awaitInForce.js'
+import type { Awaited } from '../inForce/awaitInForce.js'
+import { readAllViews, viewsOf } from './readViews.js'
+import { renderMissing } from './renderInstances.js'
+
+const MS_PER_SECOND = 1_000
+
+const reasonOf = ({ instances }: Awaited, failures: readonly string[]): string =>
+  instances.length > 0 ? renderMissing(instances) : ['no daemon of this environment gave its state; "admin" in the settings has to name at least one', ...failures].join('\n')
+
+/**
+ * Waits until an accepted document is in force on every live instance.
+ *
+ * @param context - What the command works with.
+ * @param environment - Environment.
+ * @param row - Row that won.
+ * @param limitMs - Longest wait.
+ * @returns The judgement; throws a `CommandFailure` with `notInForce` when it does not come about in time.
+ */
+export const waitInForce = async (context: CommandContext, environment: string, row: EnvironmentRow, limitMs: number): Promise<Awaited> => {
+  let failures: readonly string[] = []
+  const awaited = await awaitInForce({
+    clock: context.clock,
+    version: row.version,
+    limitMs,
+    readViews: async () => {
+      const all = await readAllViews(context.admin)
+      failures = all.failures
+      return viewsOf(all, environment)
+    }
+  })
+  if (awaited.isInForce) return awaited
+  const message = `version ${row.version} won in ${environment}, but is not known to be in force everywhere after ${limitMs / MS_PER_SECOND} s\n${reasonOf(awaited, failures)}`
+  throw new CommandFailure(ExitCode.notInForce, message)
+}
--- /dev/null
+++ b/packages/operators/src/follow/configFollower.spec.ts
@@ -0,0 +1,203 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { SeededRandom } from '@lovagehoist/common'
+import type { Platform } from '@lovagehoist/common'
+import type { FakePlatformFaults } from '@lovagehoist/common/fakes'
+import { HISTORY_TABLE, environmentRowSchema, historyKey } from '../environment/environmentRow.js'
+import type { EnvironmentRow } from '../environment/environmentRow.js'
+import { awaitInForce } from '../inForce/awaitInForce.js'
+import { promote, storeDocument } from '../promotion/promote.js'
+import type { PromotionError } from '../promotion/promotionError.js'
+import { ENVIRONMENT, FollowerFleet, numberedDocument } from '../testing/followerFleet.js'
+
+const SIZE = 5
+const STEP_MS = 250
+const IN_FORCE_LIMIT_MS = 5_000
+const SETTLE_MS = 20_000
+const VIEWS_ASKED = 2
+
+interface Operator {
+  readonly name: string
+  readonly platform: Platform
+  readonly faults: FakePlatformFaults
+}
+
+/** What was seen of the fleet, and what has to hold. */
+class Oracle {
+  readonly wins = new Map<number, string>()
+  /** Promotions under way. */
+  running = 0
+  private readonly failures: unknown[] = []
+  reportedVersion = 0
+  private readonly lowest = new Map<string, number>()
+  private reachableSinceMs: number[] = []
+  private newest = 0
+  private newestAtMs = 0
+  private operations = 0
+
+  constructor (readonly fleet: FollowerFleet, readonly operators: readonly Operator[]) {}
+
+  /** Starts a promotion and, when it wins, the wait for its being in force. */
+  async promote (operator: Operator, seenVersion: number): Promise<void> {
+    const { clock } = this.fleet
+    const operationId = `${operator.name}-${this.operations++}`
+    const stored = await storeDocument(operator.platform, 'document', numberedDocument(this.operations))
+    if (stored.isErr()) return
+    const random = SeededRandom.create(this.operations)
+    const result = await promote({ platform: operator.platform, clock, random }, {
+      environment: ENVIRONMENT, digest: stored.value, operationId, promotedBy: operator.name, seenVersion
+    })
+    if (result.isOk()) await this.win(result.value)
+    else this.lose(result.error)
+  }
+
+  /** Lets a promotion run beside the other actions. */
+  track (promotion: Promise<void>): void {
+    this.running++
+    promotion.catch(error => { this.failures.push(error) }).finally(() => { this.running-- })
+  }
+
+  /** Checks what must hold at every moment. */
+  check (): void {
+    if (this.failures.length > 0) throw this.failures[0]
+    expect(this.fleet.breaches).to.deep.equal([])
+    const nowMs = this.fleet.clock.monotonicMs()
+    this.readNewest(nowMs)
+    for (const [index, { identity, follower, pause, faults }] of this.fleet.instances.entries()) {
+      const version = follower.current()?.version ?? 0
+      expect(version, 'a version went down').to.be.at.least(this.lowest.get(identity.startId) ?? 0)
+      this.lowest.set(identity.startId, version)
+      const served = follower.serving.current()?.version
+      if (served !== undefined && !pause.isOn) expect(served, `${identity.instanceId} serves less than was reported in force`).to.be.at.least(this.reportedVersion)
+      if (pause.isOn || faults.isDown) this.reachableSinceMs[index] = nowMs
+      const sinceMs = Math.max(this.reachableSinceMs[index] ?? 0, this.newestAtMs)
+      if (nowMs - sinceMs > IN_FORCE_LIMIT_MS) expect(served, `${identity.instanceId} is late`).to.equal(this.newest === 0 ? undefined : this.newest)
+    }
+  }
+
+  /** A replaced instance is late from now on. */
+  restart (index: number): void {
+    this.reachableSinceMs[index] = this.fleet.clock.monotonicMs()
+  }
+
+  private async win (row: EnvironmentRow): Promise<void> {
+    expect(this.wins.get(row.version), 'two winners of one version').to.equal(undefined)
+    this.wins.set(row.version, row.operationId)
+    expect(this.historyOf(row.version)?.operationId).to.equal(row.operationId)
+    const awaited = await awaitInForce({
+      clock: this.fleet.clock,
+      version: row.version,
+      limitMs: IN_FORCE_LIMIT_MS * 2,
+      readViews: async () => ({ views: this.fleet.instances.filter(({ pause }) => !pause.isOn).slice(0, VIEWS_ASKED).map(({ view }) => view()), silent: [] })
+    })
+    if (awaited.isInForce) this.reportedVersion = Math.max(this.reportedVersion, row.version)
+  }
+
+  private lose (error: PromotionError): void {
+    if (error.kind !== 'conflict' || error.winner === undefined) return
+    expect(this.historyOf(error.winner.version)?.operationId, 'the loser was told a wrong winner').to.equal(error.winner.operationId)
+  }
+
+  private historyOf (version: number): EnvironmentRow | undefined {
+    const row = this.fleet.platform.table.get(HISTORY_TABLE, historyKey(ENVIRONMENT, version), true)
+    return row === undefined ? undefined : environmentRowSchema.parse(row.value)
+  }
+
+  private readNewest (nowMs: number): void {
+    if (this.historyOf(this.newest + 1) === undefined) return
+    this.newest++
+    this.newestAtMs = nowMs
+  }
+}
+
+interface Action {
+  readonly kind: 'promote' | 'promoteBoth' | 'advance' | 'pause' | 'replace' | 'cut' | 'down' | 'downAll' | 'stale'
+  readonly index: number
+  readonly other: number
+  readonly isOn: boolean
+}
+
+const pass = async (oracle: Oracle, durationMs: number): Promise<void> => {
+  for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+    await oracle.fleet.clock.advanceMs(STEP_MS)
+    oracle.check()
+  }
+}
+
+const latest = ({ fleet }: Oracle): number =>
+  Math.max(0, ...fleet.platform.table.list(HISTORY_TABLE, `${ENVIRONMENT}/`, true).map(row => environmentRowSchema.parse(row.value).version))
+
+const start = (oracle: Oracle, index: number, isOn: boolean): void => {
+  const operator = oracle.operators[index % oracle.operators.length]
+  if (operator === undefined) throw new Error('no operator')
+  operator.faults.losesAnswers = isOn
+  oracle.track(oracle.promote(operator, latest(oracle)))
+}
+
+const handlers: Readonly<Record<Action['kind'], (oracle: Oracle, action: Action) => Promise<void>>> = {
+  promote: async (oracle, { index, isOn }) => { start(oracle, index, isOn) },
+  promoteBoth: async (oracle, { isOn }) => {
+    start(oracle, 0, isOn)
+    start(oracle, 1, !isOn)
+  },
+  advance: async (oracle, { index, other }) => { await pass(oracle, (index * SIZE + other + 1) * STEP_MS) },
+  pause: async ({ fleet }, { index, isOn }) => { fleet.setPaused(index, isOn) },
+  replace: async (oracle, { index }) => {
+    oracle.fleet.replace(index)
+    oracle.restart(index)
+  },
+  cut: async ({ fleet }, { index, other, isOn }) => { if (index !== other) fleet.setCut(index, other, isOn) },
+  down: async ({ fleet }, { index, isOn }) => { Object.assign(fleet.instances[index]?.faults ?? {}, { isDown: isOn }) },
+  downAll: async ({ fleet, operators }, { isOn }) => {
+    for (const { faults } of [...fleet.instances, ...operators]) faults.isDown = isOn
+  },
+  stale: async ({ fleet }, { index, isOn }) => { Object.assign(fleet.instances[index]?.faults ?? {}, { isReplicaStale: isOn }) }
+}
+
+class Step implements fc.AsyncCommand<object, Oracle> {
+  constructor (private readonly action: Action) {}
+
+  check = (): boolean => true
+
+  async run (_model: object, oracle: Oracle): Promise<void> {
+    await handlers[this.action.kind](oracle, this.action)
+    await pass(oracle, STEP_MS)
+  }
+
+  toString = (): string => JSON.stringify(this.action)
+}
+
+const createOracle = (): Oracle => {
+  const fleet = FollowerFleet.create(SIZE)
+  return new Oracle(fleet, ['ada', 'ben'].map(name => ({ name, ...fleet.platform.connect() })))
+}
+
+const kinds = Object.keys(handlers) as ReadonlyArray<Action['kind']>
+
+const steps: Array<fc.Arbitrary<fc.AsyncCommand<object, Oracle>>> = [
+  fc.record({ kind: fc.constantFrom(...kinds), index: fc.nat(SIZE - 1), other: fc.nat(SIZE - 1), isOn: fc.boolean() }).map(action => new Step(action))
+]
+
+const runModel = async (commands: Iterable<fc.AsyncCommand<object, Oracle>>): Promise<void> => {
+  const oracle = createOracle()
+  try {
+    await fc.asyncModelRun(() => ({ model: {}, real: oracle }), commands)
+    oracle.fleet.mend()
+    for (const { faults } of oracle.operators) Object.assign(faults, { isDown: false, losesAnswers: false })
+    await pass(oracle, SETTLE_MS)
+    while (oracle.running > 0) await pass(oracle, STEP_MS)
+    const versions = oracle.fleet.instances.map(({ follower }) => follower.serving.current()?.version ?? 0)
+    expect(versions, 'not all instances came to the newest version').to.deep.equal(versions.map(() => latest(oracle)))
+  } finally {
+    oracle.fleet.stop()
+  }
+}
+
+describe('ConfigFollower', () => {
+  it('never goes back, has one winner per version and never serves less than was reported in force', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.commands(steps, { maxCommands: 40, size: 'max' }), runModel),
+      { seed: Number(process.env.FUZZ_SEED ?? 1), numRuns: Number(process.env.FUZZ_RUNS ?? 40) }
+    )
+  })
+})
--- /dev/null
+++ b/packages/operators/src/promotion/recordTrial.ts
@@ -0,0 +1,64 @@
+import type { Clock, Platform } from '@lovagehoist/common'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { ENVIRONMENTS_TABLE, TRIALS_TABLE, trialKey, trialRowSchema } from '../environment/environmentRow.js'
+import type { EnvironmentRow, TrialRow } from '../environment/environmentRow.js'
+import { readEnvironment, readRow } from '../environment/readRows.js'
+import { conflictWith, unavailable } from './promotionError.js'
+import type { PromotionError } from './promotionError.js'
+
+/** What is recorded of a trial. */
+export interface TrialRecord {
+  readonly trialEnvironment: string
+  readonly productionEnvironment: string
+  /** Row that the trial environment accepted. */
+  readonly accepted: EnvironmentRow
+  /** Live instances that held it. */
+  readonly instances: number
+  /** Time for which all of them held it. */
+  readonly heldMs: number
+  readonly recordedBy: string
+  readonly operationId: string
+}
+
+/**
+ * Records that a document held in trial, provided that the trial environment still has it.
+ *
+ * @param platform - Table service.
+ * @param clock - Source of time.
+ * @param record - What to record.
+ * @returns The row; a conflict when another trial began meanwhile.
+ */
+export const recordTrial = async (platform: Platform, clock: Clock, record: TrialRecord): Promise<Result<TrialRow, PromotionError>> => {
+  const { trialEnvironment, productionEnvironment, accepted, instances, heldMs, recordedBy, operationId } = record
+  const key = trialKey(trialEnvironment, accepted.digest)
+  const trial = await readEnvironment(platform, trialEnvironment)
+  if (trial.isErr()) return err(unavailable(trial.error))
+  if (trial.value.value?.operationId !== accepted.operationId) return err(conflictWith(trialEnvironment, trial.value.value))
+  const production = await readEnvironment(platform, productionEnvironment)
+  if (production.isErr()) return err(unavailable(production.error))
+  const before = await readRow(platform, TRIALS_TABLE, key, trialRowSchema)
+  if (before.isErr()) return err(unavailable(before.error))
+  const row: TrialRow = {
+    environment: trialEnvironment,
+    digest: accepted.digest,
+    version: accepted.version,
+    instances,
+    heldMs,
+    productionVersion: production.value.value?.version ?? 0,
+    recordedBy,
+    recordedAtMs: clock.wallMs()
+  }
+  const outcome = await platform.table.transact({
+    operationId,
+    conditions: [
+      { table: ENVIRONMENTS_TABLE, key: trialEnvironment, version: trial.value.rowVersion },
+      { table: TRIALS_TABLE, key, version: before.value.rowVersion }
+    ],
+    writes: [{ type: 'put', table: TRIALS_TABLE, key, value: row }]
+  })
+  if (outcome.isErr()) return err({ kind: 'unknown', message: `the trial held, but its record may be missing: run the trial again (${outcome.error.message})` })
+  if (outcome.value.type === 'applied') return ok(row)
+  const now = await readEnvironment(platform, trialEnvironment)
+  return err(conflictWith(trialEnvironment, now.isOk() ? now.value.value : undefined))
+}
--- /dev/null
+++ b/packages/operators/src/testing/followerFleet.ts
@@ -0,0 +1,119 @@
+import { Invariants, LocalStatus, SeededRandom, createRegistry, silentLog } from '@lovagehoist/common'
+import type { InstanceIdentity, InvariantBreach, JsonValue } from '@lovagehoist/common'
+import { FakePeerNetwork, FakePlatform, ManualClock } from '@lovagehoist/common/fakes'
+import type { FakePlatformFaults } from '@lovagehoist/common/fakes'
+import { ConfigFollower } from '../follow/configFollower.js'
+import { viewFleet } from '../inForce/fleetView.js'
+import type { FleetView } from '../inForce/fleetView.js'
+import { Pause, pausableBus, pausableClock, pausablePlatform } from './pausableWorld.js'
+
+/** Environment that followers of a test hold. */
+export const ENVIRONMENT = 'production'
+
+const ZONES = ['a', 'b', 'c'] as const
+const POLL_MS = 1_500
+
+/** One simulated daemon, as far as configuration goes. */
+export interface FleetInstance {
+  readonly identity: InstanceIdentity
+  readonly follower: ConfigFollower
+  readonly faults: FakePlatformFaults
+  readonly pause: Pause
+  readonly view: () => FleetView
+  readonly stop: () => void
+}
+
+/** A document of a test that differs by a number. */
+export const numberedDocument = (number: number): Buffer => Buffer.from(JSON.stringify({
+  schemaVersion: 1,
+  deployment: `fleet-${number}`,
+  services: { burnbook: { plannedTargets: 4, slotsPerTarget: 6, floorSlots: 12, connectionsPerTarget: 300 } },
+  routes: [{ id: 'burns', methods: ['GET'], path: '/burns/:id', service: 'burnbook', isIdempotent: true }]
+} satisfies JsonValue))
+
+/** Real followers between fakes of the platform and of the peers. */
+export class FollowerFleet {
+  readonly clock = ManualClock.create()
+  readonly platform = FakePlatform.create(this.clock)
+  readonly network = FakePeerNetwork.create(this.clock)
+  readonly instances: FleetInstance[] = []
+  readonly breaches: InvariantBreach[] = []
+  private readonly cuts = new Set<string>()
+  private starts = 0
+
+  private constructor (private readonly seed: number) {}
+
+  /** Creates a fleet of running followers. */
+  static create (size: number, seed = 1): FollowerFleet {
+    const fleet = new FollowerFleet(seed)
+    for (let index = 0; index < size; index++) fleet.instances.push(fleet.start(index))
+    return fleet
+  }
+
+  /** Replaces an instance by a process that knows nothing. */
+  replace (index: number): void {
+    this.instances[index]?.stop()
+    this.instances[index] = this.start(index)
+    this.applyLinks()
+  }
+
+  setPaused (index: number, isPaused: boolean): void {
+    this.instances[index]?.pause.set(isPaused)
+    this.applyLinks()
+  }
+
+  setCut (from: number, to: number, isCut: boolean): void {
+    if (isCut) this.cuts.add(`${from}>${to}`)
+    else this.cuts.delete(`${from}>${to}`)
+    this.applyLinks()
+  }
+
+  /** Ends every fault and lets every process go on. */
+  mend (): void {
+    this.cuts.clear()
+    for (const [index, { faults }] of this.instances.entries()) {
+      Object.assign(faults, { isDown: false, isReplicaStale: false })
+      this.setPaused(index, false)
+    }
+  }
+
+  stop (): void {
+    for (const { stop } of this.instances) stop()
+  }
+
+  private applyLinks (): void {
+    const isPaused = (index: number): boolean => this.instances[index]?.pause.isOn === true
+    for (const [from, a] of this.instances.entries()) {
+      for (const [to, b] of this.instances.entries()) {
+        this.network.setLink(a.identity.instanceId, b.identity.instanceId, this.cuts.has(`${from}>${to}`) || isPaused(from) || isPaused(to))
+      }
+    }
+  }
+
+  private start (index: number): FleetInstance {
+    const identity: InstanceIdentity = { instanceId: `daemon-${index}`, startId: `start-${this.starts++}`, region: 'local', availabilityZone: ZONES[index % ZONES.length] ?? 'a' }
+    const { platform, faults } = this.platform.connect()
+    const status = LocalStatus.create()
+    const pause = new Pause()
+    const clock = pausableClock(this.clock, pause)
+    const bus = pausableBus(this.network.join(identity, status), clock, pause)
+    const registry = createRegistry({})
+    const invariants = Invariants.create({ clock, log: silentLog, registry, onBreach: breach => { this.breaches.push(breach) } })
+    const follower = ConfigFollower.create({
+      environment: ENVIRONMENT,
+      platform: pausablePlatform(platform, pause),
+      bus,
+      status,
+      clock,
+      random: SeededRandom.create(this.seed + this.starts),
+      log: silentLog,
+      invariants,
+      registry,
+      pollMs: POLL_MS,
+      isAlone: false
+    })
+    const stopping = new AbortController()
+    follower.run(stopping.signal).catch(error => { throw error })
+    return { identity, follower, faults, pause, view: () => viewFleet({ environment: ENVIRONMENT, config: follower, bus }), stop: () => { stopping.abort() } }
+  }
+}
