--- a/packages/common/src/settings/schema.ts
+++ b/packages/common/src/settings/schema.ts
@@ -50,8 +50,9 @@
 const mechanisms = z.strictObject({
   /** `alone` ejects after consecutive failures seen by this daemon only. */
   health: z.enum(['shared', 'alone'], '"shared" or "alone"').default('shared'),
-  /** How daemons share the slots of targets. */
-  slots: z.enum(['shared', 'least-loaded', 'two-choices'], '"shared", "least-loaded" or "two-choices"').default('shared'),
+  /** How daemons share the slots of targets; all but `shared` are there to be compared with it. */
+  slots: z.enum(['shared', 'learned', 'counted', 'least-loaded', 'two-choices'], '"shared", "learned", "counted", "least-loaded" or "two-choices"')
+    .default('shared'),
   /** `off` stops all talk between daemons. */
   control: z.enum(['on', 'off'], '"on" or "off"').default('on')
 }).readonly()
--- a/packages/daemon/src/compose/callerSide.ts
+++ b/packages/daemon/src/compose/callerSide.ts
@@ -20,7 +20,7 @@
  * @returns The parts.
  */
 export const createCallerSide = (base: Base, config: ConfigSource, targets: TargetSide): CallerSide => {
-  const admission = Admission.create(service => targets.directory.targets(service).reduce((sum, target) => sum + target.slots, 0))
+  const admission = Admission.create(targets.capacity)
   let routes: RouteTable | undefined
   config.onChange(accepted => { routes = RouteTable.create(accepted.document) })
   const { picker, sender, evidence } = targets
--- a/packages/daemon/src/compose/targetSide.ts
+++ b/packages/daemon/src/compose/targetSide.ts
@@ -13,12 +13,18 @@
   readonly health: HealthView
   readonly evidence: AttemptSink
   readonly picker: TargetPicker
+  /** Requests of a service that this daemon may run at once now. */
+  readonly capacity: (service: string) => number
   readonly sender: TargetSender
   readonly tasks: readonly Task[]
   readonly sources: readonly StateSource[]
   readonly close: () => Promise<void>
 }
 
+const joinSinks = (...sinks: readonly AttemptSink[]): AttemptSink => ({
+  record: report => { for (const sink of sinks) sink.record(report) }
+})
+
 /**
  * Composes the parts that face targets.
  *
@@ -38,8 +44,9 @@
     directory,
     sender,
     health: healthSide.health,
-    evidence: healthSide.evidence,
+    evidence: joinSinks(healthSide.evidence, pickSide.feedback),
     picker: pickSide.picker,
+    capacity: pickSide.capacity,
     tasks: [async signal => { await directory.run(signal) }, ...healthSide.tasks, ...pickSide.tasks],
     sources: [...healthSide.sources, ...pickSide.sources],
     close: async () => { sender.close() }
