Queue requests fairly before slots and leave without cutting callers

Cause: admission was a plain queue with a fixed Retry-After, a leaving instance reset idle connections and never left while a caller kept one busy, and a second SIGTERM killed it. Change: fair queue over accounts with priorities, deadline-aware refusal with an estimated Retry-After, displacement of the last when the queue is full; drain that announces the close, closes only connections idle beyond the announced time, and has a limit.

--- a/packages/callers/src/admission/admission.ts
+++ b/packages/callers/src/admission/admission.ts
@@ -1,46 +1,88 @@
-import PQueue from 'p-queue'
-import type { RouteConfig } from '@lovagehoist/common'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock, Random, RouteConfig } from '@lovagehoist/common'
 import type { Account } from '../accounts/identifyAccount.js'
+import type { AdmissionMetrics } from './admissionMetrics.js'
+import { ServiceQueue } from './serviceQueue.js'
 
-const PRIORITY: Readonly<Record<RouteConfig['priority'], number>> = { payment: 2, normal: 1, background: 0 }
+/** Why a request was not admitted. */
+export type RefusalReason = 'account-limit' | 'queue-full' | 'deadline' | 'displaced' | 'caller-gone'
+
+/** A request that was not admitted and so was not run. */
+export interface AdmissionRefusal {
+  readonly reason: RefusalReason
+  /** Time after which the caller may come back. */
+  readonly retryAfterMs: number
+}
 
 /** A request that wants to be admitted. */
 export interface AdmissionNeed {
   readonly route: RouteConfig
   readonly account: Account
+  /** Requests of the service that may wait. */
   readonly maxQueued: number
+  /** Monotonic time by which the answer is due. */
+  readonly deadlineAtMs: number
+  /** Aborts when the caller is gone. */
+  readonly gone: AbortSignal
+}
+
+/** What admission needs. */
+export interface AdmissionOptions {
+  readonly clock: Clock
+  readonly random: Random
+  /** Requests of a service that this daemon may run at once now. */
+  readonly capacity: (service: string) => number
+  readonly metrics: AdmissionMetrics
 }
 
-/** Bounds the work in progress and in wait for each service. */
+/** Shortest time after which a refused caller may come back. */
+const LEAST_RETRY_AFTER_MS = 500
+/** Retry-After is spread over this multiple of the estimated wait. */
+const RETRY_AFTER_SPREAD = 2
+
+/** Bounds the work in progress and in wait for each service and account. */
 export class Admission {
-  private readonly queues = new Map<string, PQueue>()
+  private readonly queues = new Map<string, ServiceQueue>()
   private readonly inFlight = new Map<string, number>()
 
-  private constructor (private readonly concurrencyOf: (service: string) => number) {}
+  private constructor (private readonly options: AdmissionOptions) {}
 
   /**
    * Creates an empty admission.
    *
-   * @param concurrencyOf - Requests of a service that this daemon runs at once.
+   * @param options - Time, randomness and the capacity of each service.
    * @returns The admission.
    */
-  static create (concurrencyOf: (service: string) => number): Admission {
-    return new Admission(concurrencyOf)
+  static create (options: AdmissionOptions): Admission {
+    return new Admission(options)
   }
 
   /**
    * Runs work when there is room for it.
    *
-   * @param need - Route and account.
+   * @param need - Route, account and deadline.
    * @param work - Work to run.
-   * @returns Undefined at once when the queue or the account is full; otherwise resolves when the work is done.
+   * @returns Resolves when the work is done, or as soon as it is known that it will not be started.
    */
-  admit (need: AdmissionNeed, work: () => Promise<void>): Promise<void> | undefined {
+  async admit (need: AdmissionNeed, work: () => Promise<void>): Promise<Result<void, AdmissionRefusal>> {
     const queue = this.queueOf(need.route.service)
-    const accountLoad = this.inFlight.get(need.account.id) ?? 0
-    if (accountLoad >= need.account.limits.maxInFlight || queue.size >= need.maxQueued) return undefined
-    this.inFlight.set(need.account.id, accountLoad + 1)
-    return queue.add(work, { priority: PRIORITY[need.route.priority] }).finally(() => { this.leave(need.account.id) })
+    const { id, limits } = need.account
+    const load = this.inFlight.get(id) ?? 0
+    if (load >= limits.maxInFlight) return this.refuse(need, 'account-limit', queue)
+    this.inFlight.set(id, load + 1)
+    try {
+      const ended = await queue.run(need, work)
+      return ended === 'done' ? ok(undefined) : this.refuse(need, ended, queue)
+    } finally {
+      this.leave(id)
+    }
+  }
+
+  private refuse (need: AdmissionNeed, reason: RefusalReason, queue: ServiceQueue): Result<void, AdmissionRefusal> {
+    this.options.metrics.countRefusal(need.route.service, reason)
+    const waitMs = Math.max(LEAST_RETRY_AFTER_MS, queue.estimateWaitMs(need))
+    return err({ reason, retryAfterMs: waitMs * (1 + RETRY_AFTER_SPREAD * this.options.random.next()) })
   }
 
   private leave (accountId: string): void {
@@ -49,10 +91,11 @@
     else this.inFlight.delete(accountId)
   }
 
-  private queueOf (service: string): PQueue {
-    const concurrency = Math.max(1, this.concurrencyOf(service))
-    const queue = this.queues.get(service) ?? new PQueue({ concurrency })
-    queue.concurrency = concurrency
+  private queueOf (service: string): ServiceQueue {
+    const known = this.queues.get(service)
+    if (known !== undefined) return known
+    const { clock, capacity, metrics } = this.options
+    const queue = ServiceQueue.create({ service, clock, capacity: () => capacity(service), metrics })
     this.queues.set(service, queue)
     return queue
   }
--- a/packages/callers/src/exchange/serveRequest.ts
+++ b/packages/callers/src/exchange/serveRequest.ts
@@ -79,17 +79,14 @@
   }
   const deadlineAtMs = options.clock.monotonicMs() + route.timeoutMs
   const passage: Passage = { request, response, route, service, account, body: body.value, deadlineAtMs, signal: callerSignal(response) }
-  const admitted = options.admission.admit({ route, account, maxQueued: service.maxQueued }, async () => { await forward(options, passage) })
-  if (admitted === undefined) {
-    sendProblem(response, { kind: 'overload', verdict: 'not-run', detail: 'too many requests wait', retryAfterMs: OVERLOAD_RETRY_AFTER_MS })
-    return
-  }
-  await admitted
+  const need = { route, account, maxQueued: service.maxQueued, deadlineAtMs, gone: passage.signal }
+  const admitted = await options.admission.admit(need, async () => { await forward(options, passage) })
+  if (admitted.isErr()) sendProblem(response, { kind: 'overload', verdict: 'not-run', detail: `not admitted: ${admitted.error.reason}`, retryAfterMs: admitted.error.retryAfterMs })
 }
 
 const forward = async (options: ServeOptions, passage: Passage): Promise<void> => {
   const { route, deadlineAtMs, signal, response } = passage
-  const need = { service: route.service, isIdempotent: route.isIdempotent, triedTargetIds: new Set<string>(), avoidedZones: new Set<string>(), deadlineAtMs }
+  const need = { service: route.service, isIdempotent: route.isIdempotent, triedTargetIds: new Set<string>(), avoidedZones: new Set<string>(), deadlineAtMs, priority: route.priority }
   const picked = await options.picker.pick(need, signal)
   if (picked.isErr()) {
     sendProblem(response, { kind: 'no-target', verdict: 'not-run', detail: picked.error, retryAfterMs: OVERLOAD_RETRY_AFTER_MS })
--- a/packages/common/src/contracts/targets.ts
+++ b/packages/common/src/contracts/targets.ts
@@ -1,5 +1,6 @@
 import type { Readable } from 'node:stream'
 import type { Result } from 'neverthrow'
+import type { RouteConfig } from '../document/schema.js'
 import type { Place } from './platform.js'
 import type { OutcomeKind } from '../verdict/outcome.js'
 import type { RunVerdict } from '../verdict/verdict.js'
@@ -77,6 +78,8 @@
   readonly avoidedZones: ReadonlySet<string>
   /** Monotonic time by which the answer is due. */
   readonly deadlineAtMs: number
+  /** Priority of the route; absent for `normal`. */
+  readonly priority?: RouteConfig['priority']
 }
 
 /** Why no target was picked; the request was not sent. */
--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -56,8 +56,8 @@
   if (settings === undefined) return EXIT_BAD_INPUT
   const daemon = await Daemon.create(settings, createWorld())
   const leave = (): void => { daemon.drain().catch(error => { process.stderr.write(`${String(error)}\n`) }) }
-  process.once('SIGTERM', leave)
-  process.once('SIGINT', leave)
+  process.on('SIGTERM', leave)
+  process.on('SIGINT', leave)
   await daemon.done
   return EXIT_OK
 }
--- a/packages/daemon/src/compose/callerSide.ts
+++ b/packages/daemon/src/compose/callerSide.ts
@@ -1,4 +1,4 @@
-import { Admission, RouteTable, serveRequest } from '@lovagehoist/callers'
+import { Admission, AdmissionMetrics, RouteTable, serveRequest } from '@lovagehoist/callers'
 import type { RequestHandler } from '@lovagehoist/callers'
 import type { ConfigSource, StateSource } from '@lovagehoist/common'
 import type { Base, Task } from './base.js'
@@ -20,7 +20,7 @@
  * @returns The parts.
  */
 export const createCallerSide = (base: Base, config: ConfigSource, targets: TargetSide): CallerSide => {
-  const admission = Admission.create(targets.capacity)
+  const admission = Admission.create({ clock: base.clock, random: base.random, capacity: targets.capacity, metrics: AdmissionMetrics.create(base.registry) })
   let routes: RouteTable | undefined
   config.onChange(accepted => { routes = RouteTable.create(accepted.document) })
   const { picker, sender, evidence } = targets
--- a/packages/daemon/src/compose/daemon.ts
+++ b/packages/daemon/src/compose/daemon.ts
@@ -45,18 +45,17 @@
     if (this.isDraining) return
     this.isDraining = true
     this.parts.log.info('draining')
-    await this.world.clock.sleepMs(this.settings.drain.balancerLagMs)
-    await this.servers?.callers.close()
+    const report = await this.servers?.callers.drain(this.settings.drain)
     await this.parts.stop()
     await this.servers?.admin.close()
-    this.parts.log.info('daemon left')
+    this.parts.log.info('daemon left', { cutExchanges: report?.cutExchanges ?? 0 })
     this.resolveDone()
   }
 
   private async listen (): Promise<void> {
     const { settings, parts } = this
     const { log, registry, sources, handler } = parts
-    const callers = await CallerServer.create({ address: settings.callers, limits: settings.limits, log: log.child('callers'), handler })
+    const callers = await CallerServer.create({ address: settings.callers, limits: settings.limits, clock: this.world.clock, log: log.child('callers'), handler })
     const admin = await AdminServer.create({
       address: settings.admin,
       registry,
--- a/packages/targets/src/pick/share/slotGate.ts
+++ b/packages/targets/src/pick/share/slotGate.ts
@@ -8,6 +8,16 @@
 /** Longest time between two looks at the limit, which may change by itself. */
 const LOOK_AGAIN_MS = 25
 
+/** Bounds of the wait for a slot. */
+export interface GateWait {
+  /** Monotonic time at which waiting ends. */
+  readonly deadlineAtMs: number
+  /** Requests that may wait. */
+  readonly maxWaiting: number
+  /** Higher ones are served first. */
+  readonly priority: number
+}
+
 interface Waiter {
   outcome: GateOutcome
 }
@@ -38,12 +48,11 @@
   /**
    * Takes a slot, or waits for one.
    *
-   * @param deadlineAtMs - Monotonic time at which waiting ends.
+   * @param wait - Bounds of the wait.
    * @param signal - Ends the wait at once.
-   * @param maxWaiting - Requests that may wait.
    * @returns Whether a slot was taken.
    */
-  async enter (deadlineAtMs: number, signal: AbortSignal, maxWaiting: number): Promise<GateOutcome> {
+  async enter ({ deadlineAtMs, maxWaiting, priority }: GateWait, signal: AbortSignal): Promise<GateOutcome> {
     if (this.clock.monotonicMs() >= deadlineAtMs) return 'deadline'
     if (this.waiting === 0 && this.credit.take()) return 'taken'
     if (this.waiting >= maxWaiting) return 'no-slot'
@@ -54,7 +63,7 @@
     if (signal.aborted) leave()
     const waiter: Waiter = { outcome: 'deadline' }
     try {
-      await this.queue.add(async () => { waiter.outcome = await this.waitForSlot(ended.signal) }, { signal: ended.signal })
+      await this.queue.add(async () => { await this.waitForSlot(waiter, ended.signal) }, { signal: ended.signal, priority })
       return waiter.outcome
     } catch {
       if (waiter.outcome === 'taken') this.leave()
@@ -71,12 +80,14 @@
     this.wake()
   }
 
-  private async waitForSlot (ended: AbortSignal): Promise<GateOutcome> {
+  private async waitForSlot (waiter: Waiter, ended: AbortSignal): Promise<void> {
     while (!ended.aborted) {
-      if (this.credit.take()) return 'taken'
+      if (this.credit.take()) {
+        waiter.outcome = 'taken'
+        return
+      }
       await this.nextLook(ended)
     }
-    return 'deadline'
   }
 
   private async nextLook (ended: AbortSignal): Promise<void> {
--- a/packages/targets/src/pick/sharedPicker.ts
+++ b/packages/targets/src/pick/sharedPicker.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type {
-  AttemptReport, AttemptSink, Clock, HealthView, Invariants, JsonValue, PickFailure, PickNeed, Random, ServiceConfig, Target, TargetPicker, TargetReservation
+  AttemptReport, AttemptSink, Clock, HealthView, Invariants, JsonValue, PickFailure, PickNeed, Random, RouteConfig, ServiceConfig, Target, TargetPicker, TargetReservation
 } from '@lovagehoist/common'
 import { chooseTarget, isAllowed } from './choice/chooseTarget.js'
 import type { Candidate } from './choice/chooseTarget.js'
@@ -25,6 +25,7 @@
   readonly metrics: PickMetrics
 }
 
+const PICK_PRIORITY: Readonly<Record<RouteConfig['priority'], number>> = { payment: 2, normal: 1, background: 0 }
 const DEFAULT_MAX_WAITING = 256
 const DEFAULT_COLD_START_MS = 10_000
 
@@ -50,7 +51,7 @@
     if (this.candidates(need).length === 0) return this.refuse(need, 'no-target')
     const pool = this.poolOf(need.service)
     const maxWaiting = this.options.serviceConfig(need.service)?.maxQueued ?? DEFAULT_MAX_WAITING
-    const entered = await pool.gate.enter(need.deadlineAtMs, signal, maxWaiting)
+    const entered = await pool.gate.enter({ deadlineAtMs: need.deadlineAtMs, maxWaiting, priority: PICK_PRIORITY[need.priority ?? 'normal'] }, signal)
     metrics.observeWait(need.service, clock.monotonicMs() - startedAtMs)
     if (entered !== 'taken') return this.refuse(need, entered)
     const target = chooseTarget(this.candidates(need), need, this.options.random)
