--- a/packages/standins/src/measure/documents.ts
+++ b/packages/standins/src/measure/documents.ts
@@ -7,6 +7,7 @@
   readonly slotsPerTarget: number
   readonly floorSlots: number
   readonly profile?: 'fast' | 'careful'
+  readonly retryBudgetShare?: number
 }
 
 /** What the two routes of each service have in common. */
