--- a/packages/callers/src/exchange/serveRequest.ts
+++ b/packages/callers/src/exchange/serveRequest.ts
@@ -2,10 +2,10 @@
 import { acceptRequest } from '../accept/acceptRequest.js'
 import type { AcceptOptions } from '../accept/acceptRequest.js'
 import type { Passage } from '../accept/passage.js'
-import type { Admission } from '../admission/admission.js'
+import type { Admission, AdmissionRefusal, RefusalReason } from '../admission/admission.js'
 import { deliver } from '../answers/deliver.js'
 import { sendProblem } from '../answers/problem.js'
-import type { Problem } from '../answers/problem.js'
+import type { Problem, ProblemKind } from '../answers/problem.js'
 import type { KeyGuard } from '../keys/keyGuard.js'
 import { forward } from './forward.js'
 import type { ForwardOptions } from './forward.js'
@@ -18,9 +18,19 @@
   readonly keys: KeyGuard
 }
 
-const OVERLOAD: Problem = { kind: 'overload', verdict: 'not-run', detail: 'too many requests wait', retryAfterMs: 1_000 }
 const NO_SERVICE = 'none'
 
+const problemKinds: Readonly<Record<RefusalReason, ProblemKind>> = {
+  'account-limit': 'overload',
+  'queue-full': 'overload',
+  displaced: 'overload',
+  'caller-gone': 'overload',
+  deadline: 'deadline'
+}
+
+const problemOf = ({ reason, retryAfterMs }: AdmissionRefusal): Problem =>
+  ({ kind: problemKinds[reason], verdict: 'not-run', detail: `not admitted: ${reason}`, retryAfterMs })
+
 /**
  * Serves one request: accept, identify route and account, admit, pick, send, judge the outcome, retry or answer.
  *
@@ -36,12 +46,9 @@
   }
   const passage = accepted.value
   const { route, account, service } = passage
-  const admitted = options.admission.admit({ route, account, maxQueued: service.maxQueued }, async () => { await run(options, passage) })
-  if (admitted === undefined) {
-    refuse(options, route.service, response, OVERLOAD)
-    return
-  }
-  await admitted
+  const need = { route, account, maxQueued: service.maxQueued, deadlineAtMs: passage.deadlineAtMs, gone: passage.gone }
+  const admitted = await options.admission.admit(need, async () => { await run(options, passage) })
+  if (admitted.isErr()) refuse(options, route.service, response, problemOf(admitted.error))
 }
 
 const run = async (options: ServeOptions, passage: Passage): Promise<void> => {
--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -87,8 +87,8 @@
   const daemon = await startDaemon(settings)
   if (daemon === undefined) return EXIT_ADDRESS
   const leave = (): void => { daemon.drain().catch(error => { process.stderr.write(`${String(error)}\n`) }) }
-  process.once('SIGTERM', leave)
-  process.once('SIGINT', leave)
+  process.on('SIGTERM', leave)
+  process.on('SIGINT', leave)
   await daemon.done
   return EXIT_OK
 }
