--- a/packages/callers/src/admission/admission.ts
+++ b/packages/callers/src/admission/admission.ts
@@ -6,7 +6,7 @@
 import { ServiceQueue } from './serviceQueue.js'
 
 /** Why a request was not admitted. */
-export type RefusalReason = 'account-limit' | 'queue-full' | 'deadline' | 'displaced' | 'caller-gone'
+export type RefusalReason = 'account-limit' | 'queue-full' | 'too-late' | 'expired' | 'displaced' | 'caller-gone'
 
 /** A request that was not admitted and so was not run. */
 export interface AdmissionRefusal {
--- a/packages/callers/src/entry/callerServer.ts
+++ b/packages/callers/src/entry/callerServer.ts
@@ -5,6 +5,7 @@
 import polka from 'polka'
 import type { Clock, Log, Settings } from '@lovagehoist/common'
 import { ANNOUNCED_IDLE_MS, CallerConnection, IDLE_MARGIN_MS } from './callerConnection.js'
+import { refuseMalformed } from './refuseMalformed.js'
 
 /** Serves one request to its end. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
@@ -51,9 +52,11 @@
       headersTimeout: limits.headTimeoutMs,
       requestTimeout: limits.requestTimeoutMs,
       keepAliveTimeout: ANNOUNCED_IDLE_MS + IDLE_MARGIN_MS,
-      insecureHTTPParser: false
+      insecureHTTPParser: false,
+      requireHostHeader: false
     })
     server.maxConnections = limits.maxConnections
+    refuseMalformed(server)
     const callers = new CallerServer(server, options)
     const app = polka({ server })
     app.use((request: IncomingMessage, response: ServerResponse) => { callers.serve(request, response) })
@@ -90,6 +93,14 @@
     return { cutExchanges }
   }
 
+  /** Stops at once: closes idle connections and resolves when the last exchange has ended. */
+  async close (): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.close(() => { resolve() })
+      this.server.closeIdleConnections()
+    })
+  }
+
   private async until (limitAtMs: number, isDone: () => boolean): Promise<void> {
     const { clock } = this.options
     while (!isDone() && clock.monotonicMs() < limitAtMs) {
