--- a/packages/daemon/src/compose/peerSide.ts
+++ b/packages/daemon/src/compose/peerSide.ts
@@ -1,6 +1,5 @@
 import type { PeerBus, StateSource } from '@lovagehoist/common'
 import { GossipPeerBus, HttpPeerTransport, PeerMetrics, SoloPeerBus } from '@lovagehoist/peers'
-import type { SelfDescription } from '@lovagehoist/peers'
 import type { Base, Task } from './base.js'
 
 /** Parts that talk to other daemons. */
@@ -9,8 +8,6 @@
   readonly tasks: readonly Task[]
   readonly sources: readonly StateSource[]
   readonly listen: () => Promise<{ readonly port: number }>
-  /** Says what other daemons are told about this one. */
-  readonly describeSelf: (read: () => SelfDescription) => void
   readonly close: () => Promise<void>
 }
 
@@ -19,25 +16,24 @@
   tasks: [],
   sources: [{ name: 'instance', dump: () => ({ ...base.identity }) }],
   listen: async () => ({ port: 0 }),
-  describeSelf: () => {},
   close: async () => {}
 })
 
 const createGossipSide = (base: Base): PeerSide => {
-  const { settings, identity, clock, random, registry, invariants, platform } = base
-  const { host, port, tls, budgetBytesPerSecond } = settings.peers
+  const { settings, identity, clock, random, registry, invariants, platform, status } = base
+  const { host, port, tls, advertised, budgetBytesPerSecond } = settings.peers
   const log = base.log.child('peers')
   const metrics = PeerMetrics.create(registry)
   const transport = HttpPeerTransport.create({ host, port, tls, clock, log, onRefused: reason => { metrics.refuse(reason) } })
   const bus = GossipPeerBus.create({
-    self: identity, host, environment: settings.environment, budgetBytesPerSecond, codec: 'msgpack', clock, random, log, registry, invariants, directory: platform.directory, transport, metrics
+    self: identity, host, advertised, environment: settings.environment, budgetBytesPerSecond, codec: 'msgpack', clock, random, log, registry, invariants, directory: platform.directory, transport, metrics
   })
+  bus.describeSelf(status.current)
   return {
     bus,
     tasks: [async signal => { await bus.run(signal) }, async signal => { await transport.run(signal) }],
     sources: [{ name: 'instance', dump: () => ({ ...identity }) }, { name: 'peers', dump: () => bus.dump() }],
     listen: async () => ({ port: await bus.listen() }),
-    describeSelf: read => { bus.describeSelf(read) },
     close: async () => { await bus.close() }
   }
 }
