--- a/packages/callers/src/admission/serviceQueue.ts
+++ b/packages/callers/src/admission/serviceQueue.ts
@@ -64,8 +64,9 @@
   async run (need: AdmissionNeed, work: () => Promise<void>): Promise<'done' | RefusalReason> {
     this.adjust()
     const { clock } = this.options
+    if (clock.monotonicMs() >= need.deadlineAtMs) return 'expired'
     const latestStartAtMs = this.latestStartAtMs(need)
-    if (clock.monotonicMs() + this.estimateWaitMs(need) > latestStartAtMs) return 'deadline'
+    if (clock.monotonicMs() + this.estimateWaitMs(need) > latestStartAtMs) return 'too-late'
     if (this.fair.size >= need.maxQueued && !this.displaceFor(need)) return 'queue-full'
     return await this.wait(need, latestStartAtMs, work)
   }
@@ -102,7 +103,7 @@
     const waiting: Waiting = { stop: new AbortController(), hasStarted: false }
     const queuedAtMs = clock.monotonicMs()
     const leaveQueue = (reason: RefusalReason): void => { if (!waiting.hasStarted) waiting.stop.abort(reason) }
-    const cancelTimer = clock.after(latestStartAtMs - queuedAtMs, () => { leaveQueue('deadline') })
+    const cancelTimer = clock.after(latestStartAtMs - queuedAtMs, () => { leaveQueue('too-late') })
     const onGone = (): void => { leaveQueue('caller-gone') }
     need.gone.addEventListener('abort', onGone, { once: true })
     this.waiting.set(id, waiting)
--- a/packages/callers/src/exchange/serveRequest.ts
+++ b/packages/callers/src/exchange/serveRequest.ts
@@ -5,7 +5,7 @@
 import type { Admission, AdmissionRefusal, RefusalReason } from '../admission/admission.js'
 import { deliver } from '../answers/deliver.js'
 import { sendProblem } from '../answers/problem.js'
-import type { Problem, ProblemKind } from '../answers/problem.js'
+import type { Problem } from '../answers/problem.js'
 import type { KeyGuard } from '../keys/keyGuard.js'
 import { forward } from './forward.js'
 import type { ForwardOptions } from './forward.js'
@@ -20,16 +20,16 @@
 
 const NO_SERVICE = 'none'
 
-const problemKinds: Readonly<Record<RefusalReason, ProblemKind>> = {
-  'account-limit': 'overload',
-  'queue-full': 'overload',
-  displaced: 'overload',
-  'caller-gone': 'overload',
-  deadline: 'deadline'
+const REFUSAL: Readonly<Record<RefusalReason, Pick<Problem, 'kind' | 'detail'>>> = {
+  'account-limit': { kind: 'overload', detail: 'the account has too many requests in progress' },
+  'queue-full': { kind: 'overload', detail: 'too many requests wait' },
+  'too-late': { kind: 'overload', detail: 'the request could not be finished before its deadline' },
+  displaced: { kind: 'overload', detail: 'requests that go first filled the queue' },
+  expired: { kind: 'deadline', detail: 'the deadline had passed' },
+  'caller-gone': { kind: 'deadline', detail: 'the caller is gone' }
 }
 
-const problemOf = ({ reason, retryAfterMs }: AdmissionRefusal): Problem =>
-  ({ kind: problemKinds[reason], verdict: 'not-run', detail: `not admitted: ${reason}`, retryAfterMs })
+const refusal = ({ reason, retryAfterMs }: AdmissionRefusal): Problem => ({ ...REFUSAL[reason], verdict: 'not-run', retryAfterMs })
 
 /**
  * Serves one request: accept, identify route and account, admit, pick, send, judge the outcome, retry or answer.
@@ -45,10 +45,10 @@
     return
   }
   const passage = accepted.value
-  const { route, account, service } = passage
-  const need = { route, account, maxQueued: service.maxQueued, deadlineAtMs: passage.deadlineAtMs, gone: passage.gone }
+  const { route, account, service, deadlineAtMs, gone } = passage
+  const need = { route, account, maxQueued: service.maxQueued, deadlineAtMs, gone }
   const admitted = await options.admission.admit(need, async () => { await run(options, passage) })
-  if (admitted.isErr()) refuse(options, route.service, response, problemOf(admitted.error))
+  if (admitted.isErr()) refuse(options, route.service, response, refusal(admitted.error))
 }
 
 const run = async (options: ServeOptions, passage: Passage): Promise<void> => {
