--- a/packages/callers/src/keys/keyWriter.ts
+++ b/packages/callers/src/keys/keyWriter.ts
@@ -9,8 +9,7 @@
   readonly version: number
   /** Unique name, also in the value. */
   readonly writeId: string
-  /** Value; undefined deletes the row. */
-  readonly value: JsonValue | undefined
+  readonly value: JsonValue
 }
 
 /** How a write ended; `out` means that the table did not settle it. */
@@ -41,7 +40,11 @@
 const MOST_REPEATS = 3
 const TRANSACTIONS_AT_ONCE = 2
 
-/** Writes rows of keys, many in one transaction, at a bounded rate. */
+/**
+ * Writes rows of keys, many in one transaction, at a bounded rate.
+ *
+ * Rows are never deleted here: a row that came back at an old version would let a repeated write undo another daemon's claim.
+ */
 export class KeyWriter {
   private waiting: Pending[] = []
   private isTicking = false
@@ -149,7 +152,6 @@
     }
     const row = read.value
     if (row !== undefined && isOwn(write, row)) settle({ type: 'applied', version: row.version })
-    else if (row === undefined && write.value === undefined) settle({ type: 'applied', version: 0 })
     else if ((row?.version ?? 0) !== write.version) settle({ type: 'conflict', current: row })
     else if (repeats < MOST_REPEATS) this.enqueue({ ...pending, repeats: repeats + 1 })
     else settle({ type: 'out', mayApply: true })
@@ -161,7 +163,5 @@
 const transactionOf = (operationId: string, batch: readonly Pending[]): TableTransaction => ({
   operationId,
   conditions: batch.map(({ write: { key, version } }) => ({ table: KEY_TABLE, key, version })),
-  writes: batch.map(({ write: { key, value } }) => value === undefined
-    ? { type: 'delete', table: KEY_TABLE, key }
-    : { type: 'put', table: KEY_TABLE, key, value })
+  writes: batch.map(({ write: { key, value } }) => ({ type: 'put', table: KEY_TABLE, key, value }))
 })
