--- a/packages/peers/src/budget/byteBudget.ts
+++ b/packages/peers/src/budget/byteBudget.ts
@@ -15,6 +15,9 @@
   config: 0, membership: 0.15, ejection: 0.05, leaving: 0.1, poison: 0.15, evidence: 0.3, load: 0.5
 }
 
+/** Bytes of the first class that a message may carry even when the bucket is empty. */
+const ALWAYS_ALLOWED_BYTES: Readonly<Partial<Record<SpreadClass, number>>> = { config: 1_024 }
+
 /** What the budget needs. */
 export interface ByteBudgetOptions {
   readonly bytesPerSecond: number
@@ -60,7 +63,7 @@
     this.refill()
     const reserved = RESERVED_SHARES[topic] * this.capacityBytes
     const there = this.capacityBytes * peerRoomPercent / PERCENT
-    return Math.max(0, Math.floor(Math.min(this.tokens, there) - reserved))
+    return Math.max(ALWAYS_ALLOWED_BYTES[topic] ?? 0, Math.floor(Math.min(this.tokens, there) - reserved))
   }
 
   /** Counts bytes that were sent or received. */
--- a/packages/peers/src/bus/gossipLoops.ts
+++ b/packages/peers/src/bus/gossipLoops.ts
@@ -45,7 +45,8 @@
   readonly done: Promise<void>
 }
 
-const isStray = ({ listed, goneAtMs, startId, suspectSinceMs, confirmedAtMs }: MemberRecord): boolean => {
+const isStray = ({ listed, goneAtMs, startId, suspectSinceMs, confirmedAtMs, isLinkFailed }: MemberRecord): boolean => {
+  if (isLinkFailed) return true
   if (listed === 'live') return goneAtMs !== undefined || startId === ''
   return goneAtMs === undefined && suspectSinceMs === undefined && startId !== '' && confirmedAtMs === Number.NEGATIVE_INFINITY
 }
@@ -159,7 +160,7 @@
     if (extraMs > 0) await clock.sleepMs(extraMs, signal)
     const partners = [...this.running.keys()].flatMap(instanceId => members.find(instanceId) ?? []).filter(record => members.isConfirmed(record))
     const partner = partners[partners.length === 0 ? 0 : random.int(partners.length)]
-    if (partner === undefined || signal.aborted || budget.roomPercent() < REPAIR_ROOM_PERCENT) return
+    if (partner === undefined || signal.aborted || Math.min(partner.roomPercent, budget.roomPercent()) < REPAIR_ROOM_PERCENT) return
     const answer = await client.exchange(partner, 'digest', { hashes: [...digestEntries(spreader)] }, EXCHANGE_TIMEOUT_MS)
     if (answer.isErr()) return
     take(answer.value.entries, partner.instanceId)
--- a/packages/peers/src/bus/heardLately.ts
+++ b/packages/peers/src/bus/heardLately.ts
@@ -6,10 +6,7 @@
  * Names processes whose links to this one were confirmed lately.
  *
  * @param members - Members.
- * @returns Their numbers, the latest first, bounded.
+ * @returns Their numbers, the latest last, bounded.
  */
-export const heardLately = (members: MemberTable): readonly number[] => members.all()
-  .filter(record => record.startId !== '' && members.isConfirmed(record))
-  .sort((a, b) => b.confirmedAtMs - a.confirmedAtMs)
-  .slice(0, MAX_HEARD)
-  .map(record => record.ref)
+export const heardLately = (members: MemberTable): readonly number[] =>
+  members.confirmedLately().slice(-MAX_HEARD).map(record => record.ref)
--- a/packages/peers/src/bus/partnerTask.ts
+++ b/packages/peers/src/bus/partnerTask.ts
@@ -21,7 +21,7 @@
 }
 
 const PUSH_RULES: Readonly<Record<SpreadClass, PushRule>> = {
-  config: { gapMs: 20, roomPercent: 0 },
+  config: { gapMs: 20, roomPercent: 5 },
   ejection: { gapMs: 20, roomPercent: 10 },
   leaving: { gapMs: 50, roomPercent: 20 },
   poison: { gapMs: 50, roomPercent: 20 },
@@ -115,7 +115,8 @@
 
   private gapMs (): number {
     if (!this.isAnswering) return Number.POSITIVE_INFINITY
-    const roomPercent = Math.min(PERCENT, this.options.budget.roomPercent())
+    const { budget, members, instanceId } = this.options
+    const roomPercent = Math.min(members.find(instanceId)?.roomPercent ?? PERCENT, budget.roomPercent())
     const gaps = [...this.outbox.topics()].map(topic => PUSH_RULES[topic]).filter(rule => roomPercent >= rule.roomPercent).map(rule => rule.gapMs)
     return Math.min(...gaps)
   }
--- a/packages/peers/src/bus/peerClient.ts
+++ b/packages/peers/src/bus/peerClient.ts
@@ -82,7 +82,7 @@
   }
 
   private read<M extends MethodName> (member: MemberRecord, startId: string, method: M, id: number, packet: Packet): Result<AnswerOf<M>, PeerError> {
-    const response = decodePacket(packet).unwrapOr(undefined)
+    const response = decodePacket(packet).unwrapOr(undefined) ?? {}
     if (!isJSONRPCResponse(response)) return this.refuse('malformed')
     if (response.error !== undefined) return this.explain(member, response.error)
     const answer = answerSchemas[method].safeParse(response.result)
--- a/packages/peers/src/bus/peerServer.ts
+++ b/packages/peers/src/bus/peerServer.ts
@@ -1,4 +1,4 @@
-import { JSONRPCServer, JSONRPCErrorException, createJSONRPCErrorResponse, isJSONRPCRequest } from 'json-rpc-2.0'
+import { JSONRPCServer, createJSONRPCErrorResponse, isJSONRPCRequest } from 'json-rpc-2.0'
 import type { JSONRPCID } from 'json-rpc-2.0'
 import type { z } from 'zod'
 import type { Log } from '@lovagehoist/common'
@@ -22,9 +22,9 @@
   readonly log: Log
 }
 
-class Refusal extends JSONRPCErrorException {
+class Refusal extends Error {
   constructor (readonly reason: RefusalReason) {
-    super(`the message is refused: ${reason}`, REFUSAL_CODES[reason])
+    super(`the message is refused: ${reason}`)
   }
 }
 
@@ -57,7 +57,7 @@
   readonly receive = async (packet: Packet): Promise<Packet | undefined> => {
     this.count('received', packet)
     if (packet.body.length > MAX_MESSAGE_BYTES) return this.ignore('oversized')
-    const request = decodePacket(packet).unwrapOr(undefined)
+    const request = decodePacket(packet).unwrapOr(undefined) ?? {}
     if (!isJSONRPCRequest(request)) return this.ignore('malformed')
     const response = await this.rpc.receive(request)
     if (response === null) return this.ignore('malformed')
@@ -99,7 +99,7 @@
   private toError (id: JSONRPCID, error: unknown): ReturnType<typeof createJSONRPCErrorResponse> {
     if (error instanceof Refusal) {
       this.options.metrics.refuse(error.reason)
-      return createJSONRPCErrorResponse(id, error.code, error.message)
+      return createJSONRPCErrorResponse(id, REFUSAL_CODES[error.reason], error.message)
     }
     const message = error instanceof Error ? error.message : String(error)
     this.options.log.debug('answering a peer failed', { error: message })
--- a/packages/peers/src/membership/failureDetector.ts
+++ b/packages/peers/src/membership/failureDetector.ts
@@ -61,7 +61,7 @@
     const { client, members } = this.options
     const others = members.all().filter(other => other.instanceId !== member.instanceId && other.startId !== '' && other.goneAtMs === undefined)
     if (others.length === 0) return true
-    const helpers = this.draw(others.filter(other => members.isConfirmed(other)))
+    const helpers = this.draw(members.confirmedLately().filter(other => other.instanceId !== member.instanceId))
     const answers = await Promise.all(helpers.map(async helper => await client.exchange(helper, 'ask', { about: member.instanceId }, ASK_TIMEOUT_MS)))
     const told = answers.flatMap(answer => answer.isOk() ? [answer.value.isReached] : [])
     return told.length > 0 && !told.includes(true)
--- a/packages/peers/src/membership/memberTable.ts
+++ b/packages/peers/src/membership/memberTable.ts
@@ -37,6 +37,8 @@
   private readonly idByRef = new Map<number, string>()
   private readonly superseded = new Map<number, number>()
   private readonly forgotten = new Map<number, ForgottenProcess>()
+  /** Numbers of confirmed processes, the latest last. */
+  private readonly confirmedRefs = new Set<number>()
   private lastConfirmedAtMs = Number.NEGATIVE_INFINITY
   readonly selfRef: number
 
@@ -77,6 +79,16 @@
     return record?.ref === ref ? record : undefined
   }
 
+  /** Processes whose links to this one were confirmed lately, the latest last. */
+  confirmedLately (): readonly MemberRecord[] {
+    for (const ref of this.confirmedRefs) {
+      const record = this.findRef(ref)
+      if (record !== undefined && this.isConfirmed(record)) break
+      this.confirmedRefs.delete(ref)
+    }
+    return [...this.confirmedRefs].flatMap(ref => this.findRef(ref) ?? [])
+  }
+
   /** Whether a number names an earlier process of an instance. */
   isSuperseded (ref: number): boolean {
     return this.superseded.has(ref)
@@ -154,6 +166,8 @@
     const record = this.byId.get(instanceId)
     if (record === undefined || record.startId !== startId) return
     this.lastConfirmedAtMs = this.nowMs()
+    this.confirmedRefs.delete(record.ref)
+    this.confirmedRefs.add(record.ref)
     this.change(record, { confirmedAtMs: this.nowMs(), heardAtMs: this.nowMs(), isLinkFailed: false, isReplaced: false, suspectSinceMs: undefined, goneAtMs: undefined })
   }
 
