--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -14,10 +14,11 @@
 
 const createWorld = (): DaemonWorld => {
   const clock = SystemClock.create()
+  const random = SeededRandom.create(randomInt(SEED_LIMIT))
   return {
     clock,
-    random: SeededRandom.create(randomInt(SEED_LIMIT)),
-    openPlatform: settings => createPlatform(settings.platform, clock),
+    random,
+    openPlatform: (settings, registry) => createPlatform(settings.platform, clock, { random, registry }),
     write: line => { process.stderr.write(line) }
   }
 }
--- a/packages/daemon/src/compose/base.ts
+++ b/packages/daemon/src/compose/base.ts
@@ -33,5 +33,5 @@
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry, ...onBreach })
   const { id: instanceId, region, availabilityZone } = settings.instance
   const identity = { instanceId, region, availabilityZone, startId: random.id() }
-  return { settings, clock, random, log, registry, invariants, platform: world.openPlatform(settings), identity }
+  return { settings, clock, random, log, registry, invariants, platform: world.openPlatform(settings, registry), identity }
 }
--- a/packages/peers/src/budget/byteBudget.ts
+++ b/packages/peers/src/budget/byteBudget.ts
@@ -6,8 +6,10 @@
 const SLICE_MS = 1_000
 const MS_PER_SECOND = 1_000
 /** Share of the budget that refills the bucket; the rest is the bucket itself, so that no window passes the budget. */
-const REFILL_SHARE = 0.8
+const REFILL_SHARE = 0.75
 const BUCKET_SECONDS = 2
+/** Part of a receiver's room that one sender may fill, since several send before it tells again. */
+const RECEIVER_SHARE = 0.25
 const PERCENT = 100
 
 /** Share of the bucket that must stay free after an entry of a class was sent. */
@@ -62,8 +64,9 @@
   allowance (topic: SpreadClass, peerRoomPercent: number): number {
     this.refill()
     const reserved = RESERVED_SHARES[topic] * this.capacityBytes
-    const there = this.capacityBytes * peerRoomPercent / PERCENT
-    return Math.max(ALWAYS_ALLOWED_BYTES[topic] ?? 0, Math.floor(Math.min(this.tokens, there) - reserved))
+    const here = this.tokens - reserved
+    const there = (this.capacityBytes * peerRoomPercent / PERCENT - reserved) * RECEIVER_SHARE
+    return Math.max(ALWAYS_ALLOWED_BYTES[topic] ?? 0, Math.floor(Math.min(here, there)))
   }
 
   /** Counts bytes that were sent or received. */
--- a/packages/peers/src/bus/peerServer.spec.ts
+++ b/packages/peers/src/bus/peerServer.spec.ts
@@ -47,7 +47,7 @@
   'no id': heartbeat({}, 'text'),
   'missing fields': encodePacket('json', { jsonrpc: '2.0', id: 1_001, method: 'heartbeat', params: {} }),
   'room above all': heartbeat({ room: 101 }),
-  'entry that is not JSON': encodePacket('msgpack', { jsonrpc: '2.0', id: 1_002, method: 'heartbeat', params: { version: 1, environment: 'production', from: ['daemon-1', 'start-2'], to: ['daemon-0', 'start-1'], room: 1, heard: [], entries: [[1, 0, 'k', 1, 0, 1, new Date(0)]] } }),
+  'entry that is not JSON': encodePacket('msgpack', { jsonrpc: '2.0', id: 1_002, method: 'heartbeat', params: { version: 1, environment: 'production', from: ['daemon-1', 'start-2'], to: ['daemon-0', 'start-1'], room: 1, heard: [], entries: [[1, 0, 'k', 1, 0, 1, new Uint8Array(1)]] } }),
   'other version': heartbeat({ version: 2 }),
   'other environment': heartbeat({ environment: 'trial' }),
   'for another daemon': heartbeat({ to: ['daemon-9', 'start-1'] }),
--- a/packages/platform/src/call/callPlatform.ts
+++ b/packages/platform/src/call/callPlatform.ts
@@ -4,6 +4,7 @@
 import type { Result } from 'neverthrow'
 import { request } from 'undici'
 import type { Dispatcher } from 'undici'
+import type { ServiceGuard } from '../guard/serviceGuard.js'
 
 /** One HTTP call to the platform. */
 export interface PlatformCall {
@@ -11,6 +12,8 @@
   readonly url: string
   readonly body?: Uint8Array | string
   readonly contentType?: string
+  /** Entity tag of the copy that the caller holds; an unchanged one is answered without a body. */
+  readonly heldTag?: string | undefined
   /** Whether the call can change the platform's state. */
   readonly isWrite: boolean
 }
@@ -19,6 +22,8 @@
 export interface PlatformReply {
   readonly status: number
   readonly body: Buffer
+  /** Entity tag of the answer. */
+  readonly tag?: string | undefined
 }
 
 /** How calls are made. */
@@ -27,6 +32,8 @@
   readonly dispatcher: Dispatcher
   /** Limit of one call. */
   readonly timeoutMs: number
+  /** Bounds the calls; absent to make each call at once. */
+  readonly guard?: ServiceGuard
 }
 
 /** Failures of connecting: no byte of the call was sent. */
@@ -44,25 +51,36 @@
   return { kind, message: `the platform answered ${status}` }
 }
 
+const headersOf = (call: PlatformCall): Readonly<Record<string, string>> => ({
+  ...(call.contentType === undefined ? {} : { 'content-type': call.contentType }),
+  ...(call.heldTag === undefined ? {} : { 'if-none-match': call.heldTag })
+})
+
 const exchange = async (options: CallOptions, call: PlatformCall, signal: AbortSignal): Promise<PlatformReply> => {
   const reply = await request(call.url, {
     method: call.method,
     body: call.body ?? null,
-    headers: call.contentType === undefined ? {} : { 'content-type': call.contentType },
+    headers: headersOf(call),
     dispatcher: options.dispatcher,
     signal
   })
-  return { status: reply.statusCode, body: Buffer.from(await reply.body.arrayBuffer()) }
+  const tag = reply.headers.etag
+  return { status: reply.statusCode, body: Buffer.from(await reply.body.arrayBuffer()), tag: typeof tag === 'string' ? tag : undefined }
 }
 
 /**
- * Calls the platform once, with a limit.
+ * Calls the platform once, with a limit, within the bounds of the service.
  *
- * @param options - Clock, connections and limit.
+ * @param options - Clock, connections, limit and bounds.
  * @param call - What to call.
- * @returns The answer (404 included), or why there is none.
+ * @returns The answer (304 and 404 included), or why there is none.
  */
 export const callPlatform = async (options: CallOptions, call: PlatformCall): Promise<Result<PlatformReply, PlatformError>> => {
+  const { guard } = options
+  return guard === undefined ? await callOnce(options, call) : await guard.run(call.isWrite ? 'write' : 'read', async () => await callOnce(options, call))
+}
+
+const callOnce = async (options: CallOptions, call: PlatformCall): Promise<Result<PlatformReply, PlatformError>> => {
   const stop = new AbortController()
   try {
     const timed = await withinMs(options.clock, options.timeoutMs, exchange(options, call, stop.signal))
--- /dev/null
+++ b/packages/platform/src/lease/lease.ts
@@ -0,0 +1,143 @@
+import type { Clock, Invariants, PlatformError, Random, RowCondition, TableRow, TableService } from '@lovagehoist/common'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { LEASES_TABLE, readLease } from './leaseRow.js'
+import type { LeaseRow } from './leaseRow.js'
+
+/** What a lease needs. */
+export interface LeaseOptions {
+  readonly name: string
+  /** Process that wants to hold it. */
+  readonly holder: string
+  readonly ttlMs: number
+  readonly table: TableService
+  readonly clock: Clock
+  readonly random: Random
+  readonly invariants: Invariants
+}
+
+/** Why a lease is not held, or why work under it does not count. */
+export type LeaseError = PlatformError | { readonly kind: 'held' | 'lapsed', readonly message: string }
+
+/** Time beyond the lease's own for which others wait before they take it over, as a share. */
+const TAKE_OVER_MARGIN = 0.25
+
+interface Held {
+  readonly fence: number
+  readonly version: number
+  readonly validUntilMs: number
+}
+
+interface Seen {
+  readonly version: number
+  readonly atMs: number
+}
+
+/**
+ * The right of one process at a time to do something, kept as a row of the table service. Time is measured on each
+ * process's own monotonic clock only: the holder counts from before its write, others from when they saw the write.
+ */
+export class Lease {
+  private held: Held | undefined
+  private seen: Seen | undefined
+
+  private constructor (private readonly options: LeaseOptions) {}
+
+  /**
+   * Creates a lease that is not held.
+   *
+   * @param options - Name, holder, time to live, table, clock, randomness and invariants.
+   * @returns The lease.
+   */
+  static create (options: LeaseOptions): Lease {
+    return new Lease(options)
+  }
+
+  /** Fence of the held lease; undefined when it is not held or has lapsed. Read it at each use. */
+  fence (): number | undefined {
+    const { held } = this
+    return held !== undefined && this.options.clock.monotonicMs() < held.validUntilMs ? held.fence : undefined
+  }
+
+  /** Condition under which a transaction takes effect only while the lease's row is as this process wrote it. */
+  condition (): RowCondition | undefined {
+    return this.fence() === undefined || this.held === undefined ? undefined : { table: LEASES_TABLE, key: this.options.name, version: this.held.version }
+  }
+
+  /**
+   * Takes the lease when it is free or has lapsed, or renews it when it is held.
+   *
+   * @returns The fence, or why it is not held.
+   */
+  async acquire (): Promise<Result<number, LeaseError>> {
+    const { table, name, holder, clock } = this.options
+    const startedAtMs = clock.monotonicMs()
+    const found = await table.get(LEASES_TABLE, name, { isFresh: true })
+    if (found.isErr()) return err(found.error)
+    const row = readLease(found.value)
+    const isOwn = row !== undefined && row.holder === holder && row.fence === this.held?.fence
+    if (!isOwn && !this.isFree(found.value, row)) return err({ kind: 'held', message: `${name} is held by ${row?.holder ?? 'nobody'}` })
+    const fence = isOwn ? row.fence : (row?.fence ?? 0) + 1
+    return await this.write(found.value, { holder, fence, ttlMs: this.options.ttlMs }, startedAtMs)
+  }
+
+  /** Gives the lease back, so that others need not wait until it lapses. */
+  async release (): Promise<void> {
+    const condition = this.condition()
+    const fence = this.fence()
+    this.held = undefined
+    if (condition === undefined || fence === undefined) return
+    await this.options.table.transact({
+      operationId: this.options.random.id(),
+      conditions: [condition],
+      writes: [{ type: 'put', table: LEASES_TABLE, key: this.options.name, value: { holder: '', fence, ttlMs: 0 } }]
+    })
+  }
+
+  /**
+   * Does work under the lease; its result is dropped when the lease lapsed meanwhile.
+   *
+   * @param work - Work, given the fence.
+   * @returns The result, or that it does not count.
+   */
+  async run<T> (work: (fence: number) => Promise<T>): Promise<Result<T, LeaseError>> {
+    const fence = this.fence()
+    if (fence === undefined) return err({ kind: 'lapsed', message: `${this.options.name} is not held` })
+    const result = await work(fence)
+    return this.fence() === fence ? ok(result) : err({ kind: 'lapsed', message: `${this.options.name} lapsed during the work` })
+  }
+
+  private isFree (found: TableRow | undefined, row: LeaseRow | undefined): boolean {
+    if (found === undefined || row === undefined || row.holder === '') return true
+    const nowMs = this.options.clock.monotonicMs()
+    if (this.seen?.version !== found.version) this.seen = { version: found.version, atMs: nowMs }
+    return nowMs - this.seen.atMs >= row.ttlMs * (1 + TAKE_OVER_MARGIN)
+  }
+
+  private async write (found: TableRow | undefined, row: LeaseRow, startedAtMs: number): Promise<Result<number, LeaseError>> {
+    const { table, name, random, ttlMs } = this.options
+    const outcome = await table.transact({
+      operationId: random.id(),
+      conditions: [{ table: LEASES_TABLE, key: name, version: found?.version ?? 0 }],
+      writes: [{ type: 'put', table: LEASES_TABLE, key: name, value: { ...row } }]
+    })
+    if (outcome.isErr()) return outcome.error.kind === 'unknown' ? await this.settle(row, startedAtMs) : err(outcome.error)
+    if (outcome.value.type === 'conflict') return err({ kind: 'held', message: `${name} was taken by another process` })
+    return this.hold(row.fence, (found?.version ?? 0) + 1, startedAtMs + ttlMs)
+  }
+
+  private async settle (row: LeaseRow, startedAtMs: number): Promise<Result<number, LeaseError>> {
+    const { table, name, ttlMs } = this.options
+    const found = await table.get(LEASES_TABLE, name, { isFresh: true })
+    if (found.isErr()) return err(found.error)
+    const written = readLease(found.value)
+    if (found.value === undefined || written?.holder !== row.holder || written.fence !== row.fence) return err({ kind: 'held', message: `${name} was not taken` })
+    return this.hold(row.fence, found.value.version, startedAtMs + ttlMs)
+  }
+
+  private hold (fence: number, version: number, validUntilMs: number): Result<number, LeaseError> {
+    this.options.invariants.check('lease-fence', fence >= (this.held?.fence ?? 0), { name: this.options.name, fence, earlier: this.held?.fence })
+    this.held = { fence, version, validUntilMs }
+    return ok(fence)
+  }
+}
--- /dev/null
+++ b/packages/platform/src/lease/leaseRow.ts
@@ -0,0 +1,26 @@
+import type { TableRow } from '@lovagehoist/common'
+
+/** Table that holds leases. */
+export const LEASES_TABLE = 'leases'
+
+/** Value of a lease's row. */
+export interface LeaseRow {
+  /** Process that holds it; empty when it was given back. */
+  readonly holder: string
+  /** Grows with each change of the holder. */
+  readonly fence: number
+  readonly ttlMs: number
+}
+
+/**
+ * Reads the value of a lease's row.
+ *
+ * @param row - Row found.
+ * @returns The value; undefined when there is no row or it is malformed.
+ */
+export const readLease = (row: TableRow | undefined): LeaseRow | undefined => {
+  const value = row?.value
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return undefined
+  const { holder, fence, ttlMs } = value as Readonly<Record<string, unknown>>
+  return typeof holder === 'string' && typeof fence === 'number' && typeof ttlMs === 'number' ? { holder, fence, ttlMs } : undefined
+}
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -28,6 +28,7 @@
   private switches: PlatformSwitches = PLATFORM_SWITCHES_OFF
   private readonly perSecond = new Map<number, { readonly reads: number, readonly writes: number }>()
   private directoryReads = 0
+  private listNumber = 0
 
   private constructor (private readonly clock: Clock, private readonly random: Random, private readonly server: Server) {}
 
@@ -94,7 +95,10 @@
 
   private relist (): void {
     const snapshot = [...this.entries.values()]
-    this.clock.after(this.switches.directoryLagMs, () => { this.listed = snapshot })
+    this.clock.after(this.switches.directoryLagMs, () => {
+      this.listed = snapshot
+      this.listNumber++
+    })
   }
 
   private addTableCalls (app: polka.Polka): void {
@@ -127,14 +131,22 @@
   }
 
   private addDirectoryCalls (app: polka.Polka): void {
-    app.get('/directory', async (_request: IncomingMessage, response: ServerResponse) => {
+    app.get('/directory', async (request: IncomingMessage, response: ServerResponse) => {
       this.directoryReads++
+      this.count('reads')
       await this.clock.sleepMs(this.switches.delayMs)
       if (this.switches.isDirectoryDown) sendJson(response, 503, {})
-      else sendJson(response, 200, { entries: this.listed })
+      else this.answerList(request, response)
     })
   }
 
+  private answerList (request: IncomingMessage, response: ServerResponse): void {
+    const tag = `"${this.listNumber}"`
+    response.setHeader('etag', tag)
+    if (request.headers['if-none-match'] === tag) response.writeHead(304).end()
+    else sendJson(response, 200, { entries: this.listed })
+  }
+
   private guard (kind: 'reads' | 'writes', run: (request: IncomingMessage, response: ServerResponse) => Promise<void>) {
     return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
       this.count(kind)
