--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -28,10 +28,11 @@
 
 const createWorld = (): DaemonWorld => {
   const clock = SystemClock.create()
+  const random = SeededRandom.create(randomInt(SEED_LIMIT))
   return {
     clock,
-    random: SeededRandom.create(randomInt(SEED_LIMIT)),
-    openPlatform: settings => createPlatform(settings.platform, clock),
+    random,
+    openPlatform: (settings, registry) => createPlatform(settings.platform, clock, { random, registry }),
     write: line => { process.stderr.write(line) }
   }
 }
