Test the rule for cut-off instances, pauses, outages and lagging replicas

Cause: the fuzz alone passed with the fence removed, with a minority taken for the majority and with reads from the replica.

--- a/packages/operators/src/follow/configFollower.spec.ts
+++ b/packages/operators/src/follow/configFollower.spec.ts
@@ -111,7 +111,7 @@
 }
 
 interface Action {
-  readonly kind: 'promote' | 'promoteBoth' | 'advance' | 'pause' | 'replace' | 'cut' | 'down' | 'downAll' | 'stale'
+  readonly kind: 'promote' | 'promoteBoth' | 'advance' | 'pause' | 'replace' | 'cut' | 'down' | 'downAll' | 'stale' | 'sync' | 'isolate' | 'mend'
   readonly index: number
   readonly other: number
   readonly isOn: boolean
@@ -151,6 +151,9 @@
   downAll: async ({ fleet, operators }, { isOn }) => {
     for (const { faults } of [...fleet.instances, ...operators]) faults.isDown = isOn
   },
+  isolate: async ({ fleet }, { index, other }) => { fleet.isolate([...new Set([index, other])]) },
+  mend: async ({ fleet }) => { fleet.mend() },
+  sync: async ({ fleet }) => { fleet.platform.table.syncReplica() },
   stale: async ({ fleet }, { index, isOn }) => { Object.assign(fleet.instances[index]?.faults ?? {}, { isReplicaStale: isOn }) }
 }
 
@@ -175,7 +178,7 @@
 const kinds = Object.keys(handlers) as ReadonlyArray<Action['kind']>
 
 const steps: Array<fc.Arbitrary<fc.AsyncCommand<object, Oracle>>> = [
-  fc.record({ kind: fc.constantFrom(...kinds), index: fc.nat(SIZE - 1), other: fc.nat(SIZE - 1), isOn: fc.boolean() }).map(action => new Step(action))
+  fc.record({ kind: fc.constantFrom(...kinds, 'promote', 'advance', 'advance'), index: fc.nat(SIZE - 1), other: fc.nat(SIZE - 1), isOn: fc.boolean() }).map(action => new Step(action))
 ]
 
 const runModel = async (commands: Iterable<fc.AsyncCommand<object, Oracle>>): Promise<void> => {
@@ -193,6 +196,13 @@
   }
 }
 
+const promoted = async (oracle: Oracle, index = 0): Promise<void> => {
+  start(oracle, index, false)
+  await pass(oracle, IN_FORCE_LIMIT_MS * 2)
+}
+
+const servedBy = ({ fleet }: Oracle): ReadonlyArray<number | undefined> => fleet.instances.map(({ follower }) => follower.serving.current()?.version)
+
 describe('ConfigFollower', () => {
   it('never goes back, has one winner per version and never serves less than was reported in force', async () => {
     await fc.assert(
@@ -200,4 +210,61 @@
       { seed: Number(process.env.FUZZ_SEED ?? 1), numRuns: Number(process.env.FUZZ_RUNS ?? 40) }
     )
   })
+
+  it('stops a part of the fleet that is cut off, before a newer version is reported in force', async () => {
+    const oracle = createOracle()
+    await promoted(oracle)
+    oracle.fleet.isolate([3, 4])
+    await promoted(oracle)
+    expect([servedBy(oracle), oracle.reportedVersion]).to.deep.equal([[2, 2, 2, undefined, undefined], 2])
+    oracle.fleet.mend()
+    await pass(oracle, IN_FORCE_LIMIT_MS)
+    expect(servedBy(oracle)).to.deep.equal([2, 2, 2, 2, 2])
+    oracle.fleet.stop()
+  })
+
+  it('reports nothing in force while the larger part is cut off and may still serve', async () => {
+    const oracle = createOracle()
+    await promoted(oracle)
+    oracle.fleet.isolate([2, 3, 4])
+    await promoted(oracle)
+    expect([servedBy(oracle), oracle.reportedVersion]).to.deep.equal([[2, 2, 1, 1, 1], 1])
+    oracle.fleet.stop()
+  })
+
+  it('serves on when the store is out for all, and gives a new instance the highest version of its peers', async () => {
+    const oracle = createOracle()
+    await promoted(oracle)
+    for (const { faults } of oracle.fleet.instances) faults.isDown = true
+    await oracle.fleet.clock.advanceMs(IN_FORCE_LIMIT_MS * 10)
+    expect(servedBy(oracle)).to.deep.equal([1, 1, 1, 1, 1])
+    oracle.fleet.replace(2)
+    await oracle.fleet.clock.advanceMs(IN_FORCE_LIMIT_MS)
+    expect(servedBy(oracle)).to.deep.equal([1, 1, 1, 1, 1])
+    oracle.fleet.stop()
+  })
+
+  it('refuses at the first look after a pause, and comes back with the newest version', async () => {
+    const oracle = createOracle()
+    await promoted(oracle)
+    oracle.fleet.setPaused(1, true)
+    await promoted(oracle)
+    const woken = oracle.fleet.instances[1]?.follower.serving.current()
+    oracle.fleet.setPaused(1, false)
+    await pass(oracle, IN_FORCE_LIMIT_MS)
+    expect([woken, servedBy(oracle)]).to.deep.equal([undefined, [2, 2, 2, 2, 2]])
+    oracle.fleet.stop()
+  })
+
+  it('takes a new version although its replica of the table lags and no peer can be reached', async () => {
+    const oracle = createOracle()
+    await promoted(oracle)
+    const { fleet } = oracle
+    fleet.platform.table.syncReplica()
+    fleet.isolate([1])
+    Object.assign(fleet.instances[1]?.faults ?? {}, { isDown: false, isReplicaStale: true })
+    await promoted(oracle)
+    expect(servedBy(oracle)).to.deep.equal([2, 2, 2, 2, 2])
+    fleet.stop()
+  })
 })
--- a/packages/operators/src/testing/followerFleet.ts
+++ b/packages/operators/src/testing/followerFleet.ts
@@ -50,10 +50,11 @@
     return fleet
   }
 
-  /** Replaces an instance by a process that knows nothing. */
+  /** Replaces an instance by a process that knows nothing; its faults of the platform stay. */
   replace (index: number): void {
-    this.instances[index]?.stop()
-    this.instances[index] = this.start(index)
+    const before = this.instances[index]
+    before?.stop()
+    this.instances[index] = this.start(index, before?.faults)
     this.applyLinks()
   }
 
@@ -68,6 +69,17 @@
     this.applyLinks()
   }
 
+  /** Cuts some instances off from the platform and from all others, but not from each other. */
+  isolate (indexes: readonly number[]): void {
+    for (const [index, { faults }] of this.instances.entries()) {
+      if (indexes.includes(index)) faults.isDown = true
+      for (const other of this.instances.keys()) {
+        if (indexes.includes(index) !== indexes.includes(other)) this.cuts.add(`${index}>${other}`)
+      }
+    }
+    this.applyLinks()
+  }
+
   /** Ends every fault and lets every process go on. */
   mend (): void {
     this.cuts.clear()
@@ -90,9 +102,10 @@
     }
   }
 
-  private start (index: number): FleetInstance {
+  private start (index: number, earlier: Partial<FakePlatformFaults> = {}): FleetInstance {
     const identity: InstanceIdentity = { instanceId: `daemon-${index}`, startId: `start-${this.starts++}`, region: 'local', availabilityZone: ZONES[index % ZONES.length] ?? 'a' }
     const { platform, faults } = this.platform.connect()
+    Object.assign(faults, earlier)
     const status = LocalStatus.create()
     const pause = new Pause()
     const clock = pausableClock(this.clock, pause)
