--- a/packages/common/src/settings/schema.ts
+++ b/packages/common/src/settings/schema.ts
@@ -25,6 +25,8 @@
 const peers = z.strictObject({
   host: ipAddress,
   port,
+  /** Address that other daemons are told, where it differs from the one listened on. */
+  advertised: address.optional(),
   /** Certificate, key and authority of the fleet, in PEM; absent for plain HTTP. */
   tls: z.strictObject({ caFile: file, certFile: file, keyFile: file }).readonly().optional(),
   /** Bytes a second that control may send, averaged over ten seconds. */
@@ -50,8 +52,9 @@
 const mechanisms = z.strictObject({
   /** `alone` ejects after consecutive failures seen by this daemon only. */
   health: z.enum(['shared', 'alone'], '"shared" or "alone"').default('shared'),
-  /** How daemons share the slots of targets. */
-  slots: z.enum(['shared', 'least-loaded', 'two-choices'], '"shared", "least-loaded" or "two-choices"').default('shared'),
+  /** How daemons share the slots of targets; all but `shared` are there to be compared with it. */
+  slots: z.enum(['shared', 'learned', 'counted', 'least-loaded', 'two-choices'], '"shared", "learned", "counted", "least-loaded" or "two-choices"')
+    .default('shared'),
   /** `off` stops all talk between daemons. */
   control: z.enum(['on', 'off'], '"on" or "off"').default('on')
 }).readonly()
--- a/packages/daemon/src/compose/daemon.ts
+++ b/packages/daemon/src/compose/daemon.ts
@@ -49,7 +49,8 @@
     try {
       await daemon.listen()
     } catch (error) {
-      await daemon.leave()
+      daemon.servers.callers?.close()
+      await daemon.stop()
       throw error
     }
     return daemon
@@ -60,19 +61,23 @@
     return { callers: this.servers.callers?.port ?? 0, admin: this.servers.admin?.port ?? 0 }
   }
 
+  /** Whether the daemon holds a configuration and is not leaving. */
+  isReady (): boolean {
+    return this.parts.isReady() && !this.isDraining
+  }
+
   /** Becomes unready, serves on while the balancer lags, finishes what is in flight and leaves. */
   async drain (): Promise<void> {
     if (this.isDraining) return
     this.isDraining = true
     this.parts.log.info('draining')
-    await this.world.clock.sleepMs(this.settings.drain.balancerLagMs)
-    await this.leave()
-    this.parts.log.info('daemon left')
+    const report = await this.servers.callers?.drain(this.settings.drain)
+    await this.stop()
+    this.parts.log.info('daemon left', { cutExchanges: report?.cutExchanges ?? 0 })
     this.resolveDone()
   }
 
-  private async leave (): Promise<void> {
-    await this.servers.callers?.close()
+  private async stop (): Promise<void> {
     await this.parts.stop()
     await this.servers.admin?.close()
   }
@@ -81,7 +86,7 @@
     const { settings, parts } = this
     const { log, handler } = parts
     const callers = await listenOn('callers', settings.callers, async () =>
-      await CallerServer.create({ address: settings.callers, limits: settings.limits, log: log.child('callers'), handler }))
+      await CallerServer.create({ address: settings.callers, limits: settings.limits, clock: this.world.clock, log: log.child('callers'), handler }))
     this.servers = { callers }
     const admin = await listenOn('admin', settings.admin, async () => await this.openAdmin())
     this.servers = { callers, admin }
@@ -90,7 +95,7 @@
   }
 
   private async openAdmin (): Promise<AdminServer> {
-    const { log, registry, sources, isReady, viewFleet, viewTargets, bus, readToken } = this.parts
+    const { log, registry, sources, viewFleet, viewTargets, bus, readToken } = this.parts
     return await AdminServer.create({
       address: this.settings.admin,
       registry,
@@ -99,7 +104,7 @@
       viewTargets,
       bus,
       readToken,
-      isReady: () => isReady() && !this.isDraining,
+      isReady: () => this.isReady(),
       drain: () => { this.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) }
     })
   }
