Keep what the fake peer network tells within its links

Cause: members() of the fake showed the newest status of an instance through a cut link, so that a test of the lagging replica passed although reads were taken from the replica. Change: a fake bus shows the last status that got through.

--- a/packages/common/src/fakes/fakePeerNetwork.ts
+++ b/packages/common/src/fakes/fakePeerNetwork.ts
@@ -2,7 +2,8 @@
 import type { Result } from 'neverthrow'
 import type { Clock } from '../time/clock.js'
 import type { JsonValue } from '../text/jsonValue.js'
-import { LocalStatus } from '../contracts/localStatus.js'
+import { EMPTY_STATUS, LocalStatus } from '../contracts/localStatus.js'
+import type { InstanceStatus } from '../contracts/localStatus.js'
 import type { InstanceIdentity, Member, PeerBus, PeerError, PeerMethod, SharedEntry, SpreadClass } from '../contracts/peers.js'
 
 interface Held {
@@ -73,6 +74,7 @@
   private readonly held = new Map<string, Held>()
   private readonly listeners = new Map<SpreadClass, Set<(entry: SharedEntry) => void>>()
   private readonly methods = new Map<string, PeerMethod>()
+  private readonly heard = new Map<string, InstanceStatus>()
   private nextSequence = 1
 
   constructor (readonly self: InstanceIdentity, private readonly network: FakePeerNetwork, readonly status: LocalStatus) {}
@@ -84,7 +86,7 @@
       host: '127.0.0.1',
       port: 1,
       status: this.hears(bus) ? 'reachable' as const : 'suspect' as const,
-      ...bus.status.current(),
+      ...this.heardFrom(bus),
       ageMs: 0
     }))
 
@@ -124,6 +126,12 @@
     for (const listener of this.listeners.get(entry.topic) ?? []) listener(entry)
   }
 
+  /** The latest status that got here; what an instance says while its link to this one is cut stays unknown. */
+  private heardFrom (other: FakePeerBus): InstanceStatus {
+    if (this.network.carries(other.self.instanceId, this.self.instanceId)) this.heard.set(other.self.startId, other.status.current())
+    return this.heard.get(other.self.startId) ?? EMPTY_STATUS
+  }
+
   private hears (other: FakePeerBus): boolean {
     const [here, there] = [this.self.instanceId, other.self.instanceId]
     return this.network.carries(here, there) && this.network.carries(there, here)
