--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -1,4 +1,4 @@
-import { randomInt } from 'node:crypto'
+import { randomBytes, randomInt } from 'node:crypto'
 import { readFile } from 'node:fs/promises'
 import { Command, CommanderError } from 'commander'
 import { SeededRandom, SystemClock, formatLocatedError, loadSettings } from '@lovagehoist/common'
@@ -11,6 +11,8 @@
 const EXIT_OK = 0
 const EXIT_BAD_INPUT = 2
 const EXIT_ADDRESS = 3
+/** Ids name claims and transactions: those of different daemons must differ. */
+const ID_BYTES = 16
 const SEED_LIMIT = 0x7fffffff
 
 const HELP = `
@@ -30,7 +32,7 @@
   const clock = SystemClock.create()
   return {
     clock,
-    random: SeededRandom.create(randomInt(SEED_LIMIT)),
+    random: { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') },
     openPlatform: settings => createPlatform(settings.platform, clock),
     write: line => { process.stderr.write(line) }
   }
--- a/packages/operators/src/cli/main.ts
+++ b/packages/operators/src/cli/main.ts
@@ -1,10 +1,12 @@
-import { randomInt } from 'node:crypto'
+import { randomBytes, randomInt } from 'node:crypto'
 import { SeededRandom, SystemClock } from '@lovagehoist/common'
 import { createPlatform } from '@lovagehoist/platform'
 import { createAdminClient } from './adminClient.js'
 import type { CommandWorld } from './context.js'
 import { runCommand } from './program.js'
 
+/** Operation ids must differ for as long as the table keeps them. */
+const ID_BYTES = 16
 const SEED_LIMIT = 0x7fffffff
 const ARGUMENTS_START = 2
 
@@ -13,7 +15,7 @@
   const closers: Array<() => Promise<void>> = []
   return {
     clock,
-    random: SeededRandom.create(randomInt(SEED_LIMIT)),
+    random: { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') },
     openPlatform: settings => {
       const clients = createPlatform(settings.platform, clock)
       closers.push(clients.close)
--- /dev/null
+++ b/packages/operators/src/cli/program.spec.ts
@@ -0,0 +1,153 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { err, ok } from 'neverthrow'
+import { SeededRandom } from '@lovagehoist/common'
+import type { JsonValue } from '@lovagehoist/common'
+import { FakePlatform, ManualClock } from '@lovagehoist/common/fakes'
+import { expectSnapshot } from '@lovagehoist/common/testing'
+import type { FleetView } from '../inForce/fleetView.js'
+import type { AdminClient } from './adminClient.js'
+import type { CommandWorld } from './context.js'
+import { runCommand } from './program.js'
+
+const DOCUMENT = `{
+  "schemaVersion": 1, "deployment": "umuriro",
+  "services": { "sackpay": { "plannedTargets": 2, "slotsPerTarget": 6, "floorSlots": 6, "connectionsPerTarget": 300 } },
+  "routes": [{ "id": "payout", "methods": ["POST"], "path": "/payouts", "service": "sackpay" }]
+}`
+const SETTINGS = `{
+  "operator": "ada",
+  "platform": { "tableUrl": "http://127.0.0.1:1/t", "objectsUrl": "http://127.0.0.1:1/o", "directoryUrl": "http://127.0.0.1:1/d" },
+  "environments": { "trial": "trial", "production": "production" },
+  "admin": { "daemon-0": "http://127.0.0.1:2", "trial-0": "http://127.0.0.1:3" }
+}`
+const LONGEST_COMMAND_MS = 60_000
+const COMMAND_STEP_MS = 100
+
+/** A command line before fakes; every daemon takes the newest version at once, except those named as lagging. */
+class Bench {
+  readonly clock = ManualClock.create()
+  readonly state = FakePlatform.create(this.clock)
+  readonly connection = this.state.connect()
+  readonly folder = mkdtempSync(join(tmpdir(), 'lovagehoist-cli-'))
+  readonly lagging = new Set<string>()
+  isAdminOut = false
+  private readonly random = SeededRandom.create(1)
+
+  write (name: string, text: string): string {
+    writeFileSync(join(this.folder, name), text)
+    return join(this.folder, name)
+  }
+
+  /** Runs a command and gives its exit code and all that it printed, without the folder of the test. */
+  async run (...argv: readonly string[]): Promise<{ readonly code: number, readonly out: string, readonly error: string }> {
+    const out: string[] = []
+    const error: string[] = []
+    const world: CommandWorld = {
+      clock: this.clock,
+      random: this.random,
+      openPlatform: () => this.connection.platform,
+      openAdmin: () => this.admin(),
+      print: line => { out.push(line) },
+      printError: line => { error.push(line) }
+    }
+    const ended: number[] = []
+    const running = runCommand(['--settings', this.write('operator.jsonc', SETTINGS), ...argv], world).then(code => { ended.push(code) })
+    for (let passedMs = 0; ended.length === 0 && passedMs < LONGEST_COMMAND_MS; passedMs += COMMAND_STEP_MS) await this.clock.advanceMs(COMMAND_STEP_MS)
+    await running
+    const clean = (lines: readonly string[]): string => lines.join('\n').replaceAll(this.folder, 'FOLDER')
+    return { code: ended[0] ?? -1, out: clean(out), error: clean(error) }
+  }
+
+  close (): void {
+    rmSync(this.folder, { recursive: true })
+  }
+
+  private admin (): AdminClient {
+    const answers: Readonly<Record<string, (instanceId: string) => JsonValue>> = {
+      '/config': instanceId => this.view(instanceId.startsWith('trial') ? 'trial' : 'production') as unknown as JsonValue,
+      '/dump': () => ({ config: { version: 1 } }),
+      '/instances/daemon-1/dump': () => ({ config: { version: 2 } }),
+      '/drain': () => ({ isDraining: true }),
+      '/targets/sackpay': () => ({
+        targets: [
+          { id: 'sackpay-2', availabilityZone: 'b', host: '127.0.0.1', port: 7, slots: 6, isLeaving: false, status: 'trial', weight: 0.05, idempotentOnly: true },
+          { id: 'sackpay-1', availabilityZone: 'a', host: '127.0.0.1', port: 7, slots: 6, isLeaving: false, status: 'healthy', weight: 1, idempotentOnly: false }
+        ]
+      })
+    }
+    return {
+      instanceIds: ['daemon-0', 'trial-0'],
+      call: async (instanceId, { path }) => {
+        const answer = answers[path]
+        return answer === undefined || this.isAdminOut ? err({ kind: 'unreachable', message: `${instanceId}: no answer` }) : ok(answer(instanceId))
+      }
+    }
+  }
+
+  private view (environment: 'trial' | 'production'): FleetView {
+    const row = this.state.table.get('environments', environment, true)?.value as { readonly version: number, readonly digest: string } | undefined
+    const ids = environment === 'trial' ? ['trial-0'] : ['daemon-0', 'daemon-1', 'daemon-2']
+    const instances = ids.map((instanceId, index) => {
+      const isLagging = this.lagging.has(instanceId)
+      const held = isLagging ? { version: 0, digest: '' } : { version: row?.version ?? 0, digest: row?.digest ?? '' }
+      return { instanceId, region: 'local', availabilityZone: 'abc'[index] ?? 'a', status: index === 0 ? 'self' as const : 'reachable' as const, ...held, isReady: held.version > 0, ageMs: 0 }
+    })
+    return { environment, instanceId: ids[0] ?? '', isAlone: false, knownVersion: row?.version ?? 0, instances }
+  }
+}
+
+describe('lovagehoist', () => {
+  let bench: Bench
+
+  beforeEach(() => { bench = new Bench() })
+  afterEach(() => { bench.close() })
+
+  it('brings a document from check over trial into production', async function () {
+    const file = bench.write('umuriro.jsonc', DOCUMENT)
+    const checked = await bench.run('config', 'check', file)
+    const { digest } = JSON.parse((await bench.run('--json', 'config', 'check', file)).out) as { readonly digest: string }
+    const early = await bench.run('config', 'promote', digest)
+    const tried = await bench.run('config', 'trial', file)
+    const promoted = await bench.run('--json', 'config', 'promote', digest)
+    const again = await bench.run('config', 'promote', digest)
+    expectSnapshot(this, { checked, early, tried, promoted, again })
+  })
+
+  it('shows state as tables and as JSON', async function () {
+    const file = bench.write('umuriro.jsonc', DOCUMENT)
+    await bench.run('config', 'trial', file)
+    const { digest } = JSON.parse((await bench.run('--json', 'config', 'check', file)).out) as { readonly digest: string }
+    await bench.run('config', 'promote', digest)
+    bench.lagging.add('daemon-2')
+    const commands = [['config', 'status'], ['config', 'history'], ['instances'], ['targets', 'sackpay'], ['dump', 'daemon-0'], ['dump', 'daemon-1'], ['drain', 'daemon-0']]
+    const shown: Record<string, unknown> = {}
+    for (const command of commands) {
+      shown[command.join(' ')] = await bench.run(...command)
+      shown[`${command.join(' ')} --json`] = await bench.run(...command, '--json')
+    }
+    expectSnapshot(this, shown)
+  })
+
+  it('says what is wrong, with an exit code for each kind', async function () {
+    const file = bench.write('umuriro.jsonc', DOCUMENT)
+    const wrong = bench.write('wrong.jsonc', DOCUMENT.replace('"floorSlots": 6', '"floorSlots": 60, "colour": 1'))
+    const results: Record<string, unknown> = {
+      wrongDocument: await bench.run('config', 'check', wrong),
+      wrongDocumentJson: await bench.run('config', 'check', wrong, '--json'),
+      missingFile: await bench.run('config', 'check', join(bench.folder, 'missing.jsonc')),
+      wrongDigest: await bench.run('config', 'promote', '12'),
+      wrongOption: await bench.run('config', 'trial', file, '--hold', 'long'),
+      unknownCommand: await bench.run('config', 'demote'),
+      unknownTarget: await bench.run('targets', 'burnbook')
+    }
+    bench.lagging.add('trial-0')
+    results.notInForce = await bench.run('config', 'trial', file)
+    bench.connection.faults.isDown = true
+    results.tableOut = await bench.run('config', 'status')
+    bench.isAdminOut = true
+    results.allOut = await bench.run('config', 'status')
+    expectSnapshot(this, results)
+  })
+})
--- a/packages/operators/src/commands/configPromote.ts
+++ b/packages/operators/src/commands/configPromote.ts
@@ -3,7 +3,10 @@
 import type { CommandContext, CommandWorld } from '../cli/context.js'
 import { ExitCode } from '../cli/exitCode.js'
 import { wholeNumber } from '../cli/numberOption.js'
+import type { EnvironmentRow } from '../environment/environmentRow.js'
+import { readEnvironment } from '../environment/readRows.js'
 import { promote } from '../promotion/promote.js'
+import { unavailable } from '../promotion/promotionError.js'
 import { failureOf } from './failures.js'
 import { waitInForce } from './waitInForce.js'
 
@@ -15,23 +18,33 @@
 const MS_PER_SECOND = 1_000
 const DEFAULT_TIMEOUT_SECONDS = 30
 
-const promoteDigest = async (context: CommandContext, digest: string, options: PromoteOptions): Promise<void> => {
-  const { platform, clock, random, settings, show } = context
-  if (!/^[0-9a-f]{64}$/.test(digest)) throw new CommandFailure(ExitCode.badInput, `${digest}: expected a digest of 64 hexadecimal digits, as "config trial" prints it`)
+/** A document that is accepted already is not promoted a second time. */
+const acceptInProduction = async (context: CommandContext, digest: string, seen: number | undefined): Promise<EnvironmentRow> => {
+  const { platform, clock, random, settings } = context
   const environment = settings.environments.production
-  const operationId = random.id()
+  const found = await readEnvironment(platform, environment)
+  if (found.isErr()) throw failureOf(unavailable(found.error))
+  if (found.value.value?.digest === digest) return found.value.value
   const won = await promote({ platform, clock, random }, {
     environment,
     digest,
-    operationId,
+    operationId: random.id(),
     promotedBy: settings.operator,
     trialEnvironment: settings.environments.trial,
-    ...(options.seen === undefined ? {} : { seenVersion: options.seen })
+    ...(seen === undefined ? {} : { seenVersion: seen })
   })
   if (won.isErr()) throw failureOf(won.error)
-  const { version } = won.value
-  context.printError(`version ${version} won in ${environment}; waiting for its instances`)
-  const { instances, waitedMs } = await waitInForce(context, environment, won.value, options.timeout * MS_PER_SECOND)
+  return won.value
+}
+
+const promoteDigest = async (context: CommandContext, digest: string, options: PromoteOptions): Promise<void> => {
+  const { settings, show } = context
+  if (!/^[0-9a-f]{64}$/.test(digest)) throw new CommandFailure(ExitCode.badInput, `${digest}: expected a digest of 64 hexadecimal digits, as "config trial" prints it`)
+  const environment = settings.environments.production
+  const row = await acceptInProduction(context, digest, options.seen)
+  const { version, operationId } = row
+  context.printError(`version ${version} is the one of ${environment}; waiting for its instances`)
+  const { instances, waitedMs } = await waitInForce(context, environment, row, options.timeout * MS_PER_SECOND)
   const outOfService = instances.filter(({ standing }) => standing === 'out-of-service').map(({ instanceId }) => instanceId)
   const data = { environment, version, digest, operationId, isInForce: true, instances: instances.length, outOfService, waitedMs: Math.round(waitedMs) }
   const suffix = outOfService.length === 0 ? '' : `; out of service until they catch up: ${outOfService.join(', ')}`
--- a/packages/operators/src/commands/configStatus.ts
+++ b/packages/operators/src/commands/configStatus.ts
@@ -28,13 +28,14 @@
   const { views, silent } = viewsOf(all, name)
   const version = Math.max(accepted?.version ?? 0, ...views.map(view => view.knownVersion))
   const judged = judgeInForce({ version, views, silent, majorityForMs: 0, fenceMs: Number.POSITIVE_INFINITY })
-  return { name, accepted, version, isInForce: judged.isInForce, instances: judged.instances }
+  return { name, accepted, version, isInForce: version > 0 && judged.isInForce, instances: judged.instances }
 }
 
 const renderStatus = ({ name, accepted, version, isInForce, instances }: EnvironmentStatus): string => {
   const source = accepted === null ? 'as daemons know it' : `${accepted.digest} by ${accepted.promotedBy}`
   const head = version === 0 ? `${name}: nothing accepted yet` : `${name}: version ${version}, ${source}`
   if (instances.length === 0) return `${head}\nno daemon of this environment gave its state`
+  if (version === 0) return `${head}\n${renderInstances(instances)}`
   const holders = instances.filter(({ standing }) => standing === 'in-force').length
   return `${head}\nin force on ${holders} of ${instances.length} instances${isInForce ? '' : ' (NOT EVERYWHERE)'}\n${renderInstances(instances)}`
 }
--- a/packages/operators/src/commands/configTrial.ts
+++ b/packages/operators/src/commands/configTrial.ts
@@ -62,7 +62,7 @@
   const stored = await storeDocument(platform, file, Buffer.from(await readInput(file)))
   if (stored.isErr()) throw failureOf(stored.error)
   const row = await acceptInTrial(context, stored.value)
-  context.printError(`version ${row.version} won in ${settings.environments.trial}; waiting for its instances`)
+  context.printError(`version ${row.version} is the one of ${settings.environments.trial}; waiting for its instances`)
   await waitInForce(context, settings.environments.trial, row, options.timeout * MS_PER_SECOND)
   const heldMs = options.hold * MS_PER_SECOND
   const instances = await holdInTrial(context, row, heldMs)
--- a/packages/operators/src/commands/waitInForce.ts
+++ b/packages/operators/src/commands/waitInForce.ts
@@ -34,6 +34,6 @@
     }
   })
   if (awaited.isInForce) return awaited
-  const message = `version ${row.version} won in ${environment}, but is not known to be in force everywhere after ${limitMs / MS_PER_SECOND} s\n${reasonOf(awaited, failures)}`
+  const message = `version ${row.version} is the one of ${environment}, but is not known to be in force everywhere after ${limitMs / MS_PER_SECOND} s\n${reasonOf(awaited, failures)}`
   throw new CommandFailure(ExitCode.notInForce, message)
 }
