--- a/packages/daemon/src/compose/healthSide.ts
+++ b/packages/daemon/src/compose/healthSide.ts
@@ -1,5 +1,5 @@
 import type { AttemptSink, ConfigSource, HealthView, PeerBus, StateSource, TargetDirectory, TargetSender } from '@lovagehoist/common'
-import { ConsecutiveFailureHealth } from '@lovagehoist/targets'
+import { ConsecutiveFailureHealth, SharedHealth } from '@lovagehoist/targets'
 import type { Base, Task } from './base.js'
 
 /** What the health side is composed from. */
@@ -26,6 +26,18 @@
  * @returns The parts.
  */
 export const createHealthSide = (options: HealthSideOptions): HealthSide => {
-  const health = ConsecutiveFailureHealth.create(options.base.clock)
-  return { health, evidence: health, tasks: [], sources: [] }
+  const { base, config, bus, directory, sender } = options
+  const { clock, random, registry, invariants, settings, platform } = base
+  if (settings.mechanisms.health === 'alone') {
+    const alone = ConsecutiveFailureHealth.create(clock)
+    return { health: alone, evidence: alone, tasks: [], sources: [] }
+  }
+  const log = base.log.child('health')
+  const health = SharedHealth.create({ clock, random, log, registry, invariants, table: platform.table, bus, config, directory, sender })
+  return {
+    health,
+    evidence: health,
+    tasks: [async signal => { await health.runUpkeep(signal) }, async signal => { await health.runEvidence(signal) }],
+    sources: [health]
+  }
 }
--- /dev/null
+++ b/packages/targets/src/health/healthMetrics.ts
@@ -0,0 +1,36 @@
+import { Counter, Gauge } from 'prom-client'
+import type { Registry } from 'prom-client'
+
+const LABELS = ['service'] as const
+
+/** Counters of the health side; labelled by service only. */
+export interface HealthMetrics {
+  readonly ejections: Counter<'service'>
+  readonly givenBack: Gauge<'service'>
+  readonly floorBound: Counter<'service'>
+  readonly allowanceSlots: Gauge<'service'>
+  readonly judged: Counter<'service'>
+  readonly quarantines: Counter
+  readonly silentConnections: Counter<'service'>
+}
+
+/**
+ * Creates the counters.
+ *
+ * @param registry - Registry of this daemon.
+ * @returns The counters.
+ */
+export const createHealthMetrics = (registry: Registry): HealthMetrics => {
+  const registers = [registry]
+  const counter = (name: string, help: string): Counter<'service'> => new Counter({ name: `lovagehoist_health_${name}`, help, labelNames: LABELS, registers })
+  const gauge = (name: string, help: string): Gauge<'service'> => new Gauge({ name: `lovagehoist_health_${name}`, help, labelNames: LABELS, registers })
+  return {
+    ejections: counter('ejections_total', 'Ejections that this daemon committed.'),
+    givenBack: gauge('given_back', 'Ejected targets that this daemon uses for the sake of the floor.'),
+    floorBound: counter('floor_bound_total', 'Ejections that the floor refused.'),
+    allowanceSlots: gauge('allowance_slots', 'Slots that this daemon may eject while the table is out.'),
+    judged: counter('judged_total', 'Judgements that found a sick target.'),
+    silentConnections: counter('silent_connections_total', 'Times that connections to a target turned out to be silent.'),
+    quarantines: new Counter({ name: 'lovagehoist_health_quarantines_total', help: 'Fingerprints of requests that were stopped.', registers })
+  }
+}
