--- a/packages/daemon/src/compose/targetSide.ts
+++ b/packages/daemon/src/compose/targetSide.ts
@@ -13,12 +13,18 @@
   readonly health: HealthView
   readonly evidence: AttemptSink
   readonly picker: TargetPicker
+  /** Requests of a service that this daemon may run at once now. */
+  readonly capacity: (service: string) => number
   readonly sender: TargetSender
   readonly tasks: readonly Task[]
   readonly sources: readonly StateSource[]
   readonly close: () => Promise<void>
 }
 
+const joinSinks = (...sinks: readonly AttemptSink[]): AttemptSink => ({
+  record: report => { for (const sink of sinks) sink.record(report) }
+})
+
 /**
  * Composes the parts that face targets.
  *
@@ -31,16 +37,17 @@
   const { clock, log, platform } = base
   const directory = PolledTargetDirectory.create({ instances: platform.directory, clock, log: log.child('targets'), pollMs: DIRECTORY_POLL_MS })
   const connectTimeoutMs = (service: string): number => config.current()?.document.services[service]?.connectTimeoutMs ?? CONNECT_TIMEOUT_MS
-  const sender = ConnectionSender.create({ clock, connectTimeoutMs })
+  const sender = ConnectionSender.create({ clock, connectTimeoutMs, registry: base.registry, invariants: base.invariants })
   const healthSide = createHealthSide({ base, config, bus, directory, sender })
   const pickSide = createPickSide({ base, config, bus, directory, sender, health: healthSide.health })
   return {
     directory,
     sender,
     health: healthSide.health,
-    evidence: healthSide.evidence,
+    evidence: joinSinks(healthSide.evidence, pickSide.feedback),
     picker: pickSide.picker,
-    tasks: [async signal => { await directory.run(signal) }, ...healthSide.tasks, ...pickSide.tasks],
+    capacity: pickSide.capacity,
+    tasks: [async signal => { await directory.run(signal) }, async signal => { await sender.run(signal) }, ...healthSide.tasks, ...pickSide.tasks],
     sources: [...healthSide.sources, ...pickSide.sources],
     close: async () => { sender.close() }
   }
