--- a/packages/daemon/src/compose/healthSide.ts
+++ b/packages/daemon/src/compose/healthSide.ts
@@ -30,7 +30,7 @@
   const { clock, random, registry, invariants, settings, platform } = base
   if (settings.mechanisms.health === 'alone') {
     const alone = ConsecutiveFailureHealth.create(clock)
-    return { health: alone, evidence: alone, tasks: [], sources: [] }
+    return { health: alone, evidence: alone, tasks: [], sources: [alone] }
   }
   const log = base.log.child('health')
   const health = SharedHealth.create({ clock, random, log, registry, invariants, table: platform.table, bus, config, directory, sender })
--- a/packages/standins/src/measure/main.ts
+++ b/packages/standins/src/measure/main.ts
@@ -8,6 +8,7 @@
   readonly instances?: string
   readonly seconds?: string
   readonly variant: 'fleet' | 'baseline'
+  readonly profile: 'fast' | 'careful'
   readonly slots?: string
 }
 
@@ -19,6 +20,7 @@
     instances: Number(options.instances ?? scenario.defaultInstances),
     durationMs: Number(options.seconds ?? scenario.defaultSeconds) * MS_PER_SECOND,
     variant: options.variant,
+    profile: options.profile,
     ...(options.slots === undefined ? {} : { slots: options.slots }),
     progress: line => { process.stderr.write(`${line}\n`) }
   })
@@ -35,6 +37,7 @@
   .option('--instances <number>', 'daemons')
   .option('--seconds <number>', 'time under load')
   .option('--variant <name>', '"fleet" or "baseline"', 'fleet')
+  .option('--profile <name>', 'profile of the measured service: "fast" or "careful"', 'careful')
   .option('--slots <name>', 'way to share slots: "shared", "least-loaded" or "two-choices"')
   .action(async (name: string, options: Options) => {
     if (name === 'list') listScenarios()
--- a/packages/standins/src/measure/scenario.ts
+++ b/packages/standins/src/measure/scenario.ts
@@ -6,6 +6,8 @@
   readonly instances: number
   readonly durationMs: number
   readonly variant: 'fleet' | 'baseline'
+  /** Profile of the measured service. */
+  readonly profile: 'fast' | 'careful'
   /** Way to share slots that replaces the variant's own; absent for that one. */
   readonly slots?: string
   /** Writes a line of progress. */
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,5 +1,6 @@
 import type { Scenario } from '../scenario.js'
 import { drain } from './drain.js'
+import { gray } from './gray.js'
 import { overhead } from './overhead.js'
 import { rush } from './rush.js'
 
@@ -7,5 +8,6 @@
 export const scenarios: Readonly<Record<string, Scenario>> = {
   [overhead.name]: overhead,
   [rush.name]: rush,
-  [drain.name]: drain
+  [drain.name]: drain,
+  [gray.name]: gray
 }
--- a/packages/targets/src/health/consecutiveFailureHealth.ts
+++ b/packages/targets/src/health/consecutiveFailureHealth.ts
@@ -1,4 +1,4 @@
-import type { AttemptReport, AttemptSink, Clock, HealthView, OutcomeKind, Target, TargetRating } from '@lovagehoist/common'
+import type { AttemptReport, AttemptSink, Clock, HealthView, JsonValue, OutcomeKind, StateSource, Target, TargetRating } from '@lovagehoist/common'
 
 const FAILURES_TO_EJECT = 5
 const EJECTION_MS = 30_000
@@ -11,7 +11,8 @@
 }
 
 /** Baseline of measurements: this daemon alone ejects a target after consecutive failures. */
-export class ConsecutiveFailureHealth implements HealthView, AttemptSink {
+export class ConsecutiveFailureHealth implements HealthView, AttemptSink, StateSource {
+  readonly name = 'health'
   private readonly streaks = new Map<string, Streak>()
 
   private constructor (private readonly clock: Clock) {}
@@ -43,6 +44,12 @@
     return { status: 'healthy', weight: 1, idempotentOnly: false }
   }
 
+  readonly dump = (): JsonValue => {
+    const nowMs = this.clock.monotonicMs()
+    const ejected = [...this.streaks].filter(([, streak]) => streak.ejectedUntilMs > nowMs)
+    return { targets: ejected.map(([targetId]) => ({ targetId, status: 'ejected', weight: 0 })) }
+  }
+
   readonly isQuarantined = (): boolean => false
 
   readonly isPoolShedding = (): boolean => false
