--- a/packages/daemon/src/compose/callerSide.ts
+++ b/packages/daemon/src/compose/callerSide.ts
@@ -1,4 +1,4 @@
-import { Admission, KeyClaims, KeyGuard, KeyWriter, RetryBudget, RouteTable, createRequestMetrics, serveRequest } from '@lovagehoist/callers'
+import { Admission, AdmissionMetrics, KeyClaims, KeyGuard, KeyWriter, RetryBudget, RouteTable, createRequestMetrics, serveRequest } from '@lovagehoist/callers'
 import type { RequestHandler, RequestMetrics, ServeOptions } from '@lovagehoist/callers'
 import type { ConfigSource, PeerBus, StateSource } from '@lovagehoist/common'
 import type { Base, Task } from './base.js'
@@ -30,7 +30,7 @@
  * @returns The parts.
  */
 export const createCallerSide = (base: Base, config: ConfigSource, bus: PeerBus, targets: TargetSide): CallerSide => {
-  const admission = Admission.create(service => targets.directory.targets(service).reduce((sum, target) => sum + target.slots, 0))
+  const admission = Admission.create({ clock: base.clock, random: base.random, capacity: targets.capacity, metrics: AdmissionMetrics.create(base.registry) })
   const metrics = createRequestMetrics(base.registry)
   const keys = createKeys(base, bus, metrics)
   let routes: RouteTable | undefined
