--- a/packages/callers/src/accept/acceptRequest.ts
+++ b/packages/callers/src/accept/acceptRequest.ts
@@ -110,7 +110,7 @@
   if (key.isErr()) return err(key.error)
   const body = await readBody(request, { clock: options.clock, maxBytes: route.maxRequestBytes, timeoutMs })
   if (body.isErr()) return err(BODY_PROBLEM[body.error])
-  const bodyDigest = digestOf(body.value ?? path)
+  const bodyDigest = body.value === undefined ? path : digestOf(body.value)
   const fingerprint = digestOf(`${route.id}\u0000${account.id}\u0000${key.value ?? bodyDigest}`)
   if (options.health.isQuarantined(fingerprint)) return err(refuse('quarantined', 'requests like this one took targets down'))
   const requestId = requestIdOf(request, options.random)
--- a/packages/callers/src/accept/passage.ts
+++ b/packages/callers/src/accept/passage.ts
@@ -13,7 +13,7 @@
   /** Path with query. */
   readonly path: string
   readonly body: Buffer | undefined
-  /** SHA-256 of the body; of the path when there is none. */
+  /** SHA-256 of the body; the path with query when there is none. */
   readonly bodyDigest: string
   /** Value of the route's key header. */
   readonly key: string | undefined
--- a/packages/callers/src/exchange/headers.ts
+++ b/packages/callers/src/exchange/headers.ts
@@ -14,6 +14,7 @@
 ])
 const VIA = '1.1 lovagehoist'
 const TRACE_PARENT = /^00-(?!0{32})[0-9a-f]{32}-(?!0{16})[0-9a-f]{16}-[0-9a-f]{2}$/
+const TRACE_ID = /^(?!0{16})[0-9a-f]{32}$/
 const SPAN_ID_DIGITS = 16
 const REQUEST_ID = /^[\u0021-\u007e]{1,128}$/
 
@@ -26,8 +27,13 @@
   readonly dropped: string
 }
 
-const namedByConnection = (connection: string | undefined): ReadonlySet<string> | undefined =>
-  connection === undefined ? undefined : new Set(connection.split(',').map(token => token.trim().toLowerCase()))
+/** Values of `Connection` that name no other field. */
+const PLAIN_CONNECTIONS: ReadonlySet<string> = new Set(['keep-alive', 'close'])
+
+const namedByConnection = (connection: string | undefined): ReadonlySet<string> | undefined => {
+  if (connection === undefined || PLAIN_CONNECTIONS.has(connection)) return undefined
+  return new Set(connection.split(',').map(token => token.trim().toLowerCase()))
+}
 
 const single = (value: string | readonly string[] | undefined): string | undefined => typeof value === 'string' ? value : value?.[0]
 
@@ -45,13 +51,19 @@
   return given !== undefined && REQUEST_ID.test(given) ? given : random.id()
 }
 
+/** Begins a trace; a request id that was made here names the trace as well. */
+const beginTrace = (requestId: string, random: Random): string => {
+  const traceId = TRACE_ID.test(requestId) ? requestId : random.id()
+  return `00-${traceId}-${traceId.slice(0, SPAN_ID_DIGITS)}-01`
+}
+
 const forwardedFields = ({ request, requestId, random }: OutgoingOptions): string[] => {
   const { headers, socket } = request
   const address = socket.remoteAddress ?? 'unknown'
   const trace = single(headers.traceparent)
   const fields = [
     REQUEST_ID_HEADER, requestId,
-    'traceparent', trace !== undefined && TRACE_PARENT.test(trace) ? trace : `00-${random.id()}-${random.id().slice(0, SPAN_ID_DIGITS)}-01`,
+    'traceparent', trace !== undefined && TRACE_PARENT.test(trace) ? trace : beginTrace(requestId, random),
     'via', append(headers.via, VIA),
     'x-forwarded-for', append(single(headers['x-forwarded-for']), address),
     'x-forwarded-proto', single(headers['x-forwarded-proto']) ?? 'http',
--- a/packages/callers/src/exchange/serveRequest.spec.ts
+++ b/packages/callers/src/exchange/serveRequest.spec.ts
@@ -4,6 +4,7 @@
 import { setImmediate as turn } from 'node:timers/promises'
 import { expect } from 'chai'
 import { Agent, request as send } from 'undici'
+import { SystemClock } from '@lovagehoist/common'
 import { expectSnapshot } from '@lovagehoist/common/testing'
 import { RequestBench, answerOf, failureOf } from '../testing/requestBench.js'
 import type { TryScript } from '../testing/requestBench.js'
@@ -176,6 +177,22 @@
     expect(bench.tries).to.have.length(2)
   })
 
+  it('replays a keyed answer, and does not send after a pause beyond the fence', async () => {
+    let pausedMs = 0
+    const clock = SystemClock.create()
+    await bench.close()
+    bench = await RequestBench.create({ clock: { ...clock, monotonicMs: () => clock.monotonicMs() + pausedMs } })
+    bench.beforePick = () => { pausedMs += 11_000 }
+    const paused = await call('POST', '/keyed', { 'idempotency-key': 'k' }, 'body')
+    expect([paused.status, paused.verdict, bench.tries.length]).to.deep.equal([504, 'not-run', 0])
+    bench.beforePick = () => {}
+    await bench.keys.settled()
+    const first = await call('POST', '/keyed', { 'idempotency-key': 'k' }, 'body')
+    await bench.keys.settled()
+    const again = await call('POST', '/keyed', { 'idempotency-key': 'k' }, 'body')
+    expect([first.text, again.text, again.headers['idempotent-replayed'], bench.tries.length]).to.deep.equal(['hello', 'hello', 'true', 1])
+  })
+
   it('frees the slot of a streamed answer whose caller leaves in the middle', async () => {
     const endless = new Readable({ read () { this.push(Buffer.alloc(1_000)) } })
     bench.script = () => answerOf([], { headers: ['transfer-encoding', 'chunked'], body: endless })
--- a/packages/callers/src/testing/requestBench.ts
+++ b/packages/callers/src/testing/requestBench.ts
@@ -35,7 +35,7 @@
   routes: [
     { id: 'read', methods: ['GET', 'HEAD'], path: '/read/*', service: 'burnbook', isIdempotent: true, heldAnswerBytes: 1_000 },
     { id: 'pay', methods: ['POST'], path: '/pay/*', service: 'burnbook', maxRequestBytes: 1_000 },
-    { id: 'keyed', methods: ['POST'], path: '/keyed', service: 'burnbook', keyHeader: 'Idempotency-Key' },
+    { id: 'keyed', methods: ['POST'], path: '/keyed', service: 'burnbook', keyHeader: 'Idempotency-Key', timeoutMs: 60_000 },
     { id: 'keyed-once', methods: ['POST'], path: '/keyed-once', service: 'burnbook', keyHeader: 'Idempotency-Key', keyOutage: 'send-once' }
   ]
 })
@@ -78,6 +78,8 @@
   readonly quarantined = new Set<string>()
   isShedding = false
   script: TryScript = () => answerOf(['hello'])
+  /** Runs before each pick. */
+  beforePick: () => void = () => {}
   /** Held slots. */
   slots = 0
 
@@ -148,6 +150,7 @@
       picker: {
         pick: async (need: { readonly triedTargetIds: ReadonlySet<string>, readonly avoidedZones: ReadonlySet<string> }) => {
           const target = this.targets.find(({ id, availabilityZone }) => !need.triedTargetIds.has(id) && !need.avoidedZones.has(availabilityZone)) ?? fakeTarget('t9')
+          this.beforePick()
           this.slots++
           let isHeld = true
           return ok({
--- a/packages/common/src/hash/hash.ts
+++ b/packages/common/src/hash/hash.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto'
+import { hash } from 'node:crypto'
 import murmur from 'imurmurhash'
 
 /**
@@ -7,7 +7,7 @@
  * @param bytes - Content.
  * @returns SHA-256 as 64 lower-case hexadecimal digits.
  */
-export const digestOf = (bytes: Uint8Array | string): string => createHash('sha256').update(bytes).digest('hex')
+export const digestOf = (bytes: Uint8Array | string): string => hash('sha256', bytes, 'hex')
 
 /**
  * Hashes text for placement (rendezvous hashing); not for security.
--- a/packages/targets/src/connections/framing.ts
+++ b/packages/targets/src/connections/framing.ts
@@ -10,8 +10,17 @@
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304])
 const DIGITS = /^\d+$/
 
-const valuesOf = (headers: RawHeaders, name: string): readonly string[] =>
-  headers.flatMap((field, index) => index % 2 === 0 && field.length === name.length && field.toLowerCase() === name ? [headers[index + 1] ?? ''] : [])
+const LENGTH = 'content-length'
+const CODING = 'transfer-encoding'
+
+const valuesOf = (headers: RawHeaders, name: string): readonly string[] => {
+  const values: string[] = []
+  for (let index = 0; index < headers.length; index += 2) {
+    const field = headers[index] ?? ''
+    if (field.length === name.length && field.toLowerCase() === name) values.push(headers[index + 1] ?? '')
+  }
+  return values
+}
 
 /**
  * Tells how the end of an answer's body is known; an answer that ends with its connection can't be proven whole.
@@ -23,8 +32,8 @@
  */
 export const framingOf = (method: string, status: number, headers: RawHeaders): Framing => {
   if (method === 'HEAD' || NO_BODY_STATUSES.has(status)) return { type: 'none' }
-  const lengths = valuesOf(headers, 'content-length')
-  const codings = valuesOf(headers, 'transfer-encoding')
+  const lengths = valuesOf(headers, LENGTH)
+  const codings = valuesOf(headers, CODING)
   if (codings.length > 0 && lengths.length > 0) return { type: 'unprovable', message: 'the answer states a length and a transfer coding' }
   if (codings.length > 0) {
     const isChunked = codings.length === 1 && codings[0]?.trim().toLowerCase() === 'chunked'
