--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -30,10 +30,11 @@
 
 const createWorld = (): DaemonWorld => {
   const clock = SystemClock.create()
+  const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
   return {
     clock,
-    random: { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') },
-    openPlatform: settings => createPlatform(settings.platform, clock),
+    random,
+    openPlatform: (settings, registry) => createPlatform(settings.platform, clock, { random, registry }),
     write: line => { process.stderr.write(line) }
   }
 }
