--- a/packages/standins/src/load/caller.ts
+++ b/packages/standins/src/load/caller.ts
@@ -27,11 +27,19 @@
   /** Whether a target's answer is byte for byte the one to this request. */
   readonly isRight: boolean
   readonly latencyMs: number
+  /** Kind of the fleet's own answer; empty for a target's answer. */
+  readonly problem: string
 }
 
 const ANSWER_BYTES = 256
 const DEFAULT_TIMEOUT_MS = 30_000
 
+const problemOf = (contentType: string | readonly string[] | undefined, body: Buffer): string => {
+  if (contentType !== 'application/problem+json') return ''
+  const { type, detail } = JSON.parse(body.toString('utf8')) as { readonly type: string, readonly detail: string }
+  return `${type.slice(type.lastIndexOf(':') + 1)}: ${detail}`
+}
+
 /** Sends requests as a caller and checks the answers byte for byte. */
 export class Caller {
   private constructor (private readonly clock: Clock, private readonly agent: Agent) {}
@@ -70,9 +78,9 @@
       const lengthBytes = Number(sent.headers?.['x-answer-bytes'] ?? ANSWER_BYTES)
       const bodyDigest = digestOf(sent.body ?? '')
       const isRight = [sent.runId, ...sent.earlierRunIds ?? []].some(runId => body.equals(answerBody(runId, bodyDigest, lengthBytes)))
-      return { runId: sent.runId, status: reply.statusCode, verdict, isRight, latencyMs: this.clock.monotonicMs() - startedAtMs }
+      return { runId: sent.runId, status: reply.statusCode, verdict, isRight, latencyMs: this.clock.monotonicMs() - startedAtMs, problem: problemOf(reply.headers['content-type'], body) }
     } catch {
-      return { runId: sent.runId, status: 0, verdict: undefined, isRight: false, latencyMs: this.clock.monotonicMs() - startedAtMs }
+      return { runId: sent.runId, status: 0, verdict: undefined, isRight: false, latencyMs: this.clock.monotonicMs() - startedAtMs, problem: '' }
     }
   }
 
--- a/packages/standins/src/soak/runSoak.ts
+++ b/packages/standins/src/soak/runSoak.ts
@@ -30,6 +30,8 @@
   readonly notRun: number
   readonly mayHaveRun: number
   readonly broken: number
+  /** Answers of the fleet itself, by reason. */
+  readonly problems: Readonly<Record<string, number>>
   readonly faults: Readonly<Record<string, number>>
   readonly breaches: readonly SoakBreach[]
   readonly versionRegressions: number
@@ -136,6 +138,12 @@
   }
 }
 
+const countBy = (names: readonly string[]): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {}
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1
+  return counts
+}
+
 const summarise = async (options: SoakOptions, world: FaultWorld, workload: Workload, watch: DumpWatch, loop: FaultLoop): Promise<SoakSummary> => {
   const { records } = workload
   const breaches = findBreaches(records, await world.fleet.journal())
@@ -149,6 +157,7 @@
     notRun: records.filter(record => record.verdict === 'not-run').length,
     mayHaveRun: records.filter(record => record.verdict === 'may-have-run').length,
     broken: records.filter(record => record.verdict === undefined).length,
+    problems: countBy(records.map(record => record.problem).filter(problem => problem !== '')),
     faults: loop.counts,
     breaches: breaches.slice(0, KEPT_BREACHES),
     ...watched,
--- a/packages/standins/src/soak/soakOracle.spec.ts
+++ b/packages/standins/src/soak/soakOracle.spec.ts
@@ -4,7 +4,7 @@
 import type { SoakRecord } from './workload.js'
 
 const record = (runId: string, change: Partial<SoakRecord>): SoakRecord =>
-  ({ key: runId.split('.')[0] ?? '', runId, isIdempotent: false, status: 200, verdict: 'ran', isRight: true, latencyMs: 1, ...change })
+  ({ key: runId.split('.')[0] ?? '', runId, isIdempotent: false, status: 200, verdict: 'ran', isRight: true, latencyMs: 1, problem: '', ...change })
 
 const run = (runId: string): JournalEntry => ({ runId, targetId: 't', method: 'POST', path: '/', bodyDigest: '', atMs: 0, status: 200 })
 
