Count who holds nothing newer by answers with ages, not by heartbeats

Cause: heartbeats carry the first digits of a digest only, and at 40 daemons a member that is no partner is heard of again only when its state changes: its age says nothing, so that in an outage of the store the whole fleet would have stopped serving. Reads of the table are given up after 1 s. The fake network shortens digests as heartbeats do. Conclusion: soundness rests on ages that count back from the moment of asking.

--- a/packages/common/src/contracts/peers.ts
+++ b/packages/common/src/contracts/peers.ts
@@ -18,6 +18,7 @@
   readonly status: 'reachable' | 'suspect' | 'leaving' | 'gone'
   /** Version of the configuration in force there; 0 when it has none. */
   readonly configVersion: number
+  /** Digest of that document, or its first digits. */
   readonly configDigest: string
   readonly isReady: boolean
   /** Age of the newest word from it, in milliseconds. */
--- a/packages/common/src/fakes/fakePeerNetwork.ts
+++ b/packages/common/src/fakes/fakePeerNetwork.ts
@@ -12,6 +12,11 @@
   readonly lifetimeMs: number
 }
 
+/** Digits of a digest that heartbeats carry. */
+const DIGEST_DIGITS = 16
+
+const shorten = (status: InstanceStatus): InstanceStatus => ({ ...status, configDigest: status.configDigest.slice(0, DIGEST_DIGITS) })
+
 /** Delivers published values and calls between the buses of a test; links can be cut in one direction. */
 export class FakePeerNetwork {
   private readonly buses = new Map<string, FakePeerBus>()
@@ -128,7 +133,7 @@
 
   /** The latest status that got here; what an instance says while its link to this one is cut stays unknown. */
   private heardFrom (other: FakePeerBus): InstanceStatus {
-    if (this.network.carries(other.self.instanceId, this.self.instanceId)) this.heard.set(other.self.startId, other.status.current())
+    if (this.network.carries(other.self.instanceId, this.self.instanceId)) this.heard.set(other.self.startId, shorten(other.status.current()))
     return this.heard.get(other.self.startId) ?? EMPTY_STATUS
   }
 
--- a/packages/operators/src/follow/configFollower.ts
+++ b/packages/operators/src/follow/configFollower.ts
@@ -1,16 +1,17 @@
-import { configAnnouncementSchema } from '@lovagehoist/common'
+import PQueue from 'p-queue'
+import { configAnnouncementSchema, withinMs } from '@lovagehoist/common'
 import type { AcceptedConfig, Clock, ConfigSource, Invariants, JsonValue, LocalStatus, Log, PeerBus, Platform, Random } from '@lovagehoist/common'
 import type { Registry } from 'prom-client'
 import { readEnvironment } from '../environment/readRows.js'
 import { Currency } from './currency.js'
 import { fetchDocument } from './fetchDocument.js'
-import { seeMajority } from './fleetMajority.js'
+import { FleetMajority } from './fleetMajority.js'
 import { createFollowerMetrics } from './followerMetrics.js'
 import type { FollowerMetrics } from './followerMetrics.js'
 import { HeldConfig } from './heldConfig.js'
 import type { Preparation } from './heldConfig.js'
 import { DOCUMENT_METHOD, createDocumentMethod } from './peerDocuments.js'
-import { VERSION_METHOD, askVersions, createVersionMethod } from './peerVersions.js'
+import { VERSION_METHOD, askVersion, choosePeers, createVersionMethod } from './peerVersions.js'
 import { Wakeup } from './wakeup.js'
 
 /** What the follower needs. */
@@ -38,9 +39,18 @@
 }
 
 /** Time without proof of holding the newest version after which a daemon takes no traffic. */
-export const FENCE_MS = 3_500
+export const FENCE_MS = 4_500
 const ANNOUNCEMENT_LIFETIME_MS = 60_000
 const TICK_MS = 500
+/** Longest wait for the table. */
+const READ_LIMIT_MS = 1_000
+/** Time without proof after which peers are asked. */
+const ASK_AFTER_MS = 2_000
+/** Peers asked in each tick while this daemon has no other proof, and while it has. */
+const PEERS_ASKED_URGENTLY = 4
+const PEERS_ASKED = 2
+/** Peers that are asked at the same time. */
+const ASKED_AT_ONCE = 8
 /** Part of a period by which polls are spread. */
 const JITTER_SHARE = 0.5
 const FETCH_PAUSE_MS = 250
@@ -50,6 +60,8 @@
 export class ConfigFollower implements ConfigSource {
   private readonly held: HeldConfig
   private readonly currency: Currency
+  private readonly majority: FleetMajority
+  private readonly asking = new PQueue({ concurrency: ASKED_AT_ONCE })
   private readonly metrics: FollowerMetrics
   private readonly wanting: Wakeup
   private readonly polling: Wakeup
@@ -61,6 +73,7 @@
     const { clock, invariants, log, registry, bus } = options
     this.held = HeldConfig.create(invariants, log)
     this.currency = Currency.create(() => this.held.version)
+    this.majority = FleetMajority.create(bus.self.instanceId)
     this.wanting = Wakeup.create(clock)
     this.polling = Wakeup.create(clock)
     this.storeContactAtMs = clock.monotonicMs()
@@ -71,7 +84,7 @@
       storeContactAgeMs: () => clock.monotonicMs() - this.storeContactAtMs
     })
     bus.handle(DOCUMENT_METHOD, createDocumentMethod(this.held))
-    bus.handle(VERSION_METHOD, createVersionMethod(options, this.held, this.currency))
+    bus.handle(VERSION_METHOD, createVersionMethod(options, { held: this.held, currency: this.currency, majority: this.majority }))
     bus.onEntry('config', entry => { this.hear(entry.value) })
   }
 
@@ -146,9 +159,10 @@
   async refresh (): Promise<void> {
     const { platform, environment, clock } = this.options
     const startedAtMs = clock.monotonicMs()
-    const read = await readEnvironment(platform, environment)
-    this.hasStore = read.isOk()
-    if (read.isErr()) return
+    const timed = await withinMs(clock, READ_LIMIT_MS, readEnvironment(platform, environment))
+    this.hasStore = timed.type === 'done' && timed.value.isOk()
+    if (timed.type === 'timeout' || timed.value.isErr()) return
+    const read = timed.value
     this.storeContactAtMs = startedAtMs
     const row = read.value.value
     if (row === undefined) return
@@ -167,27 +181,46 @@
 
   private async watchPeers (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.readMembers()
-      if (!this.hasStore || this.held.version === 0) await this.askPeers()
+      this.askPeers()
+      this.readMajority()
       this.report()
       await this.options.clock.sleepMs(TICK_MS, signal)
     }
+    this.asking.clear()
   }
 
-  /** Takes versions from heartbeats, and the proof that most of the known instances hold nothing newer. */
-  private readMembers (): void {
-    const { bus, clock } = this.options
-    const members = bus.members()
-    for (const { configVersion, configDigest } of members) if (configDigest !== '') this.want(configVersion, configDigest)
-    const sighting = seeMajority({ members, heldVersion: this.held.version, nowMs: clock.monotonicMs() })
-    if (sighting !== undefined) this.currency.see(sighting)
+  /** Asks whoever told of a newer version in a heartbeat and, without proof from the table, several others. */
+  private askPeers (): void {
+    const ahead = this.options.bus.members().filter(member => member.configVersion > this.knownVersion).slice(0, 1)
+    const chosen = choosePeers(this.options, this.peersToAsk())
+    for (const instanceId of new Set([...ahead.map(member => member.instanceId), ...chosen])) {
+      if (this.asking.size < ASKED_AT_ONCE) this.asking.add(async () => { await this.askPeer(instanceId) }).catch(() => {})
+    }
   }
 
-  private async askPeers (): Promise<void> {
-    for (const { version, digest, currentAtMs } of await askVersions(this.options)) {
-      if (currentAtMs !== undefined) this.currency.see({ version, atMs: currentAtMs })
-      this.want(version, digest)
-    }
+  private peersToAsk (): number {
+    const ageMs = this.currencyAgeMs
+    if (this.hasStore && this.held.version > 0 && ageMs < ASK_AFTER_MS) return 0
+    return ageMs < ASK_AFTER_MS ? PEERS_ASKED : PEERS_ASKED_URGENTLY
+  }
+
+  private async askPeer (instanceId: string): Promise<void> {
+    const answer = await askVersion(this.options, instanceId)
+    if (answer === undefined) return
+    const { version, digest, currentAtMs, holders, askedAtMs } = answer
+    if (currentAtMs !== undefined) this.currency.see({ version, atMs: currentAtMs })
+    if (version <= this.held.version) this.majority.merge(holders, askedAtMs)
+    this.want(version, digest)
+    this.readMajority()
+  }
+
+  /** Takes in whether most of the known instances hold nothing newer. */
+  private readMajority (): void {
+    const { bus, clock } = this.options
+    const nowMs = clock.monotonicMs()
+    this.majority.sweep(nowMs)
+    const sighting = this.majority.see(bus.members(), this.held.version, nowMs)
+    if (sighting !== undefined) this.currency.see(sighting)
   }
 
   private report (): void {
--- a/packages/operators/src/follow/peerDocuments.ts
+++ b/packages/operators/src/follow/peerDocuments.ts
@@ -38,7 +38,7 @@
 
 const holdersOf = ({ bus, random }: PeerDocumentOptions, digest: string): readonly Member[] =>
   bus.members()
-    .filter(member => member.status === 'reachable' && member.configDigest === digest)
+    .filter(member => member.status === 'reachable' && member.configDigest !== '' && digest.startsWith(member.configDigest))
     .map(member => ({ member, order: (member.availabilityZone === bus.self.availabilityZone ? 0 : 1) + random.next() }))
     .sort((a, b) => a.order - b.order)
     .slice(0, PEERS_ASKED)
