--- a/packages/standins/src/soak/runSoak.ts
+++ b/packages/standins/src/soak/runSoak.ts
@@ -3,6 +3,7 @@
 import { runOpenLoop } from '../load/openLoop.js'
 import { measuredDocument } from '../measure/documents.js'
 import { Fleet } from '../measure/fleet.js'
+import { Balancer } from './balancer.js'
 import { faults } from './faults.js'
 import type { EndFault, FaultWorld } from './faults.js'
 import { findBreaches } from './soakOracle.js'
@@ -30,6 +31,8 @@
   readonly notRun: number
   readonly mayHaveRun: number
   readonly broken: number
+  /** Answers of the fleet itself, by reason. */
+  readonly problems: Readonly<Record<string, number>>
   readonly faults: Readonly<Record<string, number>>
   readonly breaches: readonly SoakBreach[]
   readonly versionRegressions: number
@@ -136,6 +139,12 @@
   }
 }
 
+const countBy = (names: readonly string[]): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {}
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1
+  return counts
+}
+
 const summarise = async (options: SoakOptions, world: FaultWorld, workload: Workload, watch: DumpWatch, loop: FaultLoop): Promise<SoakSummary> => {
   const { records } = workload
   const breaches = findBreaches(records, await world.fleet.journal())
@@ -149,6 +158,7 @@
     notRun: records.filter(record => record.verdict === 'not-run').length,
     mayHaveRun: records.filter(record => record.verdict === 'may-have-run').length,
     broken: records.filter(record => record.verdict === undefined).length,
+    problems: countBy(records.map(record => record.problem).filter(problem => problem !== '')),
     faults: loop.counts,
     breaches: breaches.slice(0, KEPT_BREACHES),
     ...watched,
@@ -169,6 +179,7 @@
   const caller = Caller.create(clock)
   const watch = DumpWatch.create(fleet)
   const loop = FaultLoop.create(world, options)
+  const balancer = Balancer.create(world)
   const stop = new AbortController()
   try {
     const workload = Workload.create({
@@ -176,9 +187,9 @@
       random: options.random,
       caller,
       services: Object.keys(SERVICES),
-      urls: () => world.daemons.flatMap(daemon => world.urls.get(daemon.id) ?? [])
+      urls: () => balancer.urls()
     })
-    const background = [loop.run(stop.signal), lookUntil(watch, world, stop.signal)]
+    const background = [loop.run(stop.signal), lookUntil(watch, world, stop.signal), balancer.run(stop.signal)]
     await runOpenLoop({ clock, perSecond: options.perSecond, durationMs: options.durationMs }, async () => { await workload.sendOne() })
     stop.abort()
     await Promise.all(background)
