--- a/packages/callers/src/admission/serviceQueue.ts
+++ b/packages/callers/src/admission/serviceQueue.ts
@@ -4,6 +4,7 @@
 import type { AdmissionMetrics } from './admissionMetrics.js'
 import { FairQueue } from './fairQueue.js'
 import type { FairOptions } from './fairQueue.js'
+import { PriorityMix } from './priorityMix.js'
 import { RunTime } from './runTime.js'
 
 type RoutePriority = RouteConfig['priority']
@@ -11,7 +12,7 @@
 const PRIORITY: Readonly<Record<RoutePriority, number>> = { payment: 2, normal: 1, background: 0 }
 
 /** Share of the time to the deadline that a request may wait; the rest is left for its run. */
-const WAIT_SHARE: Readonly<Record<RoutePriority, number>> = { payment: 0.75, normal: 0.5, background: 0.25 }
+const WAIT_SHARE: Readonly<Record<RoutePriority, number>> = { payment: 0.6, normal: 0.3, background: 0.15 }
 
 /** What a queue needs. */
 export interface ServiceQueueOptions {
@@ -35,6 +36,7 @@
   private readonly queue: PQueue<FairQueue, FairOptions>
   private readonly waiting = new Map<string, Waiting>()
   private readonly runTime = RunTime.create()
+  private readonly mix = PriorityMix.create()
   private nextId = 0
 
   private constructor (private readonly options: ServiceQueueOptions) {
@@ -80,7 +82,8 @@
   estimateWaitMs (need: AdmissionNeed): number {
     if (this.queue.pending < this.queue.concurrency) return 0
     const ahead = this.fair.countAhead(fairOptions(need, ''))
-    return (ahead + 1) * this.runTime.meanMs / this.queue.concurrency
+    const wait = (ahead + 1) * this.runTime.meanMs / this.queue.concurrency
+    return wait / (1 - this.mix.shareAbove(PRIORITY[need.route.priority]))
   }
 
   private latestStartAtMs ({ route, deadlineAtMs }: AdmissionNeed): number {
@@ -109,6 +112,7 @@
     this.waiting.set(id, waiting)
     const start = async (): Promise<void> => {
       waiting.hasStarted = true
+      this.mix.observe(PRIORITY[need.route.priority])
       this.waiting.delete(id)
       metrics.observeWait(service, clock.monotonicMs() - queuedAtMs)
       await this.runTimed(work)
--- a/packages/targets/src/pick/share/slotCredit.ts
+++ b/packages/targets/src/pick/share/slotCredit.ts
@@ -8,6 +8,7 @@
 /** Slots in use against a fractional limit: the part above a whole number is granted for that share of the time. */
 export class SlotCredit {
   private inUse = 0
+  private peak = 0
   private savedSlotMs = MOST_SAVED_SLOT_MS
   private countedAtMs: number
 
@@ -35,6 +36,7 @@
   take (): boolean {
     if (this.waitMs() > 0) return false
     this.inUse++
+    this.peak = Math.max(this.peak, this.inUse)
     return true
   }
 
@@ -44,6 +46,13 @@
     this.inUse--
   }
 
+  /** Most slots in use at once since the last call. */
+  takePeak (): number {
+    const { peak } = this
+    this.peak = this.inUse
+    return peak
+  }
+
   /** Time until a slot can be taken if none is given back; infinite when one must be. */
   waitMs (): number {
     this.settle()
--- a/packages/targets/src/pick/sharedPicker.ts
+++ b/packages/targets/src/pick/sharedPicker.ts
@@ -66,7 +66,7 @@
       this.options.metrics.countShed(report.target.service)
       pool.noteFull(report.target)
     } else if (report.outcome === 'ok') {
-      pool.share.onServed(pool.credit.held)
+      pool.share.onServed(pool.credit.takePeak())
     }
   }
 
