--- a/packages/standins/src/process/standinHost.ts
+++ b/packages/standins/src/process/standinHost.ts
@@ -4,6 +4,7 @@
 import { JSONRPCClient } from 'json-rpc-2.0'
 import type { JSONRPCResponse } from 'json-rpc-2.0'
 import type { DirectoryEntry } from '@lovagehoist/common'
+import type { LinkFault } from '../network/relay.js'
 import type { PlatformCounts } from '../platform/platformStandin.js'
 import type { PlatformSwitches } from '../platform/platformSwitches.js'
 import type { TargetBehaviour } from '../target/behaviour.js'
@@ -14,6 +15,8 @@
   readonly runs: number
   readonly shed: number
   readonly connections: number
+  /** Wall-clock time of the last request that reached it, in milliseconds since the Unix epoch; 0 for none. */
+  readonly lastRequestAtMs: number
 }
 
 /** A process of stand-ins, driven over its IPC channel. */
@@ -74,6 +77,18 @@
     return await this.client.request('targetCounts', { id })
   }
 
+  async startRelay (id: string, host: string): Promise<number> {
+    return await this.client.request('startRelay', { id, host })
+  }
+
+  async connectRelay (id: string, host: string, port: number): Promise<void> {
+    await this.client.request('connectRelay', { id, host, port })
+  }
+
+  async setRelay (id: string, sourceHost: string, fault: Partial<LinkFault>): Promise<void> {
+    await this.client.request('setRelay', { id, sourceHost, fault })
+  }
+
   /** Ends the process. */
   stop (): void {
     this.child.disconnect()
