Measure the cost of control, with scripted peers for the size of two years

Cause: the cost of communication between daemons was not measured. Heartbeats every 2 s and descriptions pushed at most every 500 ms.

--- a/packages/peers/src/bus/partnerTask.ts
+++ b/packages/peers/src/bus/partnerTask.ts
@@ -9,7 +9,7 @@
 import type { AnswerOf } from '../wire/messages.js'
 import type { PeerClient } from './peerClient.js'
 
-const HEARTBEAT_MS = 1_500
+const HEARTBEAT_MS = 2_000
 const JITTER_SHARE = 0.2
 const PERCENT = 100
 
@@ -25,8 +25,8 @@
   ejection: { gapMs: 20, roomPercent: 10 },
   leaving: { gapMs: 50, roomPercent: 20 },
   poison: { gapMs: 50, roomPercent: 20 },
-  membership: { gapMs: 250, roomPercent: 50 },
-  evidence: { gapMs: 250, roomPercent: 70 },
+  membership: { gapMs: 500, roomPercent: 60 },
+  evidence: { gapMs: 500, roomPercent: 70 },
   load: { gapMs: 500, roomPercent: 90 }
 }
 
--- a/packages/standins/src/measure/processUsage.ts
+++ b/packages/standins/src/measure/processUsage.ts
@@ -23,3 +23,21 @@
   const seconds = await Promise.all(daemons.map(async daemon => await cpuSecondsOfProcess(daemon.pid)))
   return seconds.reduce((sum, value) => sum + value, 0)
 }
+
+const KB_PER_MB = 1_024
+
+const residentMbOfProcess = async (pid: number): Promise<number> => {
+  const text = await readFile(`/proc/${pid}/status`, 'utf8')
+  return Number(/VmRSS:\s+(\d+)/.exec(text)?.[1] ?? 0) / KB_PER_MB
+}
+
+/**
+ * Reads the resident memory of daemons.
+ *
+ * @param daemons - Running daemons.
+ * @returns The mean in megabytes.
+ */
+export const residentMbOf = async (daemons: readonly DaemonProcess[]): Promise<number> => {
+  const megabytes = await Promise.all(daemons.map(async daemon => await residentMbOfProcess(daemon.pid)))
+  return megabytes.reduce((sum, value) => sum + value, 0) / Math.max(1, daemons.length)
+}
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,4 +1,5 @@
 import type { Scenario } from '../scenario.js'
+import { control } from './control.js'
 import { drain } from './drain.js'
 import { overhead } from './overhead.js'
 import { rush } from './rush.js'
@@ -7,5 +8,6 @@
 export const scenarios: Readonly<Record<string, Scenario>> = {
   [overhead.name]: overhead,
   [rush.name]: rush,
-  [drain.name]: drain
+  [drain.name]: drain,
+  [control.name]: control
 }
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -67,6 +67,12 @@
     this.relist()
   }
 
+  /** Adds or replaces many entries of the list of instances. */
+  registerAll (entries: readonly DirectoryEntry[]): void {
+    for (const entry of entries) this.entries.set(entry.id, entry)
+    this.relist()
+  }
+
   /** Removes an entry of the list of instances. */
   remove (id: string): void {
     this.entries.delete(id)
--- a/packages/standins/src/process/hostMain.ts
+++ b/packages/standins/src/process/hostMain.ts
@@ -4,6 +4,7 @@
 import type { DirectoryEntry } from '@lovagehoist/common'
 import { Relay } from '../network/relay.js'
 import type { LinkFault } from '../network/relay.js'
+import { ScriptedPeers } from '../peers/scriptedPeers.js'
 import { PlatformStandin } from '../platform/platformStandin.js'
 import type { PlatformSwitches } from '../platform/platformSwitches.js'
 import type { TargetBehaviour } from '../target/behaviour.js'
@@ -17,6 +18,7 @@
 const targets = new Map<string, TargetStandin>()
 const relays = new Map<string, Relay>()
 let platform: PlatformStandin | undefined
+let peers: ScriptedPeers | undefined
 
 const findTarget = (id: string): TargetStandin => {
   const target = targets.get(id)
@@ -35,6 +37,7 @@
   return platform.url
 })
 server.addMethod('register', ({ entry }: { readonly entry: DirectoryEntry }) => { findPlatform().register(entry) })
+server.addMethod('registerAll', ({ entries }: { readonly entries: readonly DirectoryEntry[] }) => { findPlatform().registerAll(entries) })
 server.addMethod('remove', ({ id }: { readonly id: string }) => { findPlatform().remove(id) })
 server.addMethod('setPlatform', ({ switches }: { readonly switches: Partial<PlatformSwitches> }) => { findPlatform().set(switches) })
 server.addMethod('platformCounts', () => findPlatform().counts())
@@ -50,6 +53,11 @@
   const target = findTarget(id)
   return { runs: target.journal.length, shed: target.shed, connections: target.connections, lastRequestAtMs: target.lastRequestAtMs }
 })
+server.addMethod('startPeers', async ({ count, environment }: { readonly count: number, readonly environment: string }) => {
+  peers = await ScriptedPeers.create({ clock, random, count, environment })
+  return peers.listed()
+})
+server.addMethod('talkTo', ({ id, port }: { readonly id: string, readonly port: number }) => { peers?.talkTo(id, port) })
 server.addMethod('startRelay', async ({ id, host }: { readonly id: string, readonly host: string }) => {
   const relay = await Relay.create(clock, host)
   relays.set(id, relay)
--- a/packages/standins/src/process/standinHost.ts
+++ b/packages/standins/src/process/standinHost.ts
@@ -45,6 +45,21 @@
     await this.client.request('register', { entry })
   }
 
+  /** Adds many entries to the platform's list at once. */
+  async registerAll (entries: readonly DirectoryEntry[]): Promise<void> {
+    await this.client.request('registerAll', { entries })
+  }
+
+  /** Starts scripted peers and tells their entries of the platform's list. */
+  async startPeers (count: number, environment: string): Promise<readonly DirectoryEntry[]> {
+    return await this.client.request('startPeers', { count, environment })
+  }
+
+  /** Lets the scripted peers send to a real daemon. */
+  async talkTo (id: string, port: number): Promise<void> {
+    await this.client.request('talkTo', { id, port })
+  }
+
   async remove (id: string): Promise<void> {
     await this.client.request('remove', { id })
   }
