--- a/packages/targets/src/health/evidence/avoidance.ts
+++ b/packages/targets/src/health/evidence/avoidance.ts
@@ -2,7 +2,6 @@
 import { budgetOf, slotsOf } from '../ejections/capacity.js'
 import { NO_COUNTS, addCounts, subtractCounts } from './counts.js'
 import { excessOf } from './judgement.js'
-import { countsOf } from './localEvidence.js'
 import type { TargetCounts } from './localEvidence.js'
 import { LOCAL_PROFILE } from './profiles.js'
 
@@ -35,10 +34,10 @@
  */
 export const avoid = ({ counts, capacity, outSlots, keptIn, out }: AvoidanceInputs): Avoidance => {
   const used = counts.filter(item => !out.has(item.targetId))
-  const total = used.map(countsOf).reduce(addCounts, NO_COUNTS)
-  const excess = (item: TargetCounts): number => {
-    const rest = subtractCounts(total, countsOf(item))
-    return Math.max(excessOf(item, rest, LOCAL_PROFILE, 'failures') ?? 0, excessOf(item, rest, LOCAL_PROFILE, 'slow') ?? 0)
+  const total = used.map(item => item.long).reduce(addCounts, NO_COUNTS)
+  const excess = ({ long }: TargetCounts): number => {
+    const rest = subtractCounts(total, long)
+    return Math.max(excessOf(long, rest, LOCAL_PROFILE, 'failures') ?? 0, excessOf(long, rest, LOCAL_PROFILE, 'slow') ?? 0)
   }
   const bad = used.map(item => ({ targetId: item.targetId, excess: excess(item) })).filter(item => item.excess > 0 && !keptIn.has(item.targetId))
   if (bad.length > MOST_OF_POOL_SHARE * capacity.slotsById.size) return new Map()
--- a/packages/targets/src/health/evidence/counts.ts
+++ b/packages/targets/src/health/evidence/counts.ts
@@ -5,9 +5,11 @@
   readonly slow: number
 }
 
-/** Time over which tries are counted. */
+/** Longest time over which tries are counted. */
 export const WINDOW_MS = 8_000
-const BUCKET_MS = 500
+/** Length of the window in which a sudden change shows early. */
+export const SHORT_WINDOW_MS = 2_000
+const BUCKET_MS = 250
 
 export const NO_COUNTS: Counts = { tries: 0, failures: 0, slow: 0 }
 
@@ -22,6 +24,9 @@
 /** What one try adds. */
 export type Tally = 'works' | 'failed' | 'slow' | 'shed'
 
+/** Counts with other tries added that went well. */
+export const scaleTries = (counts: Counts, factor: number): Counts => ({ ...counts, tries: Math.round(counts.tries * factor) })
+
 /** Sum of counts. */
 export const addCounts = (a: Counts, b: Counts): Counts => ({ tries: a.tries + b.tries, failures: a.failures + b.failures, slow: a.slow + b.slow })
 
@@ -55,15 +60,14 @@
     if (tally === 'slow') bucket.slow++
   }
 
-  /** Counts within the window. */
-  total (nowMs: number): Counts {
-    return this.recent(nowMs).reduce<Counts>(addCounts, NO_COUNTS)
+  /** Counts within a window. */
+  total (nowMs: number, windowMs = WINDOW_MS): Counts {
+    return this.recent(nowMs, windowMs).reduce<Counts>(addCounts, NO_COUNTS)
   }
 
   /** Share of tries within the window that were refused because of load, 0 to 1, and the number of both. */
   shed (nowMs: number, windowMs: number): { readonly shed: number, readonly all: number } {
-    const firstIndex = Math.floor((nowMs - windowMs) / BUCKET_MS)
-    const recent = this.buckets.filter(bucket => bucket.index > firstIndex)
+    const recent = this.recent(nowMs, windowMs)
     const shed = recent.reduce((sum, bucket) => sum + bucket.shed, 0)
     return { shed, all: recent.reduce((sum, bucket) => sum + bucket.tries, shed) }
   }
@@ -78,8 +82,8 @@
     this.buckets = []
   }
 
-  private recent (nowMs: number): readonly Bucket[] {
-    const firstIndex = Math.floor((nowMs - WINDOW_MS) / BUCKET_MS)
+  private recent (nowMs: number, windowMs = WINDOW_MS): readonly Bucket[] {
+    const firstIndex = Math.floor((nowMs - windowMs) / BUCKET_MS)
     return this.buckets.filter(bucket => bucket.index > firstIndex)
   }
 
--- a/packages/targets/src/health/evidence/evidenceExchange.ts
+++ b/packages/targets/src/health/evidence/evidenceExchange.ts
@@ -9,17 +9,19 @@
 const reportSchema = z.object({
   service: z.string(),
   sequence: z.int(),
-  /** Target, fence, tries, failures and slow answers. */
-  counts: z.array(z.tuple([z.string(), z.int(), z.int(), z.int(), z.int()]))
+  /** Target, fence, and the tries, failures and slow answers of the long and the short window. */
+  counts: z.array(z.tuple([z.string(), z.int(), z.int(), z.int(), z.int(), z.int(), z.int(), z.int()]))
 })
 
 /** What one daemon reported about a service. */
 export interface EvidenceReport {
   readonly from: InstanceIdentity
   readonly counts: readonly TargetCounts[]
+  /** Time since it was received. */
+  readonly ageMs: number
 }
 
-interface Held extends EvidenceReport {
+interface Held extends Omit<EvidenceReport, 'ageMs'> {
   readonly sequence: number
   readonly receivedAtMs: number
 }
@@ -54,7 +56,7 @@
     const params = {
       service,
       sequence: this.nextSequence++,
-      counts: counts.map(({ targetId, fence, tries, failures, slow }) => [targetId, fence, tries, failures, slow])
+      counts: counts.map(({ targetId, fence, long, short }) => [targetId, fence, long.tries, long.failures, long.slow, short.tries, short.failures, short.slow])
     }
     for (const judge of judges) {
       if (judge === this.bus.self.instanceId || this.inFlight >= MAX_IN_FLIGHT) continue
@@ -71,7 +73,7 @@
     if (reports === undefined) return []
     for (const [origin, report] of reports) if (nowMs - report.receivedAtMs >= WINDOW_MS) reports.delete(origin)
     if (reports.size === 0) this.held.delete(service)
-    return [...reports.values()]
+    return [...reports.values()].map(({ from, counts, receivedAtMs }) => ({ from, counts, ageMs: nowMs - receivedAtMs }))
   }
 
   /** Services that other daemons reported about. */
@@ -83,7 +85,9 @@
     const parsed = reportSchema.safeParse(params)
     if (!parsed.success) return {}
     const { service, sequence } = parsed.data
-    const counts = parsed.data.counts.map(([targetId, fence, tries, failures, slow]) => ({ targetId, fence, tries, failures, slow }))
+    const counts = parsed.data.counts.map(([targetId, fence, tries, failures, slow, shortTries, shortFailures, shortSlow]) => ({
+      targetId, fence, long: { tries, failures, slow }, short: { tries: shortTries, failures: shortFailures, slow: shortSlow }
+    }))
     const reports = this.held.get(service) ?? new Map<string, Held>()
     const before = reports.get(from.instanceId)
     if (before?.from.startId === from.startId && before.sequence > sequence) return {}
--- a/packages/targets/src/health/evidence/judge.ts
+++ b/packages/targets/src/health/evidence/judge.ts
@@ -1,12 +1,11 @@
-import type { Clock, PeerBus, ServiceConfig, Target } from '@lovagehoist/common'
+import type { Clock, PeerBus, Place, ServiceConfig, Target } from '@lovagehoist/common'
 import type { Ejections } from '../ejections/ejections.js'
 import type { EjectionEntry } from '../ejections/ejectionRow.js'
-import { NO_COUNTS, addCounts } from './counts.js'
+import { NO_COUNTS, SHORT_WINDOW_MS, addCounts, scaleTries } from './counts.js'
 import type { Counts } from './counts.js'
 import type { EvidenceExchange, EvidenceReport } from './evidenceExchange.js'
 import { findSick } from './judgement.js'
 import type { Observation, Suspicion } from './judgement.js'
-import { countsOf } from './localEvidence.js'
 import type { LocalEvidence } from './localEvidence.js'
 import { PROFILES } from './profiles.js'
 import type { Profile } from './profiles.js'
@@ -34,6 +33,18 @@
 const RANK_DELAY_MS = 750
 const RETRY_MS = 2_000
 
+const zoneOf = ({ region, availabilityZone }: Place): string => `${region}/${availabilityZone}`
+
+/** Daemons that report nothing saw no failure: their tries are added in proportion. */
+const observe = (reports: readonly EvidenceReport[], window: 'long' | 'short', fences: ReadonlyMap<string, number>, daemons: number): readonly Observation[] => {
+  const factor = Math.max(1, daemons / Math.max(1, reports.length))
+  return reports.map(({ from, counts }) => ({
+    instanceId: from.instanceId,
+    availabilityZone: zoneOf(from),
+    byTarget: new Map(counts.filter(item => item.fence === (fences.get(item.targetId) ?? 0)).map(item => [item.targetId, scaleTries(item[window], factor)]))
+  }))
+}
+
 /** Judges the merged evidence about the services that this daemon is chosen for. */
 export class Judge {
   private readonly suspectedAtMs = new Map<string, number>()
@@ -63,7 +74,7 @@
   private judge (service: string, rank: number, profile: Profile): void {
     const { ejections, local, exchange, bus, events } = this.options
     const { entries } = ejections.row(service).row
-    const reports: readonly EvidenceReport[] = [...exchange.reports(service), { from: bus.self, counts: local.counts(service) }]
+    const reports: readonly EvidenceReport[] = [...exchange.reports(service), { from: bus.self, counts: local.counts(service), ageMs: 0 }]
     for (const entry of entries) this.followEntry(service, entry, reports, rank, profile)
     const suspicions = this.findSuspicions(service, entries, reports, profile)
     if (suspicions.length > 0) events.onJudged(service)
@@ -73,17 +84,13 @@
 
   private findSuspicions (service: string, entries: readonly EjectionEntry[], reports: readonly EvidenceReport[], profile: Profile): readonly Suspicion[] {
     const out = new Set(entries.filter(entry => entry.stage !== 'released').map(entry => entry.targetId))
-    const fenceOf = new Map(entries.map(entry => [entry.targetId, entry.fence]))
-    const targets = this.options.targets(service).filter(target => !target.isLeaving)
-    const toObservation = ({ from, counts }: EvidenceReport): Observation => ({
-      instanceId: from.instanceId,
-      availabilityZone: `${from.region}/${from.availabilityZone}`,
-      byTarget: new Map(counts.filter(item => item.fence === (fenceOf.get(item.targetId) ?? 0)).map(item => [item.targetId, countsOf(item)]))
-    })
+    const fences = new Map(entries.map(entry => [entry.targetId, entry.fence]))
+    const targets = this.options.targets(service).filter(target => !target.isLeaving && !out.has(target.id))
     const live = this.options.bus.members().filter(member => member.status !== 'gone')
-    const zones = new Set([this.options.bus.self, ...live].map(member => `${member.region}/${member.availabilityZone}`))
-    const zoneByTarget = new Map(targets.filter(target => !out.has(target.id)).map(target => [target.id, `${target.region}/${target.availabilityZone}`]))
-    return findSick(reports.map(toObservation), { profile, zoneByTarget, outTargets: out.size, daemons: live.length + 1, zones: zones.size })
+    const zones = new Set([this.options.bus.self, ...live].map(zoneOf))
+    const options = { profile, zoneByTarget: new Map(targets.map(target => [target.id, zoneOf(target)])), outTargets: out.size, daemons: live.length + 1, zones: zones.size }
+    const early = findSick(observe(reports.filter(report => report.ageMs < SHORT_WINDOW_MS), 'short', fences, options.daemons), options)
+    return early.length > 0 ? early : findSick(observe(reports, 'long', fences, options.daemons), options)
   }
 
   private act (service: string, suspicion: Suspicion, rank: number, profile: Profile): void {
@@ -105,7 +112,7 @@
     }
     if (entry.stage !== 'trial') return
     const counts = reports.flatMap(report => report.counts.filter(item => item.targetId === entry.targetId && item.fence === entry.fence))
-    this.endTrial(service, entry, counts.reduce<Counts>((sum, item) => addCounts(sum, countsOf(item)), NO_COUNTS), profile)
+    this.endTrial(service, entry, counts.reduce<Counts>((sum, item) => addCounts(sum, item.long), NO_COUNTS), profile)
   }
 
   private endTrial (service: string, entry: EjectionEntry, counts: Counts, profile: Profile): void {
--- a/packages/targets/src/health/evidence/localEvidence.ts
+++ b/packages/targets/src/health/evidence/localEvidence.ts
@@ -1,12 +1,15 @@
 import type { AttemptReport, Clock } from '@lovagehoist/common'
 import { BLAME } from './outcomes.js'
-import { NO_COUNTS, SlidingCounts } from './counts.js'
+import { SHORT_WINDOW_MS, SlidingCounts } from './counts.js'
 import type { Counts, Tally } from './counts.js'
 import { LatencyBaseline } from './latencyBaseline.js'
 
 /** Counts at a target, since a state of its ejection. */
-export interface TargetCounts extends Counts {
+export interface TargetCounts {
   readonly targetId: string
+  /** Counts of the last eight and the last two seconds. */
+  readonly long: Counts
+  readonly short: Counts
   /** Fence of the ejection entry in whose state they were counted; 0 for none. */
   readonly fence: number
 }
@@ -23,6 +26,8 @@
   hasNews: boolean
 }
 
+/** Slow answers of a target that are worth a report. */
+const MIN_SLOW_NEWS = 3
 const SHED_WINDOW_MS = 2_000
 const SHED_SHARE = 0.5
 const MIN_SHED_TRIES = 10
@@ -56,21 +61,31 @@
     if (tally === undefined) return
     const evidence = this.targetOf(service, target.service, target.id)
     evidence.counts.add(tally, nowMs)
-    if (tally === 'failed' || tally === 'slow' || evidence.fence > 0) service.hasNews = true
+    const isNews = tally === 'failed' || evidence.fence > 0 || (tally === 'slow' && evidence.counts.total(nowMs).slow >= MIN_SLOW_NEWS)
+    if (isNews) service.hasNews = true
   }
 
   /** Counts at the targets of a service within the window. */
   counts (service: string): readonly TargetCounts[] {
     const nowMs = this.clock.monotonicMs()
     const targets = this.services.get(service)?.targets ?? new Map<string, TargetEvidence>()
-    return [...targets].map(([targetId, evidence]) => ({ targetId, fence: evidence.fence, ...evidence.counts.total(nowMs) }))
+    return [...targets].map(([targetId, evidence]) => ({
+      targetId,
+      fence: evidence.fence,
+      long: evidence.counts.total(nowMs),
+      short: evidence.counts.total(nowMs, SHORT_WINDOW_MS)
+    }))
   }
 
-  /** Services with news since the last call. */
-  takeNews (): readonly string[] {
-    const services = [...this.services].filter(([, evidence]) => evidence.hasNews)
-    for (const [, evidence] of services) evidence.hasNews = false
-    return services.map(([service]) => service)
+  /** Services with news that was not reported. */
+  news (): readonly string[] {
+    return [...this.services].filter(([, evidence]) => evidence.hasNews).map(([service]) => service)
+  }
+
+  /** Notes that the news of a service was reported. */
+  clearNews (service: string): void {
+    const evidence = this.services.get(service)
+    if (evidence !== undefined) evidence.hasNews = false
   }
 
   /** Whether most of the recent work at a service was refused because of load. */
@@ -124,6 +139,3 @@
     return evidence
   }
 }
-
-/** Counts without their target, for sums. */
-export const countsOf = ({ tries, failures, slow }: TargetCounts): Counts => ({ ...NO_COUNTS, tries, failures, slow })
--- a/packages/targets/src/health/sharedHealth.ts
+++ b/packages/targets/src/health/sharedHealth.ts
@@ -34,7 +34,9 @@
 const UPKEEP_MS = 100
 /** Longest time for which ratings are kept without looking at their inputs again. */
 const RATINGS_MS = 100
-const REPORT_AGAIN_MS = 2_000
+/** Reports a second that a judge takes in about one service. */
+const REPORTS_PER_SECOND = 8
+const MS_PER_SECOND = 1_000
 const MAX_DUMPED = 200
 /** Time for which a target whose ejection the floor refused gets a reduced share. */
 const KEPT_IN_MS = 10_000
@@ -138,10 +140,10 @@
     this.local.sweep()
     this.silent.sweep()
     this.poison.sweep()
-    const news = this.local.takeNews()
-    for (const service of news) this.report(service)
+    const news = this.local.news()
+    for (const service of news) this.reportIfDue(service)
     const withEntries = this.services().filter(service => this.ejections.row(service).row.entries.length > 0)
-    this.judge.run([...new Set([...news, ...this.exchange.services(), ...withEntries, ...this.reportedAtMs.keys()])])
+    this.judge.run([...new Set([...news, ...this.exchange.services(), ...withEntries])])
     this.measure(withEntries)
   }
 
@@ -159,10 +161,13 @@
     }
   }
 
-  private report (service: string): void {
-    const nowMs = this.options.clock.monotonicMs()
+  private reportIfDue (service: string): void {
+    const { clock, bus } = this.options
+    const nowMs = clock.monotonicMs()
+    const intervalMs = (bus.members().length + 1) * MS_PER_SECOND / REPORTS_PER_SECOND
+    if (nowMs - (this.reportedAtMs.get(service) ?? -Infinity) < intervalMs) return
     this.reportedAtMs.set(service, nowMs)
-    for (const [name, atMs] of this.reportedAtMs) if (nowMs - atMs > REPORT_AGAIN_MS) this.reportedAtMs.delete(name)
+    this.local.clearNews(service)
     this.exchange.send(service, this.local.counts(service), this.ejections.judges(service))
   }
 
