Take the list of targets from peers while the platform's list is out

Change: a daemon is ready only once it knows targets; it asks reachable peers for the targets of each service of the document while the list is out.

--- a/packages/daemon/src/compose/parts.ts
+++ b/packages/daemon/src/compose/parts.ts
@@ -52,7 +52,7 @@
     readToken: tokenFile === undefined ? undefined : async () => await readFile(tokenFile, 'utf8'),
     sources: [createSettingsSource(settings), ...sides.flatMap(side => side.sources), breaches],
     handler: callers.handler,
-    isReady: configSide.isReady,
+    isReady: () => configSide.isReady() && targets.isReady(),
     start: async () => {
       const { port } = await peers.listen()
       running = sides.flatMap(side => side.tasks).map(async task => { await task(stopping.signal) })
--- a/packages/daemon/src/compose/targetSide.ts
+++ b/packages/daemon/src/compose/targetSide.ts
@@ -1,5 +1,5 @@
 import type { AttemptSink, ConfigSource, HealthView, PeerBus, StateSource, TargetDirectory, TargetPicker, TargetSender } from '@lovagehoist/common'
-import { ConnectionSender, PolledTargetDirectory } from '@lovagehoist/targets'
+import { ConnectionSender, PeerTargets, PolledTargetDirectory } from '@lovagehoist/targets'
 import type { Base, Task } from './base.js'
 import { createHealthSide } from './healthSide.js'
 import { createPickSide } from './pickSide.js'
@@ -16,6 +16,8 @@
   /** Requests of a service that this daemon may run at once now. */
   readonly capacity: (service: string) => number
   readonly sender: TargetSender
+  /** Whether targets are known, so that requests can be served. */
+  readonly isReady: () => boolean
   readonly tasks: readonly Task[]
   readonly sources: readonly StateSource[]
   readonly close: () => Promise<void>
@@ -36,6 +38,7 @@
 export const createTargetSide = (base: Base, config: ConfigSource, bus: PeerBus): TargetSide => {
   const { clock, log, platform } = base
   const directory = PolledTargetDirectory.create({ instances: platform.directory, clock, log: log.child('targets'), pollMs: DIRECTORY_POLL_MS })
+  const peerTargets = PeerTargets.create({ directory, bus, config, clock, random: base.random, log: log.child('targets') })
   const connectTimeoutMs = (service: string): number => config.current()?.document.services[service]?.connectTimeoutMs ?? CONNECT_TIMEOUT_MS
   const sender = ConnectionSender.create({ clock, connectTimeoutMs, registry: base.registry, invariants: base.invariants })
   const healthSide = createHealthSide({ base, config, bus, directory, sender })
@@ -47,7 +50,8 @@
     evidence: joinSinks(healthSide.evidence, pickSide.feedback),
     picker: pickSide.picker,
     capacity: pickSide.capacity,
-    tasks: [async signal => { await directory.run(signal) }, async signal => { await sender.run(signal) }, ...healthSide.tasks, ...pickSide.tasks],
+    isReady: directory.isKnown,
+    tasks: [async signal => { await directory.run(signal) }, async signal => { await peerTargets.run(signal) }, async signal => { await sender.run(signal) }, ...healthSide.tasks, ...pickSide.tasks],
     sources: [...healthSide.sources, ...pickSide.sources],
     close: async () => { sender.close() }
   }
--- /dev/null
+++ b/packages/targets/src/directory/peerTargets.ts
@@ -0,0 +1,95 @@
+import { z } from 'zod'
+import type { Clock, ConfigSource, JsonValue, Log, PeerBus, Random, Target } from '@lovagehoist/common'
+import type { PolledTargetDirectory } from './targetDirectory.js'
+
+/** What the fallback needs. */
+export interface PeerTargetsOptions {
+  readonly directory: PolledTargetDirectory
+  readonly bus: PeerBus
+  readonly config: ConfigSource
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Log
+}
+
+const METHOD = 'targets.list'
+const CALL_TIMEOUT_MS = 1_000
+const RETRY_MS = 500
+
+const targetSchema = z.strictObject({
+  id: z.string().min(1),
+  service: z.string().min(1),
+  host: z.string().min(1),
+  port: z.int().min(1),
+  slots: z.int().min(1),
+  startedAtMs: z.number(),
+  region: z.string(),
+  availabilityZone: z.string(),
+  isLeaving: z.boolean()
+}).readonly()
+
+const paramsSchema = z.strictObject({ service: z.string() }).readonly()
+const replySchema = z.array(targetSchema).readonly()
+
+/** Gives a daemon that started while the platform's list is out the targets that other daemons know. */
+export class PeerTargets {
+  private constructor (private readonly options: PeerTargetsOptions) {
+    options.bus.handle(METHOD, async params => {
+      const { service } = paramsSchema.parse(params)
+      if (!options.directory.isKnown()) throw new Error('no list of targets is known here')
+      return options.directory.targets(service) as unknown as JsonValue
+    })
+  }
+
+  /**
+   * Creates the fallback and answers peers that ask.
+   *
+   * @param options - Directory, peers and configuration.
+   * @returns The fallback.
+   */
+  static create (options: PeerTargetsOptions): PeerTargets {
+    return new PeerTargets(options)
+  }
+
+  /**
+   * Asks peers until a list is known from anywhere.
+   *
+   * @param signal - Ends the loop.
+   */
+  async run (signal: AbortSignal): Promise<void> {
+    const { clock, directory, log } = this.options
+    await clock.sleepMs(RETRY_MS, signal)
+    while (!signal.aborted && !directory.isKnown()) {
+      const targets = await this.askAll(signal)
+      if (targets !== undefined && !directory.isKnown()) {
+        directory.takeFromPeers(targets)
+        log.info('targets taken from peers', { targets: targets.length })
+      }
+      await clock.sleepMs(RETRY_MS, signal)
+    }
+  }
+
+  private async askAll (signal: AbortSignal): Promise<readonly Target[] | undefined> {
+    const document = this.options.config.current()?.document
+    if (document === undefined) return undefined
+    const found: Target[] = []
+    for (const service of Object.keys(document.services)) {
+      if (signal.aborted) return undefined
+      const targets = await this.ask(service)
+      if (targets === undefined) return undefined
+      found.push(...targets)
+    }
+    return found
+  }
+
+  private async ask (service: string): Promise<readonly Target[] | undefined> {
+    const { bus, random } = this.options
+    const members = bus.members().filter(member => member.status === 'reachable')
+    const member = members[random.int(Math.max(1, members.length))]
+    if (member === undefined) return undefined
+    const reply = await bus.call(member.instanceId, METHOD, { service }, CALL_TIMEOUT_MS)
+    if (reply.isErr()) return undefined
+    const checked = replySchema.safeParse(reply.value)
+    return checked.success ? checked.data.filter(target => target.service === service) : undefined
+  }
+}
--- a/packages/targets/src/directory/targetDirectory.ts
+++ b/packages/targets/src/directory/targetDirectory.ts
@@ -27,6 +27,7 @@
   private readonly byService = new Map<string, readonly Target[]>()
   private readonly leaving = new Set<string>()
   private readonly listeners = new Set<(service: string) => void>()
+  private hasList = false
 
   private constructor (private readonly options: TargetDirectoryOptions) {}
 
@@ -56,9 +57,17 @@
   async refresh (): Promise<void> {
     const listed = await this.options.instances.list()
     if (listed.isErr()) return
-    this.apply(listed.value.filter(entry => entry.role === 'target'))
+    this.apply(listed.value.filter(entry => entry.role === 'target').map(toTarget))
   }
 
+  /** Takes the targets that peers know, unless the platform's list has been read. */
+  takeFromPeers (targets: readonly Target[]): void {
+    if (!this.hasList) this.apply(targets)
+  }
+
+  /** Whether a list has been had, from the platform or from peers. */
+  readonly isKnown = (): boolean => this.hasList
+
   readonly targets = (service: string): readonly Target[] => this.byService.get(service) ?? []
 
   readonly find = (targetId: string): Target | undefined => this.byId.get(targetId)
@@ -76,11 +85,11 @@
     return () => { this.listeners.delete(listener) }
   }
 
-  private apply (entries: readonly DirectoryEntry[]): void {
+  private apply (targets: readonly Target[]): void {
     const before = JSON.stringify([...this.byId.values()])
+    this.hasList = true
     this.byId.clear()
-    for (const entry of entries) {
-      const target = toTarget(entry)
+    for (const target of targets) {
       this.byId.set(target.id, this.leaving.has(target.id) ? { ...target, isLeaving: true } : target)
     }
     for (const id of this.leaving) if (!this.byId.has(id)) this.leaving.delete(id)
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,4 +1,5 @@
 export * from './directory/targetDirectory.js'
+export * from './directory/peerTargets.js'
 export * from './connections/targetSender.js'
 export * from './pick/leastLoadedPicker.js'
 export * from './health/consecutiveFailureHealth.js'
