--- a/packages/platform/src/call/callPlatform.ts
+++ b/packages/platform/src/call/callPlatform.ts
@@ -1,3 +1,5 @@
+import { promisify } from 'node:util'
+import { gunzip } from 'node:zlib'
 import { withinMs } from '@lovagehoist/common'
 import type { Clock, PlatformError } from '@lovagehoist/common'
 import { err, ok } from 'neverthrow'
@@ -51,7 +53,10 @@
   return { kind, message: `the platform answered ${status}` }
 }
 
+const unpack = promisify(gunzip)
+
 const headersOf = (call: PlatformCall): Readonly<Record<string, string>> => ({
+  'accept-encoding': 'gzip',
   ...(call.contentType === undefined ? {} : { 'content-type': call.contentType }),
   ...(call.heldTag === undefined ? {} : { 'if-none-match': call.heldTag })
 })
@@ -64,8 +69,10 @@
     dispatcher: options.dispatcher,
     signal
   })
-  const tag = reply.headers.etag
-  return { status: reply.statusCode, body: Buffer.from(await reply.body.arrayBuffer()), tag: typeof tag === 'string' ? tag : undefined }
+  const { etag: tag, 'content-encoding': coding } = reply.headers
+  const received = Buffer.from(await reply.body.arrayBuffer())
+  const body = coding === 'gzip' ? await unpack(received) : received
+  return { status: reply.statusCode, body, tag: typeof tag === 'string' ? tag : undefined }
 }
 
 /**
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { gzipSync } from 'node:zlib'
 import polka from 'polka'
 import type { Clock, DirectoryEntry, Random, TableTransaction } from '@lovagehoist/common'
 import { TableState } from '@lovagehoist/common/fakes'
@@ -150,6 +151,7 @@
     const tag = `"${this.listNumber}"`
     response.setHeader('etag', tag)
     if (request.headers['if-none-match'] === tag) response.writeHead(304).end()
+    else if (request.headers['accept-encoding'] === 'gzip') response.writeHead(200, { 'content-encoding': 'gzip' }).end(gzipSync(JSON.stringify({ entries: this.listed })))
     else sendJson(response, 200, { entries: this.listed })
   }
 
