--- a/packages/operators/src/follow/configFollower.spec.ts
+++ b/packages/operators/src/follow/configFollower.spec.ts
@@ -267,4 +267,15 @@
     expect(servedBy(oracle)).to.deep.equal([2, 2, 2, 2, 2])
     fleet.stop()
   })
+
+  it('stops an instance that knows of a newer version which all others hold, and can not fetch it', async () => {
+    const oracle = createOracle()
+    await promoted(oracle)
+    const { fleet } = oracle
+    for (const { identity } of fleet.instances) fleet.network.find(identity.instanceId)?.handle('config.document', async () => null)
+    Object.assign(fleet.instances[1]?.faults ?? {}, { isDown: true })
+    await promoted(oracle)
+    expect(servedBy(oracle)).to.deep.equal([2, undefined, 2, 2, 2])
+    fleet.stop()
+  })
 })
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -2,6 +2,7 @@
 import { drain } from './drain.js'
 import { gray } from './gray.js'
 import { overhead } from './overhead.js'
+import { promoteScenario } from './promote.js'
 import { rush } from './rush.js'
 
 /** Every measurement, by name. */
@@ -9,5 +10,6 @@
   [overhead.name]: overhead,
   [rush.name]: rush,
   [drain.name]: drain,
+  [promoteScenario.name]: promoteScenario,
   [gray.name]: gray
 }
