--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -3,6 +3,7 @@
 import { drain } from './drain.js'
 import { gray } from './gray.js'
 import { overhead } from './overhead.js'
+import { promoteScenario } from './promote.js'
 import { rush } from './rush.js'
 
 /** Every measurement, by name. */
@@ -11,5 +12,6 @@
   [rush.name]: rush,
   [drain.name]: drain,
   [gray.name]: gray,
+  [promoteScenario.name]: promoteScenario,
   [control.name]: control
 }
