--- a/packages/callers/src/exchange/serveRequest.ts
+++ b/packages/callers/src/exchange/serveRequest.ts
@@ -2,7 +2,7 @@
 import { acceptRequest } from '../accept/acceptRequest.js'
 import type { AcceptOptions } from '../accept/acceptRequest.js'
 import type { Passage } from '../accept/passage.js'
-import type { Admission } from '../admission/admission.js'
+import type { Admission, AdmissionRefusal, RefusalReason } from '../admission/admission.js'
 import { deliver } from '../answers/deliver.js'
 import { sendProblem } from '../answers/problem.js'
 import type { Problem } from '../answers/problem.js'
@@ -18,9 +18,19 @@
   readonly keys: KeyGuard
 }
 
-const OVERLOAD: Problem = { kind: 'overload', verdict: 'not-run', detail: 'too many requests wait', retryAfterMs: 1_000 }
 const NO_SERVICE = 'none'
 
+const REFUSAL: Readonly<Record<RefusalReason, Pick<Problem, 'kind' | 'detail'>>> = {
+  'account-limit': { kind: 'overload', detail: 'the account has too many requests in progress' },
+  'queue-full': { kind: 'overload', detail: 'too many requests wait' },
+  'too-late': { kind: 'overload', detail: 'the request could not be finished before its deadline' },
+  displaced: { kind: 'overload', detail: 'requests that go first filled the queue' },
+  expired: { kind: 'deadline', detail: 'the deadline had passed' },
+  'caller-gone': { kind: 'deadline', detail: 'the caller is gone' }
+}
+
+const refusal = ({ reason, retryAfterMs }: AdmissionRefusal): Problem => ({ ...REFUSAL[reason], verdict: 'not-run', retryAfterMs })
+
 /**
  * Serves one request: accept, identify route and account, admit, pick, send, judge the outcome, retry or answer.
  *
@@ -35,13 +45,10 @@
     return
   }
   const passage = accepted.value
-  const { route, account, service } = passage
-  const admitted = options.admission.admit({ route, account, maxQueued: service.maxQueued }, async () => { await run(options, passage) })
-  if (admitted === undefined) {
-    refuse(options, route.service, response, OVERLOAD)
-    return
-  }
-  await admitted
+  const { route, account, service, deadlineAtMs, gone } = passage
+  const need = { route, account, maxQueued: service.maxQueued, deadlineAtMs, gone }
+  const admitted = await options.admission.admit(need, async () => { await run(options, passage) })
+  if (admitted.isErr()) refuse(options, route.service, response, refusal(admitted.error))
 }
 
 const run = async (options: ServeOptions, passage: Passage): Promise<void> => {
--- a/packages/callers/src/testing/requestBench.ts
+++ b/packages/callers/src/testing/requestBench.ts
@@ -7,6 +7,7 @@
 } from '@lovagehoist/common'
 import { FakePlatform, fakeTarget } from '@lovagehoist/common/testing'
 import { Admission } from '../admission/admission.js'
+import { AdmissionMetrics } from '../admission/admissionMetrics.js'
 import { CallerServer } from '../entry/callerServer.js'
 import { RetryBudget } from '../exchange/retryBudget.js'
 import { serveRequest } from '../exchange/serveRequest.js'
@@ -80,7 +81,7 @@
   /** Held slots. */
   slots = 0
 
-  private constructor (private readonly server: CallerServer, readonly keys: KeyGuard, readonly faults: ReturnType<FakePlatform['connect']>['faults']) {}
+  private constructor (private readonly server: CallerServer, private readonly admission: Admission, readonly keys: KeyGuard, readonly faults: ReturnType<FakePlatform['connect']>['faults']) {}
 
   /** Starts a bench. */
   static async create (options: BenchOptions = {}): Promise<RequestBench> {
@@ -95,13 +96,15 @@
     const keys = KeyGuard.create({ claims: KeyClaims.create({ writer, clock, random }), objects: platform.objects, clock, metrics, invariants })
     const config: AcceptedConfig = { version: 1, digest: 'd', document: benchDocument }
     const routes = RouteTable.create(benchDocument)
+    const admission = Admission.create({ clock, random, capacity: () => 100, metrics: AdmissionMetrics.create(registry) })
     const server = await CallerServer.create({
       address: { host: '127.0.0.1', port: 0 },
       limits: { maxHeadBytes: 4_096, headTimeoutMs: 10_000, requestTimeoutMs: 10_000, maxConnections: 100 },
+      clock,
       log,
       handler: async (request, response) => { await serveRequest({ ...bench.parts(), clock, random, invariants, metrics, keys, config: { current: () => config, onChange: () => () => {} }, routes: () => routes }, request, response) }
     })
-    const bench: RequestBench = new RequestBench(server, keys, faults)
+    const bench: RequestBench = new RequestBench(server, admission, keys, faults)
     return bench
   }
 
@@ -115,10 +118,9 @@
   }
 
   async close (): Promise<void> {
-    await this.server.close()
+    this.server.close()
   }
 
-  private readonly admission = Admission.create(() => 100)
   private readonly budget = RetryBudget.create()
 
   private readonly sender: TargetSender = {
--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -1,4 +1,4 @@
-import { randomInt } from 'node:crypto'
+import { randomBytes, randomInt } from 'node:crypto'
 import { readFile } from 'node:fs/promises'
 import { Command, CommanderError } from 'commander'
 import { SeededRandom, SystemClock, formatLocatedError, loadSettings } from '@lovagehoist/common'
@@ -11,6 +11,8 @@
 const EXIT_OK = 0
 const EXIT_BAD_INPUT = 2
 const EXIT_ADDRESS = 3
+/** Ids name claims and transactions: those of different daemons must differ. */
+const ID_BYTES = 16
 const SEED_LIMIT = 0x7fffffff
 
 const HELP = `
@@ -28,7 +30,7 @@
 
 const createWorld = (): DaemonWorld => {
   const clock = SystemClock.create()
-  const random = SeededRandom.create(randomInt(SEED_LIMIT))
+  const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
   return {
     clock,
     random,
@@ -88,8 +90,8 @@
   const daemon = await startDaemon(settings)
   if (daemon === undefined) return EXIT_ADDRESS
   const leave = (): void => { daemon.drain().catch(error => { process.stderr.write(`${String(error)}\n`) }) }
-  process.once('SIGTERM', leave)
-  process.once('SIGINT', leave)
+  process.on('SIGTERM', leave)
+  process.on('SIGINT', leave)
   await daemon.done
   return EXIT_OK
 }
--- a/packages/daemon/src/compose/daemon.ts
+++ b/packages/daemon/src/compose/daemon.ts
@@ -49,7 +49,8 @@
     try {
       await daemon.listen()
     } catch (error) {
-      await daemon.leave()
+      daemon.servers.callers?.close()
+      await daemon.stop()
       throw error
     }
     return daemon
@@ -70,14 +71,13 @@
     if (this.isDraining) return
     this.isDraining = true
     this.parts.log.info('draining')
-    await this.world.clock.sleepMs(this.settings.drain.balancerLagMs)
-    await this.leave()
-    this.parts.log.info('daemon left')
+    const report = await this.servers.callers?.drain(this.settings.drain)
+    await this.stop()
+    this.parts.log.info('daemon left', { cutExchanges: report?.cutExchanges ?? 0 })
     this.resolveDone()
   }
 
-  private async leave (): Promise<void> {
-    await this.servers.callers?.close()
+  private async stop (): Promise<void> {
     await this.parts.stop()
     await this.servers.admin?.close()
   }
@@ -86,7 +86,7 @@
     const { settings, parts } = this
     const { log, handler } = parts
     const callers = await listenOn('callers', settings.callers, async () =>
-      await CallerServer.create({ address: settings.callers, limits: settings.limits, log: log.child('callers'), handler }))
+      await CallerServer.create({ address: settings.callers, limits: settings.limits, clock: this.world.clock, log: log.child('callers'), handler }))
     this.servers = { callers }
     const admin = await listenOn('admin', settings.admin, async () => await this.openAdmin())
     this.servers = { callers, admin }
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,6 +1,8 @@
 import type { Scenario } from '../scenario.js'
 import { control } from './control.js'
 import { drain } from './drain.js'
+import { gray } from './gray.js'
+import { outage } from './outage.js'
 import { overhead } from './overhead.js'
 import { rush } from './rush.js'
 
@@ -9,5 +11,7 @@
   [overhead.name]: overhead,
   [rush.name]: rush,
   [drain.name]: drain,
-  [control.name]: control
+  [control.name]: control,
+  [gray.name]: gray,
+  [outage.name]: outage
 }
