--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,7 +1,10 @@
 import type { Scenario } from '../scenario.js'
+import { control } from './control.js'
 import { drain } from './drain.js'
 import { gray } from './gray.js'
+import { outage } from './outage.js'
 import { overhead } from './overhead.js'
+import { promoteScenario } from './promote.js'
 import { rush } from './rush.js'
 
 /** Every measurement, by name. */
@@ -9,5 +12,8 @@
   [overhead.name]: overhead,
   [rush.name]: rush,
   [drain.name]: drain,
-  [gray.name]: gray
+  [gray.name]: gray,
+  [outage.name]: outage,
+  [promoteScenario.name]: promoteScenario,
+  [control.name]: control
 }
