Give buses and baseline pickers one piece of code each for what they shared

Cause: the solo bus and the fake bus held the same entries and listeners, and the two baseline pickers the same counts. Change: HeldEntries and InFlight serve both.

--- a/packages/common/src/fakes/fakePeerNetwork.ts
+++ b/packages/common/src/fakes/fakePeerNetwork.ts
@@ -1,17 +1,12 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Clock } from '../time/clock.js'
+import { HeldEntries } from '../entries/heldEntries.js'
 import type { JsonValue } from '../text/jsonValue.js'
 import { EMPTY_STATUS, LocalStatus } from '../contracts/localStatus.js'
 import type { InstanceStatus } from '../contracts/localStatus.js'
 import type { InstanceIdentity, Member, PeerBus, PeerError, PeerMethod, SharedEntry, SpreadClass } from '../contracts/peers.js'
 
-interface Held {
-  readonly entry: SharedEntry
-  readonly publishedAtMs: number
-  readonly lifetimeMs: number
-}
-
 /** Digits of a digest that heartbeats carry. */
 const DIGEST_DIGITS = 16
 
@@ -76,13 +71,14 @@
 
 /** Bus of one daemon in a fake network; a cut link loses what is published meanwhile. */
 export class FakePeerBus implements PeerBus {
-  private readonly held = new Map<string, Held>()
-  private readonly listeners = new Map<SpreadClass, Set<(entry: SharedEntry) => void>>()
+  private readonly held: HeldEntries
   private readonly methods = new Map<string, PeerMethod>()
   private readonly heard = new Map<string, InstanceStatus>()
   private nextSequence = 1
 
-  constructor (readonly self: InstanceIdentity, private readonly network: FakePeerNetwork, readonly status: LocalStatus) {}
+  constructor (readonly self: InstanceIdentity, private readonly network: FakePeerNetwork, readonly status: LocalStatus) {
+    this.held = HeldEntries.create(network.clock)
+  }
 
   readonly members = (): readonly Member[] => this.network.all()
     .filter(bus => bus.self.instanceId !== this.self.instanceId)
@@ -102,18 +98,9 @@
     }
   }
 
-  readonly entries = (topic: SpreadClass): readonly SharedEntry[] => {
-    const nowMs = this.network.clock.monotonicMs()
-    return [...this.held.values()]
-      .filter(held => held.entry.topic === topic && nowMs - held.publishedAtMs < held.lifetimeMs)
-      .map(held => ({ ...held.entry, ageMs: nowMs - held.publishedAtMs }))
-  }
+  readonly entries = (topic: SpreadClass): readonly SharedEntry[] => this.held.entries(topic)
 
-  readonly onEntry = (topic: SpreadClass, listener: (entry: SharedEntry) => void): (() => void) => {
-    const listeners = this.listeners.get(topic) ?? new Set()
-    this.listeners.set(topic, listeners.add(listener))
-    return () => { listeners.delete(listener) }
-  }
+  readonly onEntry = (topic: SpreadClass, listener: (entry: SharedEntry) => void): (() => void) => this.held.onEntry(topic, listener)
 
   readonly call = async (instanceId: string, method: string, params: JsonValue): Promise<Result<JsonValue, PeerError>> => {
     const handler = this.network.find(instanceId)?.methods.get(method)
@@ -126,9 +113,7 @@
 
   /** Takes a value in. */
   receive (entry: SharedEntry, lifetimeMs: number): void {
-    const key = `${entry.topic}/${entry.origin.instanceId}/${entry.key}`
-    this.held.set(key, { entry, publishedAtMs: this.network.clock.monotonicMs(), lifetimeMs })
-    for (const listener of this.listeners.get(entry.topic) ?? []) listener(entry)
+    this.held.put(entry, lifetimeMs)
   }
 
   /** The latest status that got here; what an instance says while its link to this one is cut stays unknown. */
--- a/packages/targets/src/pick/leastLoadedPicker.ts
+++ b/packages/targets/src/pick/leastLoadedPicker.ts
@@ -1,6 +1,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { HealthView, PickFailure, PickNeed, Target, TargetDirectory, TargetPicker, TargetReservation } from '@lovagehoist/common'
+import { InFlight } from './inFlight.js'
 
 /** What the picker needs. */
 export interface LeastLoadedOptions {
@@ -10,7 +11,7 @@
 
 /** Baseline of measurements: the target with the fewest requests in flight from this daemon. */
 export class LeastLoadedPicker implements TargetPicker {
-  private readonly inFlight = new Map<string, number>()
+  private readonly inFlight = InFlight.create()
 
   private constructor (private readonly options: LeastLoadedOptions) {}
 
@@ -28,27 +29,12 @@
     const usable = this.options.directory.targets(need.service).filter(target => this.isUsable(target, need))
     const [first, ...others] = usable
     if (first === undefined) return err('no-target')
-    const best = others.reduce((least, target) => this.load(target) < this.load(least) ? target : least, first)
-    return ok(this.reserve(best))
+    const best = others.reduce((least, target) => this.inFlight.load(target) < this.inFlight.load(least) ? target : least, first)
+    return ok(this.inFlight.reserve(best))
   }
 
   private isUsable (target: Target, need: PickNeed): boolean {
     const rating = this.options.health.rate(target)
     return rating.weight > 0 && (need.isIdempotent || !rating.idempotentOnly) && !need.triedTargetIds.has(target.id)
   }
-
-  private load (target: Target): number {
-    return (this.inFlight.get(target.id) ?? 0) / Math.max(1, target.slots)
-  }
-
-  private reserve (target: Target): TargetReservation {
-    this.inFlight.set(target.id, (this.inFlight.get(target.id) ?? 0) + 1)
-    let isHeld = true
-    const release = (): void => {
-      if (!isHeld) return
-      isHeld = false
-      this.inFlight.set(target.id, (this.inFlight.get(target.id) ?? 1) - 1)
-    }
-    return { target, release }
-  }
 }
