--- a/packages/daemon/src/compose/targetSide.ts
+++ b/packages/daemon/src/compose/targetSide.ts
@@ -35,7 +35,7 @@
  */
 export const createTargetSide = (base: Base, config: ConfigSource, bus: PeerBus): TargetSide => {
   const { clock, log, platform } = base
-  const directory = PolledTargetDirectory.create({ instances: platform.directory, clock, log: log.child('targets'), pollMs: DIRECTORY_POLL_MS })
+  const directory = PolledTargetDirectory.create({ instances: platform.directory, clock, log: log.child('targets'), bus, pollMs: DIRECTORY_POLL_MS })
   const connectTimeoutMs = (service: string): number => config.current()?.document.services[service]?.connectTimeoutMs ?? CONNECT_TIMEOUT_MS
   const sender = ConnectionSender.create({ clock, connectTimeoutMs, registry: base.registry, invariants: base.invariants })
   const healthSide = createHealthSide({ base, config, bus, directory, sender })
--- a/packages/targets/src/directory/targetDirectory.ts
+++ b/packages/targets/src/directory/targetDirectory.ts
@@ -1,14 +1,19 @@
-import type { Clock, DirectoryEntry, InstanceDirectory, Log, Target, TargetDirectory } from '@lovagehoist/common'
+import type { Clock, DirectoryEntry, InstanceDirectory, Log, PeerBus, SharedEntry, Target, TargetDirectory } from '@lovagehoist/common'
 
 /** What the directory needs. */
 export interface TargetDirectoryOptions {
   readonly instances: InstanceDirectory
   readonly clock: Clock
   readonly log: Log
+  /** Spreads signs of leaving between daemons; absent for a daemon by itself. */
+  readonly bus?: PeerBus
   /** Time between two reads of the platform's list. */
   readonly pollMs: number
 }
 
+/** Time for which daemons remember that a target is leaving. */
+const LEAVING_LIFETIME_MS = 600_000
+
 const toTarget = (entry: DirectoryEntry): Target => ({
   id: entry.id,
   service: entry.service,
@@ -25,10 +30,13 @@
 export class PolledTargetDirectory implements TargetDirectory {
   private readonly byId = new Map<string, Target>()
   private readonly byService = new Map<string, readonly Target[]>()
-  private readonly leaving = new Set<string>()
+  /** Start of each target that is leaving, by id. */
+  private readonly leaving = new Map<string, number>()
   private readonly listeners = new Set<(service: string) => void>()
 
-  private constructor (private readonly options: TargetDirectoryOptions) {}
+  private constructor (private readonly options: TargetDirectoryOptions) {
+    options.bus?.onEntry('leaving', entry => { this.takeWord(entry) })
+  }
 
   /**
    * Creates an empty directory.
@@ -63,10 +71,12 @@
 
   readonly find = (targetId: string): Target | undefined => this.byId.get(targetId)
 
-  readonly markLeaving = (targetId: string): void => {
+  readonly markLeaving = (targetId: string, sign: 'target-answer' | 'peer'): void => {
     const target = this.byId.get(targetId)
-    if (target === undefined || this.leaving.has(targetId)) return
-    this.leaving.add(targetId)
+    if (target === undefined || this.leaving.get(targetId) === target.startedAtMs) return
+    this.leaving.set(targetId, target.startedAtMs)
+    if (sign === 'target-answer') this.options.bus?.publish('leaving', targetId, { startedAtMs: target.startedAtMs }, LEAVING_LIFETIME_MS)
+    this.options.log.info('target is leaving', { targetId, sign })
     this.byId.set(targetId, { ...target, isLeaving: true })
     this.rebuild()
   }
@@ -76,14 +86,25 @@
     return () => { this.listeners.delete(listener) }
   }
 
+  /** Believes a peer only about the same start of the target. */
+  private takeWord ({ key, value }: SharedEntry): void {
+    const { startedAtMs } = (value ?? {}) as { readonly startedAtMs?: unknown }
+    if (startedAtMs === this.byId.get(key)?.startedAtMs) this.markLeaving(key, 'peer')
+  }
+
+  private isLeaving (target: Target): boolean {
+    return target.isLeaving || this.leaving.get(target.id) === target.startedAtMs
+  }
+
   private apply (entries: readonly DirectoryEntry[]): void {
     const before = JSON.stringify([...this.byId.values()])
     this.byId.clear()
     for (const entry of entries) {
       const target = toTarget(entry)
-      this.byId.set(target.id, this.leaving.has(target.id) ? { ...target, isLeaving: true } : target)
+      this.byId.set(target.id, { ...target, isLeaving: this.isLeaving(target) })
     }
-    for (const id of this.leaving) if (!this.byId.has(id)) this.leaving.delete(id)
+    for (const [id, startedAtMs] of this.leaving) if (this.byId.get(id)?.startedAtMs !== startedAtMs) this.leaving.delete(id)
+    for (const entry of this.options.bus?.entries('leaving') ?? []) this.takeWord(entry)
     if (JSON.stringify([...this.byId.values()]) !== before) this.rebuild()
   }
 
