--- /dev/null
+++ b/packages/targets/src/health/evidence/avoidance.spec.ts
@@ -0,0 +1,24 @@
+import { expect } from 'chai'
+import { fakeTarget } from '@lovagehoist/common/testing'
+import { capacityOf } from '../ejections/capacity.js'
+import { AVOIDED_WEIGHT, KEPT_WEIGHT, avoid } from './avoidance.js'
+
+const ids = ['t0', 't1', 't2', 't3', 't4', 't5']
+const counts = (badIds: readonly string[]) => ids.map(targetId => {
+  const long = { tries: 40, failures: badIds.includes(targetId) ? 30 : 0, slow: 0 }
+  return { targetId, fence: 0, long, short: long }
+})
+const capacity = (floorSlots: number) => capacityOf(ids.map(id => fakeTarget(id)), { floorSlots, coldStartMs: 0, wallMs: 0 })
+const weights = (floorSlots: number, badIds: readonly string[]): readonly number[] =>
+  [...avoid({ counts: counts(badIds), capacity: capacity(floorSlots), outSlots: 0, keptIn: new Set(), out: new Set() }).values()].map(({ weight }) => weight)
+
+describe('avoid', () => {
+  it('shifts work away from bad targets, and less where the floor binds', () => {
+    expect(weights(24, ['t0', 't1'])).to.deep.equal([AVOIDED_WEIGHT, AVOIDED_WEIGHT])
+    expect(weights(30, ['t0', 't1'])).to.deep.equal([AVOIDED_WEIGHT, KEPT_WEIGHT])
+  })
+
+  it('avoids nothing when most of the pool is bad', () => {
+    expect(weights(0, ['t0', 't1', 't2', 't3'])).to.deep.equal([])
+  })
+})
