Pass an earlier answer on when the last try has none

Cause: an idempotent request whose first try got a 5xx answer and whose retry broke was answered by a problem with verdict 'ran'. Change: the latest answer of a target is kept over later failures. Conclusion: the caller gets a target's answer when there is one.

--- a/packages/callers/src/exchange/forward.ts
+++ b/packages/callers/src/exchange/forward.ts
@@ -21,6 +21,7 @@
 /** Tries of one request so far. */
 interface Tries {
   readonly verdict: RunVerdict
+  /** Latest try; one with a target's answer is preferred. */
   readonly last: Attempt | undefined
   readonly triedTargetIds: ReadonlySet<string>
   readonly avoidedZones: ReadonlySet<string>
@@ -34,7 +35,7 @@
 
 const addTry = (tries: Tries, attempt: Attempt): Tries => ({
   verdict: joinVerdicts(tries.verdict, attempt.verdict),
-  last: attempt,
+  last: attempt.reply.type === 'problem' && tries.last?.reply.type === 'answer' ? tries.last : attempt,
   triedTargetIds: new Set([...tries.triedTargetIds, attempt.target.id]),
   avoidedZones: OUTCOME_POLICY[attempt.outcome].isZoneSuspect ? new Set([...tries.avoidedZones, attempt.target.availabilityZone]) : tries.avoidedZones
 })
--- a/packages/callers/src/exchange/serveRequest.spec.ts
+++ b/packages/callers/src/exchange/serveRequest.spec.ts
@@ -121,6 +121,12 @@
     expectSnapshot(this, seen)
   })
 
+  it('passes the answer of an earlier try on when the last try has none', async () => {
+    bench.script = inTurn(() => answerOf(['oops'], { status: 500 }), () => failureOf('reset', 'may-have-run'), () => failureOf('timeout', 'may-have-run'))
+    const { status, verdict, text } = await call('GET', '/read/x')
+    expect([status, verdict, text, bench.tries.length]).to.deep.equal([500, 'ran', 'oops', 3])
+  })
+
   it('bounds retries by tries, budget and a shedding pool', async () => {
     bench.script = () => failureOf('reset', 'may-have-run')
     const counts: number[] = []
