Rank daemons for services only when the live daemons change

Cause: upkeep of ejections ranked all daemons for each service every 100 ms: at 470 daemons and 320 services 1.5 million hashes a second. Change: ServiceRanks keeps the order until the live daemons change.

--- a/packages/targets/src/health/ejections/ejections.ts
+++ b/packages/targets/src/health/ejections/ejections.ts
@@ -1,4 +1,3 @@
-import { rankByRendezvous } from '@lovagehoist/common'
 import type { Clock, Invariants, PeerBus, Random, SharedEntry, TableService } from '@lovagehoist/common'
 import { budgetOf, slotsOf } from './capacity.js'
 import type { Capacity } from './capacity.js'
@@ -7,6 +6,7 @@
 import type { EditOutcome } from './ejectionStore.js'
 import { ownUses, viewOf } from './ejectionView.js'
 import type { EjectionInputs, EjectionView } from './ejectionView.js'
+import { ServiceRanks } from './serviceRanks.js'
 import { PeerUses } from './peerUses.js'
 import { eject, giveBack, grant, moveTo } from './rowEdits.js'
 import type { EjectionOrder, RowEdit } from './rowEdits.js'
@@ -43,11 +43,13 @@
 export class Ejections {
   private readonly store: EjectionStore
   private readonly peerUses: PeerUses
+  private readonly ranks: ServiceRanks
   private readonly readAtMs = new Map<string, number>()
   private readonly stale = new Set<string>()
   private listedAtMs = -Infinity
 
   private constructor (private readonly options: EjectionsOptions) {
+    this.ranks = ServiceRanks.create(options.bus)
     this.store = EjectionStore.create({ ...options, self: options.bus.self })
     this.peerUses = PeerUses.create(options.clock, options.bus, () => options.services().flatMap(service => ownUses(service, this.inputs(service))))
     options.bus.onEntry('ejection', entry => { this.takeHint(entry) })
@@ -89,7 +91,7 @@
 
   /** Daemons that judge a service, as the member list here has it. */
   judges (service: string): readonly string[] {
-    return this.ranking(service).slice(0, JUDGES)
+    return this.ranks.of(service).slice(0, JUDGES)
   }
 
   /**
@@ -207,13 +209,7 @@
     return outSlots <= budgetOf(capacity) || outSlots === 0
   }
 
-  private ranking (service: string): readonly string[] {
-    const { bus } = this.options
-    const live = bus.members().filter(member => member.status !== 'gone' && member.status !== 'leaving').map(member => member.instanceId)
-    return rankByRendezvous(service, [bus.self.instanceId, ...live])
-  }
-
   private rankOf (service: string): number {
-    return this.ranking(service).indexOf(this.options.bus.self.instanceId)
+    return this.ranks.of(service).indexOf(this.options.bus.self.instanceId)
   }
 }
