Do less for an unchanged list of targets and for each timeout

Change: an unchanged list is not compared; the own rank is kept with the order; waits end with a constant reason.

--- a/packages/common/src/time/deadline.ts
+++ b/packages/common/src/time/deadline.ts
@@ -1,5 +1,8 @@
 import type { Clock } from './clock.js'
 
+/** Reason of an abort after the end; a constant costs no stack trace. */
+const ENDED = 'ended'
+
 /** Outcome of waiting for a promise with a limit. */
 export type Timed<T> = { readonly type: 'done', readonly value: T } | { readonly type: 'timeout' }
 
@@ -17,6 +20,6 @@
   try {
     return await Promise.race([work.then((value): Timed<T> => ({ type: 'done', value })), timeout])
   } finally {
-    stop.abort()
+    stop.abort(ENDED)
   }
 }
--- a/packages/peers/src/bus/partnerTask.ts
+++ b/packages/peers/src/bus/partnerTask.ts
@@ -127,6 +127,6 @@
     signal.addEventListener('abort', abort, { once: true })
     await Promise.race([this.options.clock.sleepMs(waitMs, stop.signal), this.outbox.added(stop.signal)])
     signal.removeEventListener('abort', abort)
-    stop.abort()
+    stop.abort('ended')
   }
 }
--- a/packages/peers/src/transport/httpTransport.ts
+++ b/packages/peers/src/transport/httpTransport.ts
@@ -89,7 +89,7 @@
     } catch (error) {
       return err(String(error))
     } finally {
-      stop.abort()
+      stop.abort('ended')
     }
   }
 
--- a/packages/platform/src/call/callPlatform.ts
+++ b/packages/platform/src/call/callPlatform.ts
@@ -92,6 +92,6 @@
   } catch (cause) {
     return err(failureOf(call, cause))
   } finally {
-    stop.abort()
+    stop.abort('ended')
   }
 }
--- a/packages/targets/src/directory/targetDirectory.ts
+++ b/packages/targets/src/directory/targetDirectory.ts
@@ -24,6 +24,8 @@
 /** Targets from the platform's lagging list, corrected by signs of leaving. */
 export class PolledTargetDirectory implements TargetDirectory {
   private readonly byId = new Map<string, Target>()
+  /** List as it was applied last; an unchanged one is the same object. */
+  private applied: readonly DirectoryEntry[] | undefined
   private readonly byService = new Map<string, readonly Target[]>()
   private readonly leaving = new Set<string>()
   private readonly listeners = new Set<(service: string) => void>()
@@ -55,7 +57,8 @@
   /** Reads the platform's list once; keeps the known targets when it can't be read. */
   async refresh (): Promise<void> {
     const listed = await this.options.instances.list()
-    if (listed.isErr()) return
+    if (listed.isErr() || listed.value === this.applied) return
+    this.applied = listed.value
     this.apply(listed.value.filter(entry => entry.role === 'target'))
   }
 
--- a/packages/targets/src/health/ejections/ejections.ts
+++ b/packages/targets/src/health/ejections/ejections.ts
@@ -210,6 +210,6 @@
   }
 
   private rankOf (service: string): number {
-    return this.ranks.of(service).indexOf(this.options.bus.self.instanceId)
+    return this.ranks.ownOf(service)
   }
 }
