--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,4 +1,5 @@
 import type { Scenario } from '../scenario.js'
+import { control } from './control.js'
 import { drain } from './drain.js'
 import { gray } from './gray.js'
 import { overhead } from './overhead.js'
@@ -11,5 +12,6 @@
   [rush.name]: rush,
   [drain.name]: drain,
   [promoteScenario.name]: promoteScenario,
-  [gray.name]: gray
+  [gray.name]: gray,
+  [control.name]: control
 }
