--- a/packages/daemon/src/compose/configSide.ts
+++ b/packages/daemon/src/compose/configSide.ts
@@ -1,5 +1,5 @@
 import type { ConfigSource, JsonValue, PeerBus, StateSource } from '@lovagehoist/common'
-import { ConfigFollower, viewFleet } from '@lovagehoist/operators'
+import { ConfigFollower, FleetViewer } from '@lovagehoist/operators'
 import type { FleetView } from '@lovagehoist/operators'
 import { SoloPeerBus } from '@lovagehoist/peers'
 import type { Base, Task } from './base.js'
@@ -42,12 +42,13 @@
     pollMs: CONFIG_POLL_MS,
     isAlone: bus instanceof SoloPeerBus
   })
+  const viewer = FleetViewer.create({ environment: settings.environment, config, bus, clock, random })
   return {
     config,
     serving: config.serving,
     tasks: [async signal => { await config.run(signal) }],
     sources: [{ name: 'config', dump: (): JsonValue => config.dump() }],
     isReady: config.isServing,
-    viewFleet: () => viewFleet({ environment: settings.environment, config, bus })
+    viewFleet: viewer.view
   }
 }
--- a/packages/daemon/src/compose/parts.ts
+++ b/packages/daemon/src/compose/parts.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { readFile } from 'node:fs/promises'
 import type { RequestHandler } from '@lovagehoist/callers'
 import type { JsonValue, Log, PeerBus, Settings, StateSource } from '@lovagehoist/common'
@@ -42,6 +43,7 @@
   const breaches = { name: 'breaches', dump: () => JSON.parse(JSON.stringify(base.invariants.breaches())) as JsonValue }
   const { tokenFile } = settings.admin
   const stopping = new AbortController()
+  setMaxListeners(0, stopping.signal)
   let running: ReadonlyArray<Promise<void>> = []
   return {
     log: base.log,
--- a/packages/operators/src/inForce/fleetView.ts
+++ b/packages/operators/src/inForce/fleetView.ts
@@ -1,4 +1,4 @@
-import type { Member, PeerBus } from '@lovagehoist/common'
+import type { InstanceIdentity, Member } from '@lovagehoist/common'
 import { z } from 'zod'
 import type { ConfigFollower } from '../follow/configFollower.js'
 
@@ -36,7 +36,8 @@
 export interface FleetViewOptions {
   readonly environment: string
   readonly config: ConfigFollower
-  readonly bus: PeerBus
+  readonly self: InstanceIdentity
+  readonly members: readonly Member[]
 }
 
 const viewMember = (member: Member): InstanceView => ({
@@ -53,15 +54,15 @@
 /**
  * Shows which configuration each known instance holds, as this daemon knows it.
  *
- * @param options - Environment, configuration held here and communication between daemons.
+ * @param options - Environment, configuration held here, this instance and the others.
  * @returns The view, in order of instance id.
  */
-export const viewFleet = ({ environment, config, bus }: FleetViewOptions): FleetView => {
+export const viewFleet = ({ environment, config, self: identity, members }: FleetViewOptions): FleetView => {
   const held = config.current()
-  const { instanceId, region, availabilityZone } = bus.self
+  const { instanceId, region, availabilityZone } = identity
   const self: InstanceView = {
     instanceId, region, availabilityZone, status: 'self', version: held?.version ?? 0, digest: held?.digest ?? '', isReady: config.isServing(), ageMs: 0
   }
-  const instances = [self, ...bus.members().map(viewMember)].sort((a, b) => a.instanceId < b.instanceId ? -1 : 1)
+  const instances = [self, ...members.map(viewMember)].sort((a, b) => a.instanceId < b.instanceId ? -1 : 1)
   return { environment, instanceId, isAlone: config.isAlone, knownVersion: config.knownVersion, instances }
 }
--- a/packages/operators/src/testing/followerFleet.ts
+++ b/packages/operators/src/testing/followerFleet.ts
@@ -3,7 +3,7 @@
 import { FakePeerNetwork, FakePlatform, ManualClock } from '@lovagehoist/common/fakes'
 import type { FakePlatformFaults } from '@lovagehoist/common/fakes'
 import { ConfigFollower } from '../follow/configFollower.js'
-import { viewFleet } from '../inForce/fleetView.js'
+import { FleetViewer } from '../inForce/fleetViewer.js'
 import type { FleetView } from '../inForce/fleetView.js'
 import { Pause, pausableBus, pausableClock, pausablePlatform } from './pausableWorld.js'
 
@@ -127,6 +127,6 @@
     })
     const stopping = new AbortController()
     follower.run(stopping.signal).catch(error => { throw error })
-    return { identity, follower, faults, pause, view: () => viewFleet({ environment: ENVIRONMENT, config: follower, bus }), stop: () => { stopping.abort() } }
+    return { identity, follower, faults, pause, view: FleetViewer.create({ environment: ENVIRONMENT, config: follower, bus, clock, random: SeededRandom.create(this.seed) }).view, stop: () => { stopping.abort() } }
   }
 }
--- a/packages/standins/src/measure/scenarios/promote.ts
+++ b/packages/standins/src/measure/scenarios/promote.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { digestOf } from '@lovagehoist/common'
 import { awaitInForce, fleetViewSchema, promote, storeDocument } from '@lovagehoist/operators'
 import type { EnvironmentRow, FleetView, Views } from '@lovagehoist/operators'
@@ -192,6 +193,7 @@
   const probe = new PromoteProbe(fleet, caller, bench.newestNumber)
   bench.probe.current = probe
   const stopping = new AbortController()
+  setMaxListeners(0, stopping.signal)
   const probing = probe.run(stopping.signal)
   try {
     const rounds = await runRounds(bench, args.progress)
