Grow shares slowly above the even one and try refused payments again

Change: growth above the even share starts at 0.002 slots an exchange and doubles each second without a shed answer; shares exceed an even division by 1.1 in place of 1.2; a payment that targets refused before running it is tried again outside the budget, at most three tries, each of which waits for a slot of the share.

--- a/packages/callers/src/exchange/forward.ts
+++ b/packages/callers/src/exchange/forward.ts
@@ -48,6 +48,10 @@
   return isZonesFault ? await options.picker.pick({ ...need, avoidedZones: new Set() }, gone) : picked
 }
 
+/** Payments that targets refused before running them are tried again: each try waits for a slot of this daemon's share. */
+const isRefusedPayment = ({ route }: Passage, { verdict, last }: Tries): boolean =>
+  route.priority === 'payment' && verdict === 'not-run' && last?.outcome === 'shed'
+
 const mayRetry = (options: ForwardOptions, passage: Passage, tries: Tries, attempt: Attempt): boolean => {
   const { route, gone, deadlineAtMs } = passage
   const policy = OUTCOME_POLICY[attempt.outcome]
@@ -55,6 +59,7 @@
   const isFlowing = attempt.reply.type === 'answer' && attempt.reply.answer.rest !== undefined
   if (policy.retry === 'never' || !isHarmless || isFlowing || gone.aborted) return false
   if (tries.triedTargetIds.size >= MOST_TRIES || options.clock.monotonicMs() >= deadlineAtMs) return false
+  if (isRefusedPayment(passage, tries)) return true
   if (options.health.isPoolShedding(route.service)) return false
   if (!policy.isBudgeted || options.budget.spend(route.service)) return true
   options.metrics.budgetRefusal(route.service)
--- a/packages/standins/src/measure/scenarios/rush.ts
+++ b/packages/standins/src/measure/scenarios/rush.ts
@@ -1,4 +1,5 @@
 import { SeededRandom } from '@lovagehoist/common'
+import type { JsonValue } from '@lovagehoist/common'
 import { Caller } from '../../load/caller.js'
 import { MixedLoad } from '../../load/mixedLoad.js'
 import type { MixedResult } from '../../load/mixedLoad.js'
@@ -34,7 +35,13 @@
   return sorted[Math.floor(sorted.length * share)] ?? null
 }
 
-const rushFigures = (results: readonly MixedResult[], window: RushWindow): Readonly<Record<string, number | null>> => {
+const countProblems = (results: readonly MixedResult[]): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {}
+  for (const { problem } of results) if (problem !== '') counts[problem] = (counts[problem] ?? 0) + 1
+  return counts
+}
+
+const rushFigures = (results: readonly MixedResult[], window: RushWindow): Readonly<Record<string, JsonValue>> => {
   const sent = results.filter(result => result.sentAtMs >= window.startMs)
   const endedInside = results.filter(result => result.endedAtMs >= window.startMs && result.endedAtMs < window.endMs)
   const payments = sent.filter(result => result.isPayment)
@@ -50,6 +57,7 @@
     goodP99Ms: percentileMs(good.map(result => result.latencyMs), 0.99),
     paymentP99Ms: percentileMs(payments.filter(isGood).map(result => result.latencyMs), 0.99),
     refusalP99Ms: percentileMs(refused.map(result => result.latencyMs), 0.99),
+    paymentProblems: countProblems(payments),
     noAnswer: results.filter(result => result.status === 0).length,
     calmFailed: results.filter(result => result.sentAtMs < window.startMs && !isGood(result)).length,
     calmP99Ms: percentileMs(results.filter(result => result.sentAtMs < window.startMs).map(result => result.latencyMs), 0.99)
--- a/packages/targets/src/pick/servicePool.ts
+++ b/packages/targets/src/pick/servicePool.ts
@@ -14,7 +14,7 @@
 /** Time for which the bounds of the share are used before they are worked out again. */
 const BOUNDS_FRESH_MS = 50
 /** Time for which a target that refused work is passed over. */
-const FULL_MS = 150
+const FULL_MS = 300
 
 /** Slots of one service that this daemon holds, and where. */
 export class ServicePool {
--- a/packages/targets/src/pick/share/slotShare.ts
+++ b/packages/targets/src/pick/share/slotShare.ts
@@ -21,7 +21,7 @@
 }
 
 /** Factor by which shares exceed an even division, so that no slot idles while an answer travels. */
-const OVERCOMMIT = 1.2
+const OVERCOMMIT = 1.1
 const LEAST_SHARE_OF_EVEN = 0.5
 const LEAST_SLOTS_UNKNOWN = 0.25
 /** Room for a burst above the even share while no target is full. */
@@ -56,10 +56,12 @@
 const DECREASE_FACTOR = 0.85
 /** Time within which several signs count as one. */
 const DECREASE_INTERVAL_MS = 100
-/** Growth of the share for each exchange that used all of it. */
-const GROWTH_SLOTS = 0.02
+/** Growth of the share for each exchange that used all of it, below the even share. */
+const RECOVERY_SLOTS = 0.05
+/** The same above the even share, right after a sign of full targets. */
+const GROWTH_SLOTS = 0.002
 /** Time without a sign of full targets after which growth doubles. */
-const GROWTH_DOUBLES_MS = 2_000
+const GROWTH_DOUBLES_MS = 1_000
 const FASTEST_GROWTH_SLOTS = 0.25
 /** Factor by which a share that is little used falls back with each exchange. */
 const UNUSED_FACTOR = 0.98
@@ -117,7 +119,9 @@
 
   private grow (slots: number): void {
     const quietMs = this.clock.monotonicMs() - this.decreasedAtMs
-    const growth = Math.min(FASTEST_GROWTH_SLOTS, GROWTH_SLOTS * 2 ** (quietMs / GROWTH_DOUBLES_MS))
+    const { fallback } = RANGES[this.policy](this.bounds())
+    const base = slots < fallback ? RECOVERY_SLOTS : GROWTH_SLOTS
+    const growth = Math.min(FASTEST_GROWTH_SLOTS, base * 2 ** (quietMs / GROWTH_DOUBLES_MS))
     this.learnedSlots = slots + growth / Math.max(1, slots)
   }
 
