--- a/packages/standins/src/measure/scenarios/rush.ts
+++ b/packages/standins/src/measure/scenarios/rush.ts
@@ -71,6 +71,7 @@
 
 const figuresOf = async (args: ScenarioArguments, fleet: Fleet, load: MixedLoad, window: RushWindow): Promise<Figures> => ({
   scenario: 'rush',
+  slots: args.slots ?? (args.variant === 'baseline' ? 'least-loaded' : 'shared'),
   variant: args.variant,
   seed: args.seed,
   instances: args.instances,
