--- a/packages/standins/src/measure/documents.ts
+++ b/packages/standins/src/measure/documents.ts
@@ -8,6 +8,7 @@
   readonly floorSlots: number
   readonly profile?: 'fast' | 'careful'
   readonly retryBudgetShare?: number
+  readonly headTimeoutMs?: number
 }
 
 /** What the two routes of each service have in common. */
--- a/packages/standins/src/measure/scenarios/gray.ts
+++ b/packages/standins/src/measure/scenarios/gray.ts
@@ -2,9 +2,9 @@
 import { Caller } from '../../load/caller.js'
 import { MixedLoad } from '../../load/mixedLoad.js'
 import type { TargetBehaviour } from '../../target/behaviour.js'
-import { CAPACITY_PER_SECOND, MEAN_WORK_MS, SERVICE, SLOTS_PER_TARGET, TARGETS, TIMEOUT_MS } from '../burnbookFleet.js'
-import { measuredDocument } from '../documents.js'
-import { Fleet } from '../fleet.js'
+import { CAPACITY_PER_SECOND, MEAN_WORK_MS, SERVICE, SLOTS_PER_TARGET, TARGETS } from '../burnbookFleet.js'
+import type { Fleet } from '../fleet.js'
+import { FLOOR_SLOTS, createHealthFleet } from '../healthFleet.js'
 import { HealthWatch } from '../healthWatch.js'
 import { countInvariantBreaches } from '../invariantBreaches.js'
 import { verify } from '../oracle.js'
@@ -14,7 +14,6 @@
 
 const LOAD_SHARE = 0.5
 const PAYMENT_SHARE = 0.2
-const FLOOR_SLOTS = 30
 const NOISE: Partial<TargetBehaviour> = { failShare: 0.01, spikeShare: 0.01, flapMs: 0 }
 const GRAY: Partial<TargetBehaviour> = { failShare: 0.3 }
 const FLAPPING: Partial<TargetBehaviour> = { failShare: 0.3, flapMs: 1_500 }
@@ -24,17 +23,6 @@
 const PARTS = { noise: 0.1, one: 0.33, two: 0.33, flap: 0.12, storm: 0.08 }
 const RATE_OF = CAPACITY_PER_SECOND * LOAD_SHARE
 
-const createFleet = async (args: ScenarioArguments): Promise<Fleet> => {
-  const fleet = await Fleet.create(args.seed)
-  for (let index = 0; index < TARGETS; index++) {
-    await fleet.addTarget(SERVICE, { slots: SLOTS_PER_TARGET, maxWaiting: SLOTS_PER_TARGET, workMs: MEAN_WORK_MS, ...NOISE })
-  }
-  const service = { plannedTargets: TARGETS, slotsPerTarget: SLOTS_PER_TARGET, floorSlots: FLOOR_SLOTS, profile: args.profile }
-  await fleet.promote(measuredDocument({ [SERVICE]: service }, { timeoutMs: TIMEOUT_MS }))
-  await fleet.addDaemons(args.instances, { mechanisms: { health: args.variant === 'baseline' ? 'alone' : 'shared' } })
-  return fleet
-}
-
 /** Makes targets sick for a time and notes it. */
 class Illness {
   readonly sicknesses: Sickness[] = []
@@ -112,7 +100,7 @@
 }
 
 const run = async (args: ScenarioArguments): Promise<Figures> => {
-  const fleet = await createFleet(args)
+  const fleet = await createHealthFleet(args, NOISE)
   const caller = Caller.create(fleet.clock)
   try {
     const urls = await fleet.callerUrls()
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,6 +1,8 @@
 import type { Scenario } from '../scenario.js'
 import { drain } from './drain.js'
 import { gray } from './gray.js'
+import { poison } from './poison.js'
+import { silent } from './silent.js'
 import { overhead } from './overhead.js'
 import { rush } from './rush.js'
 
@@ -9,5 +11,7 @@
   [overhead.name]: overhead,
   [rush.name]: rush,
   [drain.name]: drain,
-  [gray.name]: gray
+  [gray.name]: gray,
+  [poison.name]: poison,
+  [silent.name]: silent
 }
--- /dev/null
+++ b/packages/standins/src/measure/scenarios/silent.ts
@@ -0,0 +1,61 @@
+import { SeededRandom } from '@lovagehoist/common'
+import { Caller } from '../../load/caller.js'
+import { MixedLoad } from '../../load/mixedLoad.js'
+import { CAPACITY_PER_SECOND, MEAN_WORK_MS, SERVICE, SLOTS_PER_TARGET, TARGETS } from '../burnbookFleet.js'
+import { FLOOR_SLOTS, createHealthFleet } from '../healthFleet.js'
+import { HealthWatch } from '../healthWatch.js'
+import { countInvariantBreaches } from '../invariantBreaches.js'
+import { verify } from '../oracle.js'
+import type { Figures, Scenario, ScenarioArguments } from '../scenario.js'
+
+const LOAD_SHARE = 0.5
+const PAYMENT_SHARE = 0.2
+const HEAD_TIMEOUT_MS = 500
+const BEFORE_SHARE = 0.3
+/** Targets whose connections go silent: those of one availability zone. */
+const SILENT_TARGETS = [0, 3, 6]
+
+const run = async (args: ScenarioArguments): Promise<Figures> => {
+  const fleet = await createHealthFleet(args, {}, { headTimeoutMs: HEAD_TIMEOUT_MS })
+  const { clock } = fleet
+  const caller = Caller.create(clock)
+  try {
+    const urls = await fleet.callerUrls()
+    const random = SeededRandom.create(args.seed)
+    const load = MixedLoad.create({ clock, random, caller, service: SERVICE, paymentShare: PAYMENT_SHARE, meanWorkMs: MEAN_WORK_MS, urls: () => urls })
+    const watch = HealthWatch.create(fleet)
+    const running = load.run(CAPACITY_PER_SECOND * LOAD_SHARE, args.durationMs)
+    await clock.sleepMs(args.durationMs * BEFORE_SHARE)
+    const silentAtMs = clock.monotonicMs()
+    await Promise.all(SILENT_TARGETS.map(async index => { await fleet.targets[index]?.host.setTarget(`${SERVICE}-${index}`, { isSilent: true }) }))
+    await running
+    await watch.stop()
+    const hurt = load.results.filter(result => result.endedAtMs >= silentAtMs && (result.status !== 200 || result.latencyMs >= HEAD_TIMEOUT_MS))
+    return {
+      scenario: 'silent',
+      variant: args.variant,
+      seed: args.seed,
+      instances: args.instances,
+      targets: TARGETS,
+      requests: load.results.length,
+      ...verify({ results: load.results, journal: await fleet.journal(), onceOnly: load.paymentIds() }),
+      floorBreaches: watch.floorBreaches(TARGETS, SLOTS_PER_TARGET, FLOOR_SLOTS),
+      invariantBreaches: await countInvariantBreaches(fleet),
+      failedRequests: load.results.filter(result => result.status !== 200).length,
+      falseEjections: watch.falseEjections(() => false),
+      recoveryMs: hurt.length === 0 ? 0 : Math.max(...hurt.map(result => result.endedAtMs)) - silentAtMs
+    }
+  } finally {
+    await caller.close()
+    await fleet.close()
+  }
+}
+
+/** Kept-alive connections that stop answering while new ones work. */
+export const silent: Scenario = {
+  name: 'silent',
+  summary: 'kept-alive connections to the targets of one zone go silent, new ones work',
+  defaultInstances: 8,
+  defaultSeconds: 15,
+  run
+}
--- a/packages/targets/src/health/evidence/judgement.spec.ts
+++ b/packages/targets/src/health/evidence/judgement.spec.ts
@@ -55,7 +55,10 @@
     expect(namesOf(observe(5, 40, (daemon, target) => isLost(daemon, target) ? 1 : 0.01), 'fast')).to.deep.equal([])
   })
 
-  it('blames nobody when most of the pool looks sick', () => {
+  it('blames nobody when most of the pool looks sick or is out already', () => {
+    const one = observe(7, 40, (_, target) => target === 0 ? 0.5 : 0.01)
+    expect(findSick(one, { ...options('fast'), outTargets: 3 })).to.have.length(1)
+    expect(findSick(one, { ...options('fast'), outTargets: TARGETS.length })).to.deep.equal([])
     expect(namesOf(observe(6, 40, (_, target) => target < 5 ? 0.6 : 0.01), 'fast')).to.deep.equal([])
   })
 })
