Pace reports less and widen the short window

Cause: with 40 daemons a report a daemon in 5 s carries so few of its failures that the scaled share stays under the careful profile's bound.

Change: 12 reports a second to a judge, a short window of 3 s, careful profile at 3.5 deviations and 8 points.

--- a/packages/targets/src/health/evidence/counts.ts
+++ b/packages/targets/src/health/evidence/counts.ts
@@ -8,7 +8,7 @@
 /** Longest time over which tries are counted. */
 export const WINDOW_MS = 8_000
 /** Length of the window in which a sudden change shows early. */
-export const SHORT_WINDOW_MS = 2_000
+export const SHORT_WINDOW_MS = 3_000
 const BUCKET_MS = 250
 
 export const NO_COUNTS: Counts = { tries: 0, failures: 0, slow: 0 }
--- a/packages/targets/src/health/evidence/localEvidence.ts
+++ b/packages/targets/src/health/evidence/localEvidence.ts
@@ -7,7 +7,7 @@
 /** Counts at a target, since a state of its ejection. */
 export interface TargetCounts {
   readonly targetId: string
-  /** Counts of the last eight and the last two seconds. */
+  /** Counts of the last eight and the last three seconds. */
   readonly long: Counts
   readonly short: Counts
   /** Fence of the ejection entry in whose state they were counted; 0 for none. */
--- a/packages/targets/src/health/evidence/profiles.ts
+++ b/packages/targets/src/health/evidence/profiles.ts
@@ -34,9 +34,9 @@
   },
   careful: {
     minFailures: 8,
-    deviations: 4,
+    deviations: 3.5,
     remainderDeviations: 2,
-    marginShare: 0.1,
+    marginShare: 0.08,
     ratio: 4,
     holdMs: 20_000,
     longestHoldMs: 600_000,
--- a/packages/targets/src/health/sharedHealth.ts
+++ b/packages/targets/src/health/sharedHealth.ts
@@ -35,7 +35,7 @@
 /** Longest time for which ratings are kept without looking at their inputs again. */
 const RATINGS_MS = 100
 /** Reports a second that a judge takes in about one service. */
-const REPORTS_PER_SECOND = 8
+const REPORTS_PER_SECOND = 12
 const MS_PER_SECOND = 1_000
 const MAX_DUMPED = 200
 /** Time for which a target whose ejection the floor refused gets a reduced share. */
