--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -4,6 +4,7 @@
 import { gray } from './gray.js'
 import { outage } from './outage.js'
 import { overhead } from './overhead.js'
+import { promoteScenario } from './promote.js'
 import { rush } from './rush.js'
 
 /** Every measurement, by name. */
@@ -11,7 +12,8 @@
   [overhead.name]: overhead,
   [rush.name]: rush,
   [drain.name]: drain,
-  [control.name]: control,
   [gray.name]: gray,
-  [outage.name]: outage
+  [outage.name]: outage,
+  [promoteScenario.name]: promoteScenario,
+  [control.name]: control
 }
