--- a/packages/standins/src/measure/healthWatch.ts
+++ b/packages/standins/src/measure/healthWatch.ts
@@ -69,6 +69,18 @@
     return count
   }
 
+  /** Largest share of daemons that kept a target out at one moment within a time, 0 to 1. */
+  agreedShare (targetId: string, fromMs: number, toMs: number): number {
+    const within = this.samples.filter(({ atMs }) => atMs >= fromMs && atMs < toMs)
+    return Math.max(0, ...within.map(sample => sample.daemonsByTarget.get(targetId) ?? 0)) / this.fleet.daemons.length
+  }
+
+  /** Time from a moment until the first sample in which a target was out; null when there is none before another moment. */
+  outAfterMs (targetId: string, fromMs: number, toMs: number): number | null {
+    const first = this.samples.find(({ atMs, out }) => atMs >= fromMs && atMs < toMs && out.has(targetId))
+    return first === undefined ? null : first.atMs - fromMs
+  }
+
   private async run (): Promise<void> {
     while (!this.stopping.signal.aborted) {
       await this.sample()
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { gzipSync } from 'node:zlib'
 import polka from 'polka'
 import type { Clock, DirectoryEntry, Random, TableTransaction } from '@lovagehoist/common'
 import { TableState } from '@lovagehoist/common/fakes'
@@ -67,6 +68,12 @@
     this.relist()
   }
 
+  /** Adds or replaces many entries of the list of instances. */
+  registerAll (entries: readonly DirectoryEntry[]): void {
+    for (const entry of entries) this.entries.set(entry.id, entry)
+    this.relist()
+  }
+
   /** Removes an entry of the list of instances. */
   remove (id: string): void {
     this.entries.delete(id)
@@ -144,6 +151,7 @@
     const tag = `"${this.listNumber}"`
     response.setHeader('etag', tag)
     if (request.headers['if-none-match'] === tag) response.writeHead(304).end()
+    else if (request.headers['accept-encoding'] === 'gzip') response.writeHead(200, { 'content-encoding': 'gzip' }).end(gzipSync(JSON.stringify({ entries: this.listed })))
     else sendJson(response, 200, { entries: this.listed })
   }
 
@@ -152,7 +160,7 @@
       this.count(kind)
       if (this.switches.delayMs > 0) await this.clock.sleepMs(this.switches.delayMs)
       if (this.switches.isDown) sendJson(response, 503, {})
-      else await run(request, response)
+      else await run(request, response).catch(() => { response.destroy() })
     }
   }
 
--- a/packages/targets/src/directory/targetDirectory.ts
+++ b/packages/targets/src/directory/targetDirectory.ts
@@ -29,10 +29,13 @@
 /** Targets from the platform's lagging list, corrected by signs of leaving. */
 export class PolledTargetDirectory implements TargetDirectory {
   private readonly byId = new Map<string, Target>()
+  /** List as it was applied last; an unchanged one is the same object. */
+  private applied: readonly DirectoryEntry[] | undefined
   private readonly byService = new Map<string, readonly Target[]>()
   /** Start of each target that is leaving, by id. */
   private readonly leaving = new Map<string, number>()
   private readonly listeners = new Set<(service: string) => void>()
+  private hasList = false
 
   private constructor (private readonly options: TargetDirectoryOptions) {
     options.bus?.onEntry('leaving', entry => { this.takeWord(entry) })
@@ -63,10 +66,19 @@
   /** Reads the platform's list once; keeps the known targets when it can't be read. */
   async refresh (): Promise<void> {
     const listed = await this.options.instances.list()
-    if (listed.isErr()) return
-    this.apply(listed.value.filter(entry => entry.role === 'target'))
+    if (listed.isErr() || listed.value === this.applied) return
+    this.applied = listed.value
+    this.apply(listed.value.filter(entry => entry.role === 'target').map(toTarget))
   }
 
+  /** Takes the targets that peers know, unless the platform's list has been read. */
+  takeFromPeers (targets: readonly Target[]): void {
+    if (!this.hasList) this.apply(targets)
+  }
+
+  /** Whether a list has been had, from the platform or from peers. */
+  readonly isKnown = (): boolean => this.hasList
+
   readonly targets = (service: string): readonly Target[] => this.byService.get(service) ?? []
 
   readonly find = (targetId: string): Target | undefined => this.byId.get(targetId)
@@ -96,13 +108,11 @@
     return target.isLeaving || this.leaving.get(target.id) === target.startedAtMs
   }
 
-  private apply (entries: readonly DirectoryEntry[]): void {
+  private apply (targets: readonly Target[]): void {
     const before = JSON.stringify([...this.byId.values()])
+    this.hasList = true
     this.byId.clear()
-    for (const entry of entries) {
-      const target = toTarget(entry)
-      this.byId.set(target.id, { ...target, isLeaving: this.isLeaving(target) })
-    }
+    for (const target of targets) this.byId.set(target.id, { ...target, isLeaving: this.isLeaving(target) })
     for (const [id, startedAtMs] of this.leaving) if (this.byId.get(id)?.startedAtMs !== startedAtMs) this.leaving.delete(id)
     for (const entry of this.options.bus?.entries('leaving') ?? []) this.takeWord(entry)
     if (JSON.stringify([...this.byId.values()]) !== before) this.rebuild()
