--- a/packages/common/src/contracts/localStatus.ts
+++ b/packages/common/src/contracts/localStatus.ts
@@ -57,7 +57,7 @@
 }
 
 /** Schema of a value of topic `config`, published under the environment's name as key. */
-export const configAnnouncementSchema = z.strictObject({
+export const configAnnouncementSchema = z.object({
   environment: z.string(),
   version: z.int().min(1),
   /** SHA-256 of the document's bytes, in hexadecimal. */
--- a/packages/operators/src/environment/environmentRow.ts
+++ b/packages/operators/src/environment/environmentRow.ts
@@ -14,7 +14,7 @@
 const digest = z.string().regex(/^[0-9a-f]{64}$/)
 
 /** Schema of an environment's row, and of its history. */
-export const environmentRowSchema = z.strictObject({
+export const environmentRowSchema = z.object({
   /** Grows by one with each promotion. */
   version: z.int().min(1),
   /** SHA-256 of the document's bytes, in hexadecimal. */
@@ -33,15 +33,15 @@
 
 /** Schema of the row of an operation. */
 export const operationRowSchema = z.discriminatedUnion('state', [
-  z.strictObject({ state: z.literal('applied'), environment: z.string(), version: z.int().min(1) }).readonly(),
-  z.strictObject({ state: z.literal('abandoned'), environment: z.string() }).readonly()
+  z.object({ state: z.literal('applied'), environment: z.string(), version: z.int().min(1) }).readonly(),
+  z.object({ state: z.literal('abandoned'), environment: z.string() }).readonly()
 ])
 
 /** How an operation ended. */
 export type OperationRow = z.infer<typeof operationRowSchema>
 
 /** Schema of the row that a digest gets when it held in trial. */
-export const trialRowSchema = z.strictObject({
+export const trialRowSchema = z.object({
   environment: z.string(),
   digest,
   /** Version under which it was accepted in the trial environment. */
--- a/packages/operators/src/follow/peerVersions.ts
+++ b/packages/operators/src/follow/peerVersions.ts
@@ -10,7 +10,7 @@
 const CALL_TIMEOUT_MS = 1_000
 const MAX_HOLDERS_CHARACTERS = 65_536
 
-const answerSchema = z.strictObject({
+const answerSchema = z.object({
   environment: z.string(),
   version: z.int().min(1),
   digest: z.string().regex(/^[0-9a-f]{64}$/),
--- a/packages/operators/src/inForce/fleetView.ts
+++ b/packages/operators/src/inForce/fleetView.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod'
 import type { ConfigFollower } from '../follow/configFollower.js'
 
-const instanceViewSchema = z.strictObject({
+const instanceViewSchema = z.object({
   instanceId: z.string(),
   region: z.string(),
   availabilityZone: z.string(),
@@ -17,7 +17,7 @@
 }).readonly()
 
 /** Schema of what one daemon knows of the configuration of all instances. */
-export const fleetViewSchema = z.strictObject({
+export const fleetViewSchema = z.object({
   environment: z.string(),
   /** Daemon that made the view. */
   instanceId: z.string(),
--- a/packages/operators/src/inForce/fleetViewer.ts
+++ b/packages/operators/src/inForce/fleetViewer.ts
@@ -21,14 +21,18 @@
   readonly digest: string
 }
 
-const ASKED_AT_ONCE = 8
+const ASKED_AT_ONCE = 2
+/** Time for heartbeats to tell of a version before instances are asked. */
+const ASK_AFTER_MS = 1_500
 /** Pause before the same instance is asked again. */
-const ASK_PAUSE_MS = 500
+const ASK_PAUSE_MS = 2_000
 
 /** Shows which configuration each instance holds; asks those whose heartbeats tell of an earlier one. */
 export class FleetViewer {
   private readonly told = new Map<string, Told>()
   private readonly askedAtMs = new Map<string, number>()
+  private heldVersion = 0
+  private heldSinceMs = 0
   private readonly queue = new PQueue({ concurrency: ASKED_AT_ONCE })
 
   private constructor (private readonly options: FleetViewerOptions) {}
@@ -52,11 +56,23 @@
     const { environment, config, bus } = this.options
     const members = bus.members().map(member => this.withTold(member))
     for (const id of this.told.keys()) if (!members.some(member => member.instanceId === id)) this.told.delete(id)
-    const heldVersion = config.current()?.version ?? 0
-    for (const member of members) if (member.status === 'reachable' && member.configVersion < heldVersion) this.ask(member)
+    this.askLagging(members)
     return viewFleet({ environment, config, self: bus.self, members })
   }
 
+  private askLagging (members: readonly Member[]): void {
+    const { config, clock } = this.options
+    const heldVersion = config.current()?.version ?? 0
+    const nowMs = clock.monotonicMs()
+    if (heldVersion !== this.heldVersion) this.heldSinceMs = nowMs
+    this.heldVersion = heldVersion
+    if (nowMs - this.heldSinceMs < ASK_AFTER_MS) return
+    for (const member of members) {
+      if (this.queue.size + this.queue.pending >= ASKED_AT_ONCE) return
+      if (member.status === 'reachable' && member.configVersion < heldVersion) this.ask(member)
+    }
+  }
+
   private withTold (member: Member): Member {
     const told = this.told.get(member.instanceId)
     if (told === undefined || told.startId !== member.startId || told.version <= member.configVersion) return member
@@ -70,7 +86,6 @@
     this.queue.add(async () => {
       const answer = await askVersion(this.options, instanceId)
       if (answer !== undefined) this.told.set(instanceId, { startId, version: answer.version, digest: answer.digest })
-      else this.askedAtMs.delete(instanceId)
     }).catch(() => {})
   }
 }
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -2,6 +2,7 @@
 import { control } from './control.js'
 import { drain } from './drain.js'
 import { gray } from './gray.js'
+import { outage } from './outage.js'
 import { overhead } from './overhead.js'
 import { promoteScenario } from './promote.js'
 import { rush } from './rush.js'
@@ -13,5 +14,6 @@
   [drain.name]: drain,
   [promoteScenario.name]: promoteScenario,
   [gray.name]: gray,
+  [outage.name]: outage,
   [control.name]: control
 }
