--- a/packages/operators/src/follow/peerDocuments.ts
+++ b/packages/operators/src/follow/peerDocuments.ts
@@ -12,8 +12,8 @@
 const MAX_PACKED_BYTES = 4_194_304
 const PEERS_ASKED = 3
 
-const requestSchema = z.strictObject({ digest: z.string(), offset: z.int().min(0) })
-const chunkSchema = z.strictObject({ totalBytes: z.int().min(1).max(MAX_PACKED_BYTES), base64: z.string().min(1).max(CHUNK_BYTES * 2) })
+const requestSchema = z.object({ digest: z.string(), offset: z.int().min(0) })
+const chunkSchema = z.object({ totalBytes: z.int().min(1).max(MAX_PACKED_BYTES), base64: z.string().min(1).max(CHUNK_BYTES * 2) })
 
 /**
  * Makes the handler that hands out parts of the document held.
--- a/packages/operators/src/inForce/awaitInForce.ts
+++ b/packages/operators/src/inForce/awaitInForce.ts
@@ -28,7 +28,7 @@
 
 /** Beyond the time in which daemons stop by themselves: their clocks and the way of the views differ a little. */
 const FENCE_MARGIN_MS = 200
-const POLL_MS = 100
+const POLL_MS = 200
 
 /**
  * Waits until a version is in force on every live instance.
