Show the platform's load at the return of the store

Cause: the peaks of the outage measurement include the start of the fleet. Change: calls are counted in each second after the return, in fields of their own.

--- a/packages/standins/src/measure/scenarios/outage.ts
+++ b/packages/standins/src/measure/scenarios/outage.ts
@@ -13,6 +13,7 @@
 import { detectionMsOf, sicknessTest } from '../sickness.js'
 import type { Sickness } from '../sickness.js'
 
+const MS_PER_SECOND = 1_000
 const LOAD_SHARE = 0.4
 const PAYMENT_SHARE = 0.2
 const FLOOR_SLOTS = 24
@@ -29,6 +30,13 @@
   readonly sickness: Sickness
   readonly downFromMs: number
   readonly returnedAtMs: number
+  readonly returnPeaks: PlatformPeaks
+}
+
+/** Highest calls in a second, lists of instances among the reads. */
+interface PlatformPeaks {
+  readonly reads: number
+  readonly writes: number
 }
 
 const createFleet = async (args: ScenarioArguments): Promise<Fleet> => {
@@ -42,6 +50,18 @@
   return fleet
 }
 
+const watchPeaks = async (fleet: Fleet, durationMs: number): Promise<PlatformPeaks> => {
+  let peaks: PlatformPeaks = { reads: 0, writes: 0 }
+  let before = await fleet.platformHost.platformCounts()
+  for (let passedMs = 0; passedMs < durationMs; passedMs += MS_PER_SECOND) {
+    await fleet.clock.sleepMs(MS_PER_SECOND)
+    const counts = await fleet.platformHost.platformCounts()
+    peaks = { reads: Math.max(peaks.reads, counts.reads - before.reads), writes: Math.max(peaks.writes, counts.writes - before.writes) }
+    before = counts
+  }
+  return peaks
+}
+
 const play = async (args: ScenarioArguments, fleet: Fleet): Promise<Course> => {
   const { clock, platformHost, targets } = fleet
   const pass = async (share: number): Promise<void> => { await clock.sleepMs(args.durationMs * share) }
@@ -64,8 +84,8 @@
   args.progress('the store is back')
   await platformHost.setPlatform(RETURNED)
   const returnedAtMs = clock.wallMs()
-  await pass(PARTS.back)
-  return { sickness: { targetId: sick.entry.id, fromMs, toMs }, downFromMs, returnedAtMs }
+  const returnPeaks = await watchPeaks(fleet, args.durationMs * PARTS.back)
+  return { sickness: { targetId: sick.entry.id, fromMs, toMs }, downFromMs, returnedAtMs, returnPeaks }
 }
 
 const figuresOf = async (args: ScenarioArguments, fleet: Fleet, load: MixedLoad, watch: HealthWatch, course: Course): Promise<Figures> => {
@@ -91,7 +111,9 @@
     failedBeforeOutage: failed.filter(result => result.sentAtMs + startMs < course.downFromMs).length,
     failedAfterReturn: failed.filter(result => result.sentAtMs + startMs >= course.returnedAtMs).length,
     storePeakWritesPerSecond: peakWritesPerSecond,
-    storePeakReadsPerSecond: peakReadsPerSecond
+    storePeakReadsPerSecond: peakReadsPerSecond,
+    returnPeakReadsPerSecond: course.returnPeaks.reads,
+    returnPeakWritesPerSecond: course.returnPeaks.writes
   }
 }
 
