--- a/packages/callers/src/exchange/forward.ts
+++ b/packages/callers/src/exchange/forward.ts
@@ -21,6 +21,7 @@
 /** Tries of one request so far. */
 interface Tries {
   readonly verdict: RunVerdict
+  /** Latest try; one with a target's answer is preferred. */
   readonly last: Attempt | undefined
   readonly triedTargetIds: ReadonlySet<string>
   readonly avoidedZones: ReadonlySet<string>
@@ -34,7 +35,7 @@
 
 const addTry = (tries: Tries, attempt: Attempt): Tries => ({
   verdict: joinVerdicts(tries.verdict, attempt.verdict),
-  last: attempt,
+  last: attempt.reply.type === 'problem' && tries.last?.reply.type === 'answer' ? tries.last : attempt,
   triedTargetIds: new Set([...tries.triedTargetIds, attempt.target.id]),
   avoidedZones: OUTCOME_POLICY[attempt.outcome].isZoneSuspect ? new Set([...tries.avoidedZones, attempt.target.availabilityZone]) : tries.avoidedZones
 })
@@ -48,6 +49,10 @@
   return isZonesFault ? await options.picker.pick({ ...need, avoidedZones: new Set() }, gone) : picked
 }
 
+/** Payments that targets refused before running them are tried again: each try waits for a slot of this daemon's share. */
+const isRefusedPayment = ({ route }: Passage, { verdict, last }: Tries): boolean =>
+  route.priority === 'payment' && verdict === 'not-run' && last?.outcome === 'shed'
+
 const mayRetry = (options: ForwardOptions, passage: Passage, tries: Tries, attempt: Attempt): boolean => {
   const { route, gone, deadlineAtMs } = passage
   const policy = OUTCOME_POLICY[attempt.outcome]
@@ -55,6 +60,7 @@
   const isFlowing = attempt.reply.type === 'answer' && attempt.reply.answer.rest !== undefined
   if (policy.retry === 'never' || !isHarmless || isFlowing || gone.aborted) return false
   if (tries.triedTargetIds.size >= MOST_TRIES || options.clock.monotonicMs() >= deadlineAtMs) return false
+  if (isRefusedPayment(passage, tries)) return true
   if (options.health.isPoolShedding(route.service)) return false
   if (!policy.isBudgeted || options.budget.spend(route.service)) return true
   options.metrics.budgetRefusal(route.service)
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -4,16 +4,20 @@
 import { gray } from './gray.js'
 import { outage } from './outage.js'
 import { overhead } from './overhead.js'
+import { poison } from './poison.js'
 import { promoteScenario } from './promote.js'
 import { rush } from './rush.js'
+import { silent } from './silent.js'
 
 /** Every measurement, by name. */
 export const scenarios: Readonly<Record<string, Scenario>> = {
   [overhead.name]: overhead,
-  [rush.name]: rush,
-  [drain.name]: drain,
-  [promoteScenario.name]: promoteScenario,
   [gray.name]: gray,
+  [rush.name]: rush,
   [outage.name]: outage,
+  [promoteScenario.name]: promoteScenario,
+  [drain.name]: drain,
+  [poison.name]: poison,
+  [silent.name]: silent,
   [control.name]: control
 }
