--- a/packages/callers/src/exchange/headers.ts
+++ b/packages/callers/src/exchange/headers.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http'
-import type { Random, RawHeaders } from '@lovagehoist/common'
+import type { RawHeaders } from '@lovagehoist/common'
 import { VERDICT_HEADER } from '@lovagehoist/common'
+import type { RequestNames } from '../accept/requestNames.js'
 
 /** Header that names a request across systems. */
 export const REQUEST_ID_HEADER = 'x-request-id'
@@ -14,6 +15,7 @@
 ])
 const VIA = '1.1 lovagehoist'
 const TRACE_PARENT = /^00-(?!0{32})[0-9a-f]{32}-(?!0{16})[0-9a-f]{16}-[0-9a-f]{2}$/
+const TRACE_ID = /^(?!0{16})[0-9a-f]{32}$/
 const SPAN_ID_DIGITS = 16
 const REQUEST_ID = /^[\u0021-\u007e]{1,128}$/
 
@@ -21,13 +23,18 @@
 export interface OutgoingOptions {
   readonly request: IncomingMessage
   readonly requestId: string
-  readonly random: Random
+  readonly names: RequestNames
   /** Field that is set for each try. */
   readonly dropped: string
 }
 
-const namedByConnection = (connection: string | undefined): ReadonlySet<string> | undefined =>
-  connection === undefined ? undefined : new Set(connection.split(',').map(token => token.trim().toLowerCase()))
+/** Values of `Connection` that name no other field. */
+const PLAIN_CONNECTIONS: ReadonlySet<string> = new Set(['keep-alive', 'close'])
+
+const namedByConnection = (connection: string | undefined): ReadonlySet<string> | undefined => {
+  if (connection === undefined || PLAIN_CONNECTIONS.has(connection)) return undefined
+  return new Set(connection.split(',').map(token => token.trim().toLowerCase()))
+}
 
 const single = (value: string | readonly string[] | undefined): string | undefined => typeof value === 'string' ? value : value?.[0]
 
@@ -37,21 +44,27 @@
  * Names a request.
  *
  * @param request - Request of the caller.
- * @param random - Source of new names.
+ * @param names - Source of new names.
  * @returns The caller's own name for it when that is usable; otherwise a new one.
  */
-export const requestIdOf = (request: IncomingMessage, random: Random): string => {
+export const requestIdOf = (request: IncomingMessage, names: RequestNames): string => {
   const given = single(request.headers[REQUEST_ID_HEADER])
-  return given !== undefined && REQUEST_ID.test(given) ? given : random.id()
+  return given !== undefined && REQUEST_ID.test(given) ? given : names.next()
+}
+
+/** Begins a trace; a request id that was made here names the trace as well. */
+const beginTrace = (requestId: string, names: RequestNames): string => {
+  const traceId = TRACE_ID.test(requestId) ? requestId : names.next()
+  return `00-${traceId}-${traceId.slice(0, SPAN_ID_DIGITS)}-01`
 }
 
-const forwardedFields = ({ request, requestId, random }: OutgoingOptions): string[] => {
+const forwardedFields = ({ request, requestId, names }: OutgoingOptions): string[] => {
   const { headers, socket } = request
   const address = socket.remoteAddress ?? 'unknown'
   const trace = single(headers.traceparent)
   const fields = [
     REQUEST_ID_HEADER, requestId,
-    'traceparent', trace !== undefined && TRACE_PARENT.test(trace) ? trace : `00-${random.id()}-${random.id().slice(0, SPAN_ID_DIGITS)}-01`,
+    'traceparent', trace !== undefined && TRACE_PARENT.test(trace) ? trace : beginTrace(requestId, names),
     'via', append(headers.via, VIA),
     'x-forwarded-for', append(single(headers['x-forwarded-for']), address),
     'x-forwarded-proto', single(headers['x-forwarded-proto']) ?? 'http',
--- a/packages/callers/src/testing/requestBench.ts
+++ b/packages/callers/src/testing/requestBench.ts
@@ -6,6 +6,7 @@
   AcceptedConfig, AttemptReport, Clock, InvariantBreach, OutcomeKind, RunVerdict, Target, TargetAnswer, TargetFailure, TargetRequest, TargetSender
 } from '@lovagehoist/common'
 import { FakePlatform, fakeTarget } from '@lovagehoist/common/testing'
+import { RequestNames } from '../accept/requestNames.js'
 import { Admission } from '../admission/admission.js'
 import { AdmissionMetrics } from '../admission/admissionMetrics.js'
 import { CallerServer } from '../entry/callerServer.js'
@@ -35,7 +36,7 @@
   routes: [
     { id: 'read', methods: ['GET', 'HEAD'], path: '/read/*', service: 'burnbook', isIdempotent: true, heldAnswerBytes: 1_000 },
     { id: 'pay', methods: ['POST'], path: '/pay/*', service: 'burnbook', maxRequestBytes: 1_000 },
-    { id: 'keyed', methods: ['POST'], path: '/keyed', service: 'burnbook', keyHeader: 'Idempotency-Key' },
+    { id: 'keyed', methods: ['POST'], path: '/keyed', service: 'burnbook', keyHeader: 'Idempotency-Key', timeoutMs: 60_000 },
     { id: 'keyed-once', methods: ['POST'], path: '/keyed-once', service: 'burnbook', keyHeader: 'Idempotency-Key', keyOutage: 'send-once' }
   ]
 })
@@ -78,6 +79,8 @@
   readonly quarantined = new Set<string>()
   isShedding = false
   script: TryScript = () => answerOf(['hello'])
+  /** Runs before each pick. */
+  beforePick: () => void = () => {}
   /** Held slots. */
   slots = 0
 
@@ -87,6 +90,7 @@
   static async create (options: BenchOptions = {}): Promise<RequestBench> {
     const clock = options.clock ?? SystemClock.create()
     const random = SeededRandom.create(options.seed ?? 1)
+    const names = RequestNames.create(random)
     const { platform, faults } = (options.platform ?? FakePlatform.create(clock)).connect()
     const registry = new Registry()
     const log = createLog({ level: 'error', format: 'json', clock, write: () => {} })
@@ -102,7 +106,7 @@
       limits: { maxHeadBytes: 4_096, headTimeoutMs: 10_000, requestTimeoutMs: 10_000, maxConnections: 100 },
       clock,
       log,
-      handler: async (request, response) => { await serveRequest({ ...bench.parts(), clock, random, invariants, metrics, keys, config: { current: () => config, onChange: () => () => {} }, routes: () => routes }, request, response) }
+      handler: async (request, response) => { await serveRequest({ ...bench.parts(), clock, names, invariants, metrics, keys, config: { current: () => config, onChange: () => () => {} }, routes: () => routes }, request, response) }
     })
     const bench: RequestBench = new RequestBench(server, admission, keys, faults)
     return bench
@@ -148,6 +152,7 @@
       picker: {
         pick: async (need: { readonly triedTargetIds: ReadonlySet<string>, readonly avoidedZones: ReadonlySet<string> }) => {
           const target = this.targets.find(({ id, availabilityZone }) => !need.triedTargetIds.has(id) && !need.avoidedZones.has(availabilityZone)) ?? fakeTarget('t9')
+          this.beforePick()
           this.slots++
           let isHeld = true
           return ok({
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -159,8 +159,12 @@
     return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
       this.count(kind)
       if (this.switches.delayMs > 0) await this.clock.sleepMs(this.switches.delayMs)
-      if (this.switches.isDown) sendJson(response, 503, {})
-      else await run(request, response).catch(() => { response.destroy() })
+      if (this.switches.isDown) {
+        sendJson(response, 503, {})
+        return
+      }
+      // A client that gave up while its answer was late has closed the connection: there is nobody to answer.
+      await run(request, response).catch(() => { response.destroy() })
     }
   }
 
