Detect a target that is used mostly from its own zone

A test at 150 tries a second with 90% of the work within the zone shows it (fast 2,700 ms, careful not within 6,500 ms): the judgement asked for evidence from a second zone, and added tries for silent daemons of zones that hardly use the target. Ruled out: avoidance by single daemons (three failures take 21 s there) and the pace of reports (seven reports a second against eight). Change: the target's own zone may accuse it alone unless a zone with 20 tries finds it well; silent daemons are counted by zone.

--- a/packages/targets/src/health/evidence/judge.ts
+++ b/packages/targets/src/health/evidence/judge.ts
@@ -35,14 +35,21 @@
 
 const zoneOf = ({ region, availabilityZone }: Place): string => `${region}/${availabilityZone}`
 
-/** Daemons that report nothing saw no failure: their tries are added in proportion. */
-const observe = (reports: readonly EvidenceReport[], window: 'long' | 'short', fences: ReadonlyMap<string, number>, daemons: number): readonly Observation[] => {
-  const factor = Math.max(1, daemons / Math.max(1, reports.length))
-  return reports.map(({ from, counts }) => ({
-    instanceId: from.instanceId,
-    availabilityZone: zoneOf(from),
-    byTarget: new Map(counts.filter(item => item.fence === (fences.get(item.targetId) ?? 0)).map(item => [item.targetId, scaleTries(item[window], factor)]))
-  }))
+const countByZone = (places: readonly Place[]): ReadonlyMap<string, number> => {
+  const counts = new Map<string, number>()
+  for (const place of places) counts.set(zoneOf(place), (counts.get(zoneOf(place)) ?? 0) + 1)
+  return counts
+}
+
+/** Daemons that report nothing saw no failure: their tries are added in proportion to those of their zone, which uses the same targets. */
+const observe = (reports: readonly EvidenceReport[], window: 'long' | 'short', fences: ReadonlyMap<string, number>, daemonsByZone: ReadonlyMap<string, number>): readonly Observation[] => {
+  const reportsByZone = countByZone(reports.map(({ from }) => from))
+  return reports.map(({ from, counts }) => {
+    const zone = zoneOf(from)
+    const factor = Math.max(1, (daemonsByZone.get(zone) ?? 1) / (reportsByZone.get(zone) ?? 1))
+    const current = counts.filter(item => item.fence === (fences.get(item.targetId) ?? 0))
+    return { instanceId: from.instanceId, availabilityZone: zone, byTarget: new Map(current.map(item => [item.targetId, scaleTries(item[window], factor)])) }
+  })
 }
 
 /** Judges the merged evidence about the services that this daemon is chosen for. */
@@ -87,10 +94,11 @@
     const fences = new Map(entries.map(entry => [entry.targetId, entry.fence]))
     const targets = this.options.targets(service).filter(target => !target.isLeaving && !out.has(target.id))
     const live = this.options.bus.members().filter(member => member.status !== 'gone')
-    const zones = new Set([this.options.bus.self, ...live].map(zoneOf))
-    const options = { profile, zoneByTarget: new Map(targets.map(target => [target.id, zoneOf(target)])), outTargets: out.size, daemons: live.length + 1, zones: zones.size }
-    const early = findSick(observe(reports.filter(report => report.ageMs < SHORT_WINDOW_MS), 'short', fences, options.daemons), options)
-    return early.length > 0 ? early : findSick(observe(reports, 'long', fences, options.daemons), options)
+    const daemonsByZone = countByZone([this.options.bus.self, ...live])
+    const zoneByTarget = new Map(targets.map(target => [target.id, zoneOf(target)]))
+    const options = { profile, zoneByTarget, outTargets: out.size, daemons: live.length + 1, zones: daemonsByZone.size }
+    const early = findSick(observe(reports.filter(report => report.ageMs < SHORT_WINDOW_MS), 'short', fences, daemonsByZone), options)
+    return early.length > 0 ? early : findSick(observe(reports, 'long', fences, daemonsByZone), options)
   }
 
   private act (service: string, suspicion: Suspicion, rank: number, profile: Profile): void {
--- a/packages/targets/src/health/evidence/judgement.ts
+++ b/packages/targets/src/health/evidence/judgement.ts
@@ -89,9 +89,13 @@
   return groups
 }
 
+/** Group that reports most of the bad outcomes. */
+const loudestOf = (groups: ReadonlyMap<string, Counts>, kind: Bad): readonly [string, Counts] =>
+  [...groups].reduce<readonly [string, Counts]>((most, group) => group[1][kind] > most[1][kind] ? group : most, ['', NO_COUNTS])
+
 /** Whether the evidence stands without the group that reports most of it. */
 const standsWithoutLoudest = (groups: ReadonlyMap<string, Counts>, rest: Counts, profile: Profile, kind: Bad): boolean => {
-  const loudest = [...groups.values()].reduce((most, counts) => counts[kind] > most[kind] ? counts : most, NO_COUNTS)
+  const [, loudest] = loudestOf(groups, kind)
   const remainder = subtractCounts(sumOf(groups.values()), loudest)
   const bounds = { ...profile, minFailures: Math.ceil(profile.minFailures / 4), deviations: profile.remainderDeviations }
   return excessOf(remainder, rest, bounds, kind) !== undefined
@@ -107,8 +111,9 @@
   if (options.daemons > 1 && !standsWithoutLoudest(daemons, rest, profile, kind)) return false
   const zones = groupBy(observations, targetId, observation => observation.availabilityZone)
   if (isWellSomewhere(zones, rest, profile, kind)) return false
-  const isOwnZoneOnly = zones.size === 1 && zones.has(options.zoneByTarget.get(targetId) ?? '')
-  return options.zones <= 1 || isOwnZoneOnly || standsWithoutLoudest(zones, rest, profile, kind)
+  // The path within a target's own zone is the one that most of its work takes; no link between zones explains failures there.
+  const isOwnZoneLoudest = loudestOf(zones, kind)[0] === options.zoneByTarget.get(targetId)
+  return options.zones <= 1 || isOwnZoneLoudest || standsWithoutLoudest(zones, rest, profile, kind)
 }
 
 const poolCounts = (observations: readonly Observation[], options: JudgementOptions): ReadonlyMap<string, Counts> => {
--- a/packages/targets/src/health/sharedHealth.spec.ts
+++ b/packages/targets/src/health/sharedHealth.spec.ts
@@ -7,6 +7,8 @@
 const TARGETS = 8
 const ZONES = ['a', 'b', 'c']
 const PER_SECOND = 300
+/** Tries a second at which eight targets of today are half used. */
+const HALF_LOAD_PER_SECOND = 150
 const STEP_MS = 20
 const WARM_UP_MS = 8_000
 
@@ -17,6 +19,16 @@
 /** Share of tries that fail at a target for a daemon. */
 type FailShare = (daemon: number, target: number) => number
 
+/** How tries are spread. */
+interface Traffic {
+  readonly perSecond: number
+  /** Share of tries that go to a target of the daemon's own zone, 0 to 1. */
+  readonly ownZoneShare: number
+}
+
+const EVEN_TRAFFIC: Traffic = { perSecond: PER_SECOND, ownZoneShare: 0 }
+const NEAR_TRAFFIC: Traffic = { perSecond: HALF_LOAD_PER_SECOND, ownZoneShare: 0.9 }
+
 /** Daemons that share their health over fakes, under a steady load of simulated tries. */
 class Bench {
   readonly clock = ManualClock.create()
@@ -25,11 +37,12 @@
   private readonly platform = FakePlatform.create(this.clock)
   private readonly random: SeededRandom
   private readonly stopping = new AbortController()
+  private due = 0
   readonly daemons: readonly SharedHealth[]
   /** Time of the last try at each target. */
   readonly lastAtMs = new Map<string, number>()
 
-  constructor (seed: number, count: number, private readonly profile: 'fast' | 'careful') {
+  constructor (seed: number, count: number, private readonly profile: 'fast' | 'careful', private readonly traffic: Traffic = EVEN_TRAFFIC) {
     this.random = SeededRandom.create(seed)
     this.daemons = Array.from({ length: count }, (_, index) => this.start(index))
   }
@@ -37,7 +50,8 @@
   async run (durationMs: number, failShare: FailShare): Promise<void> {
     const endMs = this.clock.monotonicMs() + durationMs
     while (this.clock.monotonicMs() < endMs) {
-      for (let due = 0; due < PER_SECOND * STEP_MS / 1_000; due++) this.attempt(failShare)
+      this.due += this.traffic.perSecond * STEP_MS / 1_000
+      for (; this.due >= 1; this.due--) this.attempt(failShare)
       await this.clock.advanceMs(STEP_MS)
     }
   }
@@ -51,7 +65,9 @@
   private attempt (failShare: FailShare): void {
     const daemon = this.random.int(this.daemons.length)
     const health = this.daemons[daemon]
-    const usable = targets.filter(target => this.random.next() < (health?.rate(target).weight ?? 0))
+    const isNear = this.random.next() < this.traffic.ownZoneShare
+    const reached = isNear ? targets.filter(target => target.availabilityZone === ZONES[daemon % 3]) : targets
+    const usable = reached.filter(target => this.random.next() < (health?.rate(target).weight ?? 0))
     const target = usable[this.random.int(Math.max(1, usable.length))]
     if (target === undefined || health === undefined) return
     const isFailed = this.random.next() < failShare(daemon, targets.indexOf(target))
@@ -85,8 +101,8 @@
 }
 
 /** Simulated time from the fault to the last try at the sick target, or the limit. */
-const detect = async (seed: number, daemons: number, profile: 'fast' | 'careful', limitMs: number): Promise<{ readonly ms: number, readonly out: readonly string[] }> => {
-  const bench = new Bench(seed, daemons, profile)
+const detect = async (seed: number, daemons: number, profile: 'fast' | 'careful', limitMs: number, traffic = EVEN_TRAFFIC): Promise<{ readonly ms: number, readonly out: readonly string[] }> => {
+  const bench = new Bench(seed, daemons, profile, traffic)
   await bench.run(WARM_UP_MS, () => 0.01)
   const startMs = bench.clock.monotonicMs()
   await bench.run(limitMs, (_, target) => target === 0 ? 0.3 : 0.01)
@@ -104,6 +120,14 @@
     })
   }
 
+  for (const [profile, goalMs] of [['fast', 2_000], ['careful', 5_000]] as const) {
+    it(`does so when most work stays within the zone and half the slots are used (${profile})`, async () => {
+      const found = await detect(1, 40, profile, goalMs + 1_500, NEAR_TRAFFIC)
+      expect(found.out).to.deep.equal(['t0'])
+      expect(found.ms).to.be.below(goalMs)
+    })
+  }
+
   it('takes nothing out under 1% of random errors with the careful profile', async () => {
     const bench = new Bench(2, 40, 'careful')
     await bench.run(12_000, () => 0.01)
