--- a/packages/standins/src/measure/scenarios/gray.ts
+++ b/packages/standins/src/measure/scenarios/gray.ts
@@ -9,7 +9,7 @@
 import { countInvariantBreaches } from '../invariantBreaches.js'
 import { verify } from '../oracle.js'
 import type { Figures, Scenario, ScenarioArguments } from '../scenario.js'
-import { detectionMsOf, sicknessTest } from '../sickness.js'
+import { detectionMsOf, sickWorkOf, sicknessTest } from '../sickness.js'
 import type { Sickness } from '../sickness.js'
 
 const LOAD_SHARE = 0.5
@@ -94,6 +94,7 @@
     detectionTwoMs: largest(times.slice(1)),
     outAfterMs: steady.map(({ targetId, fromMs, toMs }) => watch.outAfterMs(targetId, fromMs, toMs)),
     agreedShares: steady.map(({ targetId, fromMs, toMs }) => watch.agreedShare(targetId, fromMs, toMs)),
+    sickWork: steady.map(sickness => ({ ...sickWorkOf(journal, sickness) })),
     sickMs: Math.min(...steady.map(sickness => sickness.toMs - sickness.fromMs)),
     falseEjections: watch.falseEjections(sicknessTest(all)),
     failedWhileSick: load.results.filter(result => result.status !== 200 && isWhileSick(result.sentAtMs)).length,
--- a/packages/standins/src/measure/sickness.ts
+++ b/packages/standins/src/measure/sickness.ts
@@ -34,3 +34,21 @@
   const lastMs = Math.max(...entries.map(entry => entry.atMs))
   return Number.isFinite(firstFailureMs) && lastMs < toMs - QUIET_MS ? lastMs - firstFailureMs : null
 }
+
+/** Work that a sick target got. */
+export interface SickWork {
+  readonly tries: number
+  readonly failures: number
+}
+
+/**
+ * Counts what a target ran while it was sick.
+ *
+ * @param journal - Everything that targets began to run.
+ * @param sickness - Time in which the target was sick.
+ * @returns Tries and failures.
+ */
+export const sickWorkOf = (journal: readonly JournalEntry[], { targetId, fromMs, toMs }: Sickness): SickWork => {
+  const entries = journal.filter(entry => entry.targetId === targetId && entry.atMs >= fromMs && entry.atMs < toMs)
+  return { tries: entries.length, failures: entries.filter(entry => entry.status !== 200).length }
+}
