--- a/packages/daemon/src/compose/pickSide.ts
+++ b/packages/daemon/src/compose/pickSide.ts
@@ -1,5 +1,5 @@
 import type { AttemptSink, ConfigSource, HealthView, PeerBus, Settings, StateSource, TargetDirectory, TargetPicker, TargetSender } from '@lovagehoist/common'
-import { DaemonRoster, LeastLoadedPicker, PickMetrics, SharedPicker, SubsetView, TwoChoicesPicker } from '@lovagehoist/targets'
+import { DaemonRoster, EventWarmer, LeastLoadedPicker, PickMetrics, SharedPicker, SubsetView, TwoChoicesPicker } from '@lovagehoist/targets'
 import type { PlannedDaemon, SharePolicy } from '@lovagehoist/targets'
 import type { Base, Task } from './base.js'
 
@@ -27,6 +27,8 @@
 type SlotMechanism = Settings['mechanisms']['slots']
 
 const DEFAULT_CONNECTIONS_PER_TARGET = 300
+/** Connections opened ahead to one target. */
+const MAX_WARM_CONNECTIONS = 3
 
 const readDaemons = ({ base, bus }: PickSideOptions): readonly PlannedDaemon[] => {
   const { instanceId: id, availabilityZone } = base.identity
@@ -34,6 +36,15 @@
   return [{ id, availabilityZone }, ...others.map(other => ({ id: other.instanceId, availabilityZone: other.availabilityZone }))]
 }
 
+const createWarmer = ({ base, config, sender }: PickSideOptions, subsets: SubsetView): EventWarmer => {
+  const { clock, log } = base
+  const plan = (service: string) => {
+    const { targets, size, maxInFlightPerTarget } = subsets.rank(service)
+    return { targets: targets.slice(0, size), connectionsPerTarget: Math.min(MAX_WARM_CONNECTIONS, maxInFlightPerTarget) }
+  }
+  return EventWarmer.create({ clock, log: log.child('events'), config, sender, plan })
+}
+
 const createSharedSide = (options: PickSideOptions, policy: SharePolicy): PickSide => {
   const { base, config, directory, health } = options
   const serviceConfig = (service: string) => config.current()?.document.services[service]
@@ -55,7 +66,14 @@
     invariants: base.invariants,
     metrics: PickMetrics.create(base.registry)
   })
-  return { picker, feedback: picker, capacity: picker.capacity, tasks: [], sources: [{ name: 'slots', dump: () => picker.dump() }] }
+  const warmer = createWarmer(options, subsets)
+  return {
+    picker,
+    feedback: picker,
+    capacity: picker.capacity,
+    tasks: [async signal => { await warmer.run(signal) }],
+    sources: [{ name: 'slots', dump: () => picker.dump() }]
+  }
 }
 
 const createAloneSide = (options: PickSideOptions, picker: TargetPicker): PickSide => {
