Let daemons report evidence in bursts that the fleet's size bounds

Ruled out: the budget (314 calls, none refused). Change: bursts of 240 reports for the whole fleet, 2 to 8 for a daemon; the average pace stays.

--- a/packages/targets/src/health/sharedHealth.ts
+++ b/packages/targets/src/health/sharedHealth.ts
@@ -36,8 +36,10 @@
 const RATINGS_MS = 100
 /** Reports a second that a judge takes in about one service. */
 const REPORTS_PER_SECOND = 8
-/** Reports that a daemon may send at once after a quiet time. */
-const REPORT_BURST = 2
+/** Reports that all daemons together may send at once after a quiet time. */
+const FLEET_REPORT_BURST = 240
+const LEAST_REPORT_BURST = 2
+const LARGEST_REPORT_BURST = 8
 const MS_PER_SECOND = 1_000
 const MAX_DUMPED = 200
 /** Time for which a target whose ejection the floor refused gets a reduced share. */
@@ -167,9 +169,11 @@
   private reportIfDue (service: string): void {
     const { clock, bus } = this.options
     const nowMs = clock.monotonicMs()
-    const intervalMs = (bus.members().length + 1) * MS_PER_SECOND / REPORTS_PER_SECOND
+    const daemons = bus.members().length + 1
+    const intervalMs = daemons * MS_PER_SECOND / REPORTS_PER_SECOND
+    const burst = Math.max(LEAST_REPORT_BURST, Math.min(LARGEST_REPORT_BURST, Math.floor(FLEET_REPORT_BURST / daemons)))
     const paidUntilMs = Math.max(nowMs, this.paidUntilMs.get(service) ?? -Infinity)
-    if (paidUntilMs - nowMs > (REPORT_BURST - 1) * intervalMs) return
+    if (paidUntilMs - nowMs > (burst - 1) * intervalMs) return
     this.paidUntilMs.set(service, paidUntilMs + intervalMs)
     this.local.clearNews(service)
     this.exchange.send(service, this.local.counts(service), this.ejections.judges(service))
