--- a/packages/standins/src/soak/runSoak.ts
+++ b/packages/standins/src/soak/runSoak.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import type { JsonValue, Random } from '@lovagehoist/common'
 import { Caller } from '../load/caller.js'
 import { runOpenLoop } from '../load/openLoop.js'
@@ -181,6 +182,7 @@
   const loop = FaultLoop.create(world, options)
   const balancer = Balancer.create(world)
   const stop = new AbortController()
+  setMaxListeners(0, stop.signal)
   try {
     const workload = Workload.create({
       clock,
--- a/packages/targets/src/health/sharedHealth.spec.ts
+++ b/packages/targets/src/health/sharedHealth.spec.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { Invariants, SeededRandom, createRegistry, silentLog } from '@lovagehoist/common'
 import type { AcceptedConfig, Clock, ConfigSource, Target, TargetDirectory } from '@lovagehoist/common'
 import { FakePeerNetwork, FakePlatform, ManualClock, fakeTarget } from '@lovagehoist/common/testing'
@@ -44,6 +45,7 @@
 
   constructor (seed: number, count: number, private readonly profile: 'fast' | 'careful', private readonly traffic: Traffic = EVEN_TRAFFIC) {
     this.random = SeededRandom.create(seed)
+    setMaxListeners(0, this.stopping.signal)
     this.daemons = Array.from({ length: count }, (_, index) => this.start(index))
   }
 
