--- a/packages/standins/src/report/plots.ts
+++ b/packages/standins/src/report/plots.ts
@@ -12,7 +12,7 @@
 
 /** Plots that the report draws. */
 export const plots: readonly Plot[] = [
-  { file: 'detection.svg', title: 'Time to detect a failing target', scenario: 'gray', field: 'detectionMs', unit: 'ms' },
+  { file: 'detection.svg', title: 'Time to detect one failing target', scenario: 'gray', field: 'detectionOneMs', unit: 'ms' },
   { file: 'rush.svg', title: 'Goodput at 1.5 times capacity', scenario: 'rush', field: 'goodputShare', unit: 'share of capacity' },
   { file: 'promotion.svg', title: 'Time until a promotion is in force everywhere', scenario: 'promote', field: 'inForceMs', unit: 'ms' },
   { file: 'overhead.svg', title: 'Time added for 99 in 100 requests', scenario: 'overhead', field: 'addedP99Ms', unit: 'ms' }
