Make one piece of code of what four measurements wrote again

Cause: gray, outage, poison and silent each built the same caller and mixed load and ended them and the fleet the same way. Change: withLoad does it once; poison asks the fleet for the callers' addresses itself.

--- a/packages/standins/src/measure/scenarios/gray.ts
+++ b/packages/standins/src/measure/scenarios/gray.ts
@@ -1,8 +1,6 @@
-import { SeededRandom } from '@lovagehoist/common'
-import { Caller } from '../../load/caller.js'
-import { MixedLoad } from '../../load/mixedLoad.js'
+import type { MixedLoad } from '../../load/mixedLoad.js'
 import type { TargetBehaviour } from '../../target/behaviour.js'
-import { CAPACITY_PER_SECOND, MEAN_WORK_MS, SERVICE, SLOTS_PER_TARGET, TARGETS } from '../burnbookFleet.js'
+import { CAPACITY_PER_SECOND, SLOTS_PER_TARGET, TARGETS } from '../burnbookFleet.js'
 import type { Fleet } from '../fleet.js'
 import { FLOOR_SLOTS, createHealthFleet } from '../healthFleet.js'
 import { HealthWatch } from '../healthWatch.js'
@@ -11,6 +9,7 @@
 import type { Figures, Scenario, ScenarioArguments } from '../scenario.js'
 import { detectionMsOf, sickWorkOf, sicknessTest } from '../sickness.js'
 import type { Sickness } from '../sickness.js'
+import { withLoad } from '../withLoad.js'
 
 const LOAD_SHARE = 0.5
 const PAYMENT_SHARE = 0.2
@@ -107,11 +106,7 @@
 
 const run = async (args: ScenarioArguments): Promise<Figures> => {
   const fleet = await createHealthFleet(args, NOISE)
-  const caller = Caller.create(fleet.clock)
-  try {
-    const urls = await fleet.callerUrls()
-    const random = SeededRandom.create(args.seed)
-    const load = MixedLoad.create({ clock: fleet.clock, random, caller, service: SERVICE, paymentShare: PAYMENT_SHARE, meanWorkMs: MEAN_WORK_MS, urls: () => urls })
+  return await withLoad(fleet, args.seed, PAYMENT_SHARE, async load => {
     const watch = HealthWatch.create(fleet)
     const illness = Illness.create(fleet)
     await fleet.clock.sleepMs(SETTLE_MS)
@@ -120,10 +115,7 @@
     await running
     await watch.stop()
     return await figuresOf(args, fleet, load, watch, steady, illness.sicknesses)
-  } finally {
-    await caller.close()
-    await fleet.close()
-  }
+  })
 }
 
 /** Targets that answer probes and fail part of real work, with noise at the others. */
--- a/packages/standins/src/measure/scenarios/outage.ts
+++ b/packages/standins/src/measure/scenarios/outage.ts
@@ -1,6 +1,4 @@
-import { SeededRandom } from '@lovagehoist/common'
-import { Caller } from '../../load/caller.js'
-import { MixedLoad } from '../../load/mixedLoad.js'
+import type { MixedLoad } from '../../load/mixedLoad.js'
 import type { PlatformSwitches } from '../../platform/platformSwitches.js'
 import type { TargetBehaviour } from '../../target/behaviour.js'
 import { CAPACITY_PER_SECOND, MEAN_WORK_MS, SERVICE, SLOTS_PER_TARGET, TARGETS, TIMEOUT_MS, mechanismsOf } from '../burnbookFleet.js'
@@ -12,6 +10,7 @@
 import type { Figures, Scenario, ScenarioArguments } from '../scenario.js'
 import { detectionMsOf, sicknessTest } from '../sickness.js'
 import type { Sickness } from '../sickness.js'
+import { withLoad } from '../withLoad.js'
 
 const MS_PER_SECOND = 1_000
 const LOAD_SHARE = 0.4
@@ -119,19 +118,12 @@
 
 const run = async (args: ScenarioArguments): Promise<Figures> => {
   const fleet = await createFleet(args)
-  const caller = Caller.create(fleet.clock)
-  try {
-    const urls = await fleet.callerUrls()
-    const random = SeededRandom.create(args.seed)
-    const load = MixedLoad.create({ clock: fleet.clock, random, caller, service: SERVICE, paymentShare: PAYMENT_SHARE, meanWorkMs: MEAN_WORK_MS, urls: () => urls })
+  return await withLoad(fleet, args.seed, PAYMENT_SHARE, async load => {
     const watch = HealthWatch.create(fleet)
     const [course] = await Promise.all([play(args, fleet), load.run(CAPACITY_PER_SECOND * LOAD_SHARE, args.durationMs)])
     await watch.stop()
     return await figuresOf(args, fleet, load, watch, course)
-  } finally {
-    await caller.close()
-    await fleet.close()
-  }
+  })
 }
 
 /** Requests and detection while the platform is down, slow, loses answers and returns. */
--- a/packages/standins/src/measure/scenarios/poison.ts
+++ b/packages/standins/src/measure/scenarios/poison.ts
@@ -1,14 +1,14 @@
-import { SeededRandom, digestOf } from '@lovagehoist/common'
+import { digestOf } from '@lovagehoist/common'
 import type { JsonValue } from '@lovagehoist/common'
-import { Caller } from '../../load/caller.js'
-import { MixedLoad } from '../../load/mixedLoad.js'
-import { CAPACITY_PER_SECOND, MEAN_WORK_MS, SERVICE, SLOTS_PER_TARGET, TARGETS } from '../burnbookFleet.js'
+import type { Caller } from '../../load/caller.js'
+import { CAPACITY_PER_SECOND, SERVICE, SLOTS_PER_TARGET, TARGETS } from '../burnbookFleet.js'
 import type { Fleet } from '../fleet.js'
 import { FLOOR_SLOTS, createHealthFleet } from '../healthFleet.js'
 import { HealthWatch } from '../healthWatch.js'
 import { countInvariantBreaches } from '../invariantBreaches.js'
 import { verify } from '../oracle.js'
 import type { Figures, Scenario, ScenarioArguments } from '../scenario.js'
+import { withLoad } from '../withLoad.js'
 
 const LOAD_SHARE = 0.25
 const PAYMENT_SHARE = 0.2
@@ -26,7 +26,8 @@
 }
 
 /** Sends the poisonous request again and again, to one daemon after the other. */
-const resend = async (args: ScenarioArguments, fleet: Fleet, caller: Caller, urls: readonly string[]): Promise<readonly string[]> => {
+const resend = async (args: ScenarioArguments, fleet: Fleet, caller: Caller): Promise<readonly string[]> => {
+  const urls = await fleet.callerUrls()
   const verdicts: string[] = []
   const endMs = fleet.clock.monotonicMs() + args.durationMs * (1 - BEFORE_SHARE)
   while (fleet.clock.monotonicMs() < endMs) {
@@ -41,15 +42,11 @@
 const run = async (args: ScenarioArguments): Promise<Figures> => {
   const fleet = await createHealthFleet(args, { poison: POISON })
   const { clock } = fleet
-  const caller = Caller.create(clock)
-  try {
-    const urls = await fleet.callerUrls()
-    const random = SeededRandom.create(args.seed)
-    const load = MixedLoad.create({ clock, random, caller, service: SERVICE, paymentShare: PAYMENT_SHARE, meanWorkMs: MEAN_WORK_MS, urls: () => urls })
+  return await withLoad(fleet, args.seed, PAYMENT_SHARE, async (load, caller) => {
     const watch = HealthWatch.create(fleet)
     const running = load.run(CAPACITY_PER_SECOND * LOAD_SHARE, args.durationMs)
     await clock.sleepMs(args.durationMs * BEFORE_SHARE)
-    const verdicts = await resend(args, fleet, caller, urls)
+    const verdicts = await resend(args, fleet, caller)
     await running
     await watch.stop()
     const journal = await fleet.journal()
@@ -71,10 +68,7 @@
       falseQuarantines: stopped - (isPoisonStopped ? 1 : 0),
       failed: load.results.filter(result => result.status !== 200).length
     }
-  } finally {
-    await caller.close()
-    await fleet.close()
-  }
+  })
 }
 
 /** A request that takes down each target that runs it, and that its caller sends again. */
--- a/packages/standins/src/measure/scenarios/silent.ts
+++ b/packages/standins/src/measure/scenarios/silent.ts
@@ -1,12 +1,10 @@
-import { SeededRandom } from '@lovagehoist/common'
-import { Caller } from '../../load/caller.js'
-import { MixedLoad } from '../../load/mixedLoad.js'
-import { CAPACITY_PER_SECOND, MEAN_WORK_MS, SERVICE, SLOTS_PER_TARGET, TARGETS } from '../burnbookFleet.js'
+import { CAPACITY_PER_SECOND, SERVICE, SLOTS_PER_TARGET, TARGETS } from '../burnbookFleet.js'
 import { FLOOR_SLOTS, createHealthFleet } from '../healthFleet.js'
 import { HealthWatch } from '../healthWatch.js'
 import { countInvariantBreaches } from '../invariantBreaches.js'
 import { verify } from '../oracle.js'
 import type { Figures, Scenario, ScenarioArguments } from '../scenario.js'
+import { withLoad } from '../withLoad.js'
 
 const LOAD_SHARE = 0.5
 const PAYMENT_SHARE = 0.2
@@ -18,11 +16,7 @@
 const run = async (args: ScenarioArguments): Promise<Figures> => {
   const fleet = await createHealthFleet(args, {}, { headTimeoutMs: HEAD_TIMEOUT_MS })
   const { clock } = fleet
-  const caller = Caller.create(clock)
-  try {
-    const urls = await fleet.callerUrls()
-    const random = SeededRandom.create(args.seed)
-    const load = MixedLoad.create({ clock, random, caller, service: SERVICE, paymentShare: PAYMENT_SHARE, meanWorkMs: MEAN_WORK_MS, urls: () => urls })
+  return await withLoad(fleet, args.seed, PAYMENT_SHARE, async load => {
     const watch = HealthWatch.create(fleet)
     const running = load.run(CAPACITY_PER_SECOND * LOAD_SHARE, args.durationMs)
     await clock.sleepMs(args.durationMs * BEFORE_SHARE)
@@ -45,10 +39,7 @@
       falseEjections: watch.falseEjections(() => false),
       recoveryMs: hurt.length === 0 ? 0 : Math.max(...hurt.map(result => result.endedAtMs)) - silentAtMs
     }
-  } finally {
-    await caller.close()
-    await fleet.close()
-  }
+  })
 }
 
 /** Kept-alive connections that stop answering while new ones work. */
