Serve the users' platform end to end: adapter, gateway daemon, relays

What is new: platform/ decodes settings, rows and header names; a gateway daemon is composed beside the present one from new parts (route index, placement by expected time, chance that a target fails, relays between daemons over datagrams, listing and configuration followers) and the present ones (connections, caller server, log). packages/platform is now packages/store.

Ruled out: long polls of the target table (it changes 20 times a second), one exchange between all daemons (grows with the square of the fleet).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '.measure/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '.measure/**', 'target/**', 'journal/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
@@ -12,7 +12,7 @@
     }
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['**/*.spec.ts'],
     rules: {
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
--- a/packages/callers/src/answers/problem.ts
+++ b/packages/callers/src/answers/problem.ts
@@ -76,19 +76,36 @@
   return { status, reason: STATUS_CODES[status] ?? '' }
 }
 
+/**
+ * Writes a delay in whole seconds, as HTTP has it.
+ *
+ * @param delayMs - Delay.
+ * @returns Value of `Retry-After`.
+ */
+export const wholeSeconds = (delayMs: number): string => String(Math.ceil(delayMs / MS_PER_SECOND))
+
+/**
+ * Writes a delay in seconds with a fraction, for callers that take one.
+ *
+ * @param delayMs - Delay.
+ * @returns Value of `Retry-After`.
+ */
+export const fractionalSeconds = (delayMs: number): string => (delayMs / MS_PER_SECOND).toFixed(2)
+
 /**
  * Answers with a problem document.
  *
  * @param response - Answer to the caller; nothing of it is written yet.
  * @param problem - Why the request has no answer of a target.
+ * @param formatDelay - Writes the value of `Retry-After`.
  */
-export const sendProblem = (response: ServerResponse, problem: Problem): void => {
+export const sendProblem = (response: ServerResponse, problem: Problem, formatDelay = wholeSeconds): void => {
   const { status } = statusOf(problem)
   const body = problemBody(problem)
   response.statusCode = status
   response.setHeader('content-type', 'application/problem+json')
   response.setHeader('content-length', Buffer.byteLength(body))
   response.setHeader(VERDICT_HEADER, problem.verdict)
-  if (problem.retryAfterMs !== undefined) response.setHeader('retry-after', Math.ceil(problem.retryAfterMs / MS_PER_SECOND))
+  if (problem.retryAfterMs !== undefined) response.setHeader('retry-after', formatDelay(problem.retryAfterMs))
   response.end(body)
 }
--- a/packages/callers/src/exchange/headers.ts
+++ b/packages/callers/src/exchange/headers.ts
@@ -94,6 +94,24 @@
   return fields
 }
 
+/**
+ * Leaves out header fields of a request that hold for one connection only.
+ *
+ * @param request - Request of the caller.
+ * @param dropped - Names of fields that are set for each try, in lower case.
+ * @returns The fields that go on to the target, as the caller sent them.
+ */
+export const endToEndHeaders = ({ rawHeaders, headers }: IncomingMessage, dropped: ReadonlySet<string>): RawHeaders => {
+  const named = namedByConnection(headers.connection)
+  const fields: string[] = []
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = (rawHeaders[index] ?? '').toLowerCase()
+    if (HOP_BY_HOP.has(name) || name === 'content-length' || dropped.has(name) || named?.has(name) === true) continue
+    fields.push(rawHeaders[index] ?? '', rawHeaders[index + 1] ?? '')
+  }
+  return fields
+}
+
 /**
  * Leaves out header fields of an answer that hold for one connection only, and verdicts that only the fleet may give.
  *
--- a/packages/common/src/contracts/targets.ts
+++ b/packages/common/src/contracts/targets.ts
@@ -114,6 +114,10 @@
   readonly headTimeoutMs: number
   /** Longest silence within the answer's body. */
   readonly bodyIdleTimeoutMs: number
+  /** Says why an answer can't belong to this request; its connection is then closed. Absent to take any. */
+  readonly refuteAnswer?: (status: number, headers: RawHeaders) => string | undefined
+  /** Whether an answer may end with its connection; otherwise its end must be stated. */
+  readonly allowsUntilClose?: boolean
 }
 
 /** An answer whose head has arrived. */
--- a/packages/daemon/src/cli/main.ts
+++ b/packages/daemon/src/cli/main.ts
@@ -3,7 +3,7 @@
 import { Command, CommanderError } from 'commander'
 import { SeededRandom, SystemClock, formatLocatedError, loadSettings } from '@lovagehoist/common'
 import type { Settings } from '@lovagehoist/common'
-import { createPlatform } from '@lovagehoist/platform'
+import { createPlatform } from '@lovagehoist/store'
 import { Daemon, ListenError } from '../compose/daemon.js'
 import type { DaemonWorld } from '../compose/world.js'
 
--- /dev/null
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -0,0 +1,127 @@
+import { RetryAllowance, RouteIndex, ShareCursor, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
+import type { GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
+import { Invariants, createRegistry } from '@lovagehoist/common'
+import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
+import { GatewayConfigFollower } from '@lovagehoist/operators'
+import { RelayNode } from '@lovagehoist/peers'
+import type { Datagrams } from '@lovagehoist/peers'
+import { ConnectionSender, FleetLedger, ListingFollower, TargetBoard, TargetChooser, TargetRoster } from '@lovagehoist/targets'
+import type { Registry } from 'prom-client'
+import { PeerFacts } from './peerFacts.js'
+
+/** What a gateway daemon is given. */
+export interface GatewayWorld {
+  readonly settings: GatewaySettings
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Log
+  readonly store: GatewayStore
+  readonly headers: GatewayHeaders
+  readonly datagrams: Datagrams
+}
+
+/** The composed parts of a gateway daemon, before it listens. */
+export interface GatewayParts {
+  readonly handler: RequestHandler
+  readonly registry: Registry
+  readonly isReady: () => boolean
+  readonly facts: PeerFacts
+  /** Loops that run until their signal aborts. */
+  readonly tasks: ReadonlyArray<(signal: AbortSignal) => Promise<void>>
+  readonly close: () => Promise<void>
+}
+
+interface InForce {
+  readonly config: GatewayConfig
+  readonly routes: RouteIndex
+}
+
+/** A connection within a zone or to the next opens within some milliseconds; another target is nearer than a repeated packet. */
+const CONNECT_LIMIT_MS = 400
+const OVERDUE_LOOK_MS = 250
+/** Time between two reads of the fleet's instances, and the one after a start. */
+const INSTANCES_MS = 15_000
+const FIRST_INSTANCES_MS = 1_000
+
+const createTargets = ({ settings, clock, random, log }: GatewayWorld, registry: Registry, invariants: Invariants) => {
+  const board = TargetBoard.create(clock)
+  const ledger = FleetLedger.create(clock)
+  const sender = ConnectionSender.create({ clock, connectTimeoutMs: () => CONNECT_LIMIT_MS, registry, invariants })
+  const onForget = (targetId: string): void => {
+    board.forget(targetId)
+    ledger.forget(targetId)
+    sender.retireConnections(targetId, -1)
+  }
+  const roster = TargetRoster.create({ clock, log: log.child('targets'), onForget })
+  const chooser = TargetChooser.create({ roster, board, clock, random, availabilityZone: settings.availabilityZone, hasIdle: sender.hasIdle })
+  return { board, ledger, sender, roster, chooser }
+}
+
+const createPeers = (world: GatewayWorld, self: InstanceRecord, targets: ReturnType<typeof createTargets>, facts: PeerFacts): RelayNode => {
+  const { settings, clock, log, datagrams } = world
+  const { board, ledger } = targets
+  return RelayNode.create({ self, bootstrapHosts: settings.bootstrapHosts, clock, log: log.child('peers'), datagrams, own: board, ledger, facts: facts.current, onFacts: facts.take })
+}
+
+const watchOverdue = (clock: Clock, board: TargetBoard) => async (signal: AbortSignal): Promise<void> => {
+  while (!signal.aborted) {
+    board.markOverdue()
+    await clock.sleepMs(OVERDUE_LOOK_MS, signal)
+  }
+}
+
+const register = async ({ store, clock, random, log }: GatewayWorld, self: InstanceRecord, relay: RelayNode, signal: AbortSignal): Promise<void> => {
+  let isRegistered = false
+  while (!signal.aborted) {
+    if (!isRegistered) {
+      const put = await store.putInstance(self)
+      isRegistered = put.isOk()
+      if (put.isErr()) log.warn('this instance is not registered yet', { kind: put.error.kind, message: put.error.message })
+    }
+    const read = relay.relayRank === 0 || relay.roster.size === 1 ? await store.readInstances() : undefined
+    read?.match(records => { relay.roster.learn(records) }, ({ kind, message }) => { log.warn('the fleet\'s instances could not be read', { kind, message }) })
+    await clock.sleepMs((isRegistered && relay.roster.size > 1 ? INSTANCES_MS : FIRST_INSTANCES_MS) * (0.5 + random.next()), signal)
+  }
+}
+
+/**
+ * Composes the parts of a gateway daemon.
+ *
+ * @param world - Settings, time, randomness, store and transport.
+ * @returns The parts, not yet started.
+ */
+export const composeGateway = (world: GatewayWorld): GatewayParts => {
+  const { settings, clock, random, log, store, headers } = world
+  const registry = createRegistry({ instance: settings.instanceId })
+  const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
+  let inForce: InForce | undefined
+  const config = GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), onConfig: next => { inForce = { config: next, routes: RouteIndex.create(next) } } })
+  const targets = createTargets(world, registry, invariants)
+  const facts = PeerFacts.create({ settings, clock, log: log.child('peers'), store, config, roster: targets.roster })
+  const self: InstanceRecord = { instanceId: settings.instanceId, startId: random.id().slice(0, 12), host: settings.peers.host, availabilityZone: settings.availabilityZone }
+  const relay = createPeers(world, self, targets, facts)
+  const listing = ListingFollower.create({ store, roster: targets.roster, relayRank: () => relay.relayRank, clock, random, log: log.child('targets') })
+  const serve: GatewayServeOptions = {
+    clock,
+    headers,
+    invariants,
+    config: () => inForce,
+    shares: ShareCursor.create(random),
+    choices: targets.chooser,
+    sender: targets.sender,
+    allowance: RetryAllowance.create(settings.bounds, () => relay.roster.size),
+    metrics: createRequestMetrics(registry),
+    log: log.child('request')
+  }
+  return {
+    handler: async (request, response) => { await serveGateway(serve, request, response) },
+    registry,
+    facts,
+    isReady: () => inForce !== undefined && targets.roster.hasListing,
+    tasks: [config.run.bind(config), listing.run.bind(listing), relay.run.bind(relay), targets.sender.run.bind(targets.sender), watchOverdue(clock, targets.board), async signal => { await register(world, self, relay, signal) }],
+    close: async () => {
+      targets.sender.close()
+      await store.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/main.ts
@@ -0,0 +1,56 @@
+import { randomBytes, randomInt } from 'node:crypto'
+import { write } from 'node:fs'
+import { readFile } from 'node:fs/promises'
+import { LineSink, SeededRandom, SystemClock, createLog } from '@lovagehoist/common'
+import { openDatagrams } from '@lovagehoist/peers'
+import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
+import { GatewayDaemon } from './gatewayDaemon.js'
+
+const EXIT_OK = 0
+const EXIT_FAULT = 1
+const EXIT_BAD_INPUT = 2
+const ID_BYTES = 16
+const SEED_LIMIT = 0x7fffffff
+const STDOUT = 1
+/** About ten lines a request at the load that one instance carries; more would cost more than it explains. */
+const LINES_PER_SECOND = 200
+/** Port of the metrics, as the deploy file names it. */
+const METRICS_PORT = 9464
+
+const fail = (message: string): void => {
+  process.stderr.write(`${message}\n`)
+  process.exitCode = EXIT_BAD_INPUT
+}
+
+/** Starts a gateway daemon with the settings that the platform gave and runs it until it has left. */
+export const main = async (): Promise<void> => {
+  const file = process.env[SETTINGS_VARIABLE]
+  if (file === undefined) {
+    fail(`${SETTINGS_VARIABLE}: expected the path of the settings file`)
+    return
+  }
+  const text = await readFile(file, 'utf8').catch(() => undefined)
+  const settings = text === undefined ? undefined : decodeSettings(text)
+  if (settings === undefined || settings.isErr()) {
+    fail(`${file}: ${settings === undefined ? 'expected a readable file' : settings.error}`)
+    return
+  }
+  const clock = SystemClock.create()
+  const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
+  const sink = LineSink.create({ clock, linesPerSecond: LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
+  const log = createLog({ level: 'info', format: 'json', clock, write: sink.take })
+  const store = RowStore.create(settings.value.store, clock)
+  const datagrams = await openDatagrams(settings.value.peers, log.child('peers'))
+  const daemon = await GatewayDaemon.create(
+    { settings: settings.value, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams },
+    { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT } })
+  process.on('SIGTERM', () => { daemon.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) })
+  await daemon.done
+  await sink.close()
+  process.exit(EXIT_OK)
+}
+
+main().catch((error: unknown) => {
+  process.stderr.write(`${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
+  process.exit(EXIT_FAULT)
+})
--- a/packages/operators/src/cli/main.ts
+++ b/packages/operators/src/cli/main.ts
@@ -1,6 +1,6 @@
 import { randomBytes, randomInt } from 'node:crypto'
 import { SeededRandom, SystemClock } from '@lovagehoist/common'
-import { createPlatform } from '@lovagehoist/platform'
+import { createPlatform } from '@lovagehoist/store'
 import { createAdminClient } from './adminClient.js'
 import type { CommandWorld } from './context.js'
 import { runCommand } from './program.js'
--- /dev/null
+++ b/packages/peers/src/relay/relayNode.ts
@@ -0,0 +1,253 @@
+import type { ByTarget, CancelTimer, Clock, FleetReading, InstanceRecord, Log, TargetTally } from '@lovagehoist/common'
+import type { Datagrams } from './datagrams.js'
+import { decodeMessage, encodeMessage } from './messages.js'
+import type { FleetView, HeldFacts, RelayMessage, Report, ZoneSums } from './messages.js'
+import { RelayRoster } from './relayRoster.js'
+
+/** What this daemon itself does at targets. */
+export interface OwnTallies {
+  /** Sets what is told of changes; failures are urgent. */
+  readonly onChange: (listener: (isUrgent: boolean) => void) => void
+  /** Tallies that changed within a time; all of them without one. */
+  readonly takeTallies: (changedWithinMs?: number) => ByTarget<TargetTally>
+  readonly takeFleet: (readings: ByTarget<FleetReading>) => void
+}
+
+/** Merges what daemons and zones report. */
+export interface Ledger {
+  readonly takeDaemon: (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean) => void
+  readonly takeZone: (zone: string, tallies: ByTarget<TargetTally>, isFull: boolean) => void
+  readonly zoneTallies: () => ByTarget<TargetTally>
+  readonly readings: () => ByTarget<FleetReading>
+  readonly sweep: () => void
+}
+
+/** What a relay node needs. */
+export interface RelayNodeOptions {
+  readonly self: InstanceRecord
+  /** Hosts that are told of this daemon while none of its zone is known. */
+  readonly bootstrapHosts: readonly string[]
+  readonly clock: Clock
+  readonly log: Log
+  readonly datagrams: Datagrams
+  readonly own: OwnTallies
+  readonly ledger: Ledger
+  readonly facts: () => HeldFacts
+  /** Called for each view of another daemon. */
+  readonly onFacts: (facts: HeldFacts, from: InstanceRecord) => void
+}
+
+/** Rhythm of the loop; changes within it travel together. */
+const TICK_MS = 50
+/** Delay of a failure, so that several at once travel together. */
+const URGENT_MS = 5
+/** Longest time between two reports of a quiet daemon. */
+const HEARTBEAT_MS = 400
+/** Time between two views, and the longest one while nothing changes. */
+const VIEW_MS = 100
+const QUIET_VIEW_MS = 300
+/** Time between two sums to other zones: bytes between zones are dear. */
+const ZONE_MS = 250
+const QUIET_ZONE_MS = 1_000
+/** Time between two repeats of what changed lately, which heal lost datagrams. */
+const REPEAT_MS = 1_000
+const REPEATED_WITHIN_MS = 2_500
+const MEMBERS_MS = 1_000
+/** Time after its last report for which a daemon gets views. */
+const REPORTER_MS = 1_500
+
+interface Reporter {
+  readonly host: string
+  heardAtMs: number
+}
+
+/** Exchanges load and evidence: daemons report to two relays of their zone, relays answer with the fleet's view. */
+export class RelayNode {
+  readonly roster: RelayRoster
+  private readonly reporters = new Map<string, Reporter>()
+  private readonly published = new Map<string, string>()
+  private readonly sentSums = new Map<string, string>()
+  private relayKey = ''
+  private hasNews = false
+  private isLeaving = false
+  private cancelUrgent: CancelTimer | undefined
+  private readonly lastMs = { report: -Infinity, repeat: -Infinity, view: -Infinity, zone: -Infinity, zoneRepeat: -Infinity, members: -Infinity }
+  private unreadable = 0
+
+  private constructor (private readonly options: RelayNodeOptions) {
+    this.roster = RelayRoster.create(options.self, options.clock)
+    options.datagrams.onDatagram(bytes => { this.receive(bytes) })
+    options.own.onChange(isUrgent => { this.note(isUrgent) })
+  }
+
+  /**
+   * Creates a node; it sends nothing before it runs.
+   *
+   * @param options - Transport, tallies and ledger.
+   * @returns The node.
+   */
+  static create (options: RelayNodeOptions): RelayNode {
+    return new RelayNode(options)
+  }
+
+  /** Datagrams that could not be read. */
+  get unreadableCount (): number {
+    return this.unreadable
+  }
+
+  /** Place of this daemon among the relays of its zone: 0 for the first, -1 for none. */
+  get relayRank (): number {
+    const { availabilityZone, instanceId } = this.options.self
+    return this.roster.relays(availabilityZone).findIndex(relay => relay.instanceId === instanceId)
+  }
+
+  /**
+   * Runs until stopped; then tells the relays that this daemon leaves.
+   *
+   * @param signal - Ends the loop.
+   */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.tick()
+      await this.options.clock.sleepMs(TICK_MS, signal)
+    }
+    this.cancelUrgent?.()
+    this.isLeaving = true
+    this.report(this.options.own.takeTallies(), true)
+  }
+
+  private note (isUrgent: boolean): void {
+    this.hasNews = true
+    if (!isUrgent || this.cancelUrgent !== undefined) return
+    this.cancelUrgent = this.options.clock.after(URGENT_MS, () => {
+      this.cancelUrgent = undefined
+      this.tick(true)
+    })
+  }
+
+  private tick (isUrgent = false): void {
+    const nowMs = this.options.clock.monotonicMs()
+    this.reportIfDue(nowMs)
+    if (this.reporters.size > 0 || this.relayRank >= 0) this.publishIfDue(nowMs, isUrgent)
+    if (this.relayRank === 0) this.sumIfDue(nowMs, isUrgent)
+  }
+
+  private reportIfDue (nowMs: number): void {
+    const last = this.lastMs
+    const relayKey = this.roster.relays(this.options.self.availabilityZone).map(({ startId }) => startId).join()
+    const isFull = relayKey !== this.relayKey
+    const isRepeat = nowMs - last.repeat >= REPEAT_MS
+    if (!isFull && !isRepeat && !this.hasNews && nowMs - last.report < HEARTBEAT_MS) return
+    const changedWithinMs = isRepeat ? REPEATED_WITHIN_MS : nowMs - last.report
+    this.relayKey = relayKey
+    this.hasNews = false
+    last.report = nowMs
+    if (isFull || isRepeat) last.repeat = nowMs
+    this.report(this.options.own.takeTallies(isFull ? undefined : changedWithinMs), isFull)
+  }
+
+  private report (tallies: ByTarget<TargetTally>, isFull: boolean): void {
+    const { self, ledger, datagrams, bootstrapHosts } = this.options
+    ledger.takeDaemon(self.startId, tallies, isFull)
+    const relays = this.roster.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
+    const bytes = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, tallies })
+    for (const { instanceId, host } of relays) {
+      this.roster.asked(instanceId)
+      datagrams.send(host, bytes)
+    }
+    if (this.roster.size === 1) for (const host of bootstrapHosts) if (host !== self.host) datagrams.send(host, bytes)
+  }
+
+  private publishIfDue (nowMs: number, isUrgent: boolean): void {
+    const last = this.lastMs
+    if (!isUrgent && nowMs - last.view < VIEW_MS) return
+    const readings = this.changedReadings(nowMs)
+    if (readings.length === 0 && nowMs - last.view < QUIET_VIEW_MS) return
+    last.view = nowMs
+    this.options.own.takeFleet(readings)
+    this.sendView(nowMs, readings)
+    this.options.ledger.sweep()
+  }
+
+  private sendView (nowMs: number, readings: ByTarget<FleetReading>): void {
+    const { self, datagrams, facts } = this.options
+    for (const [startId, { heardAtMs }] of this.reporters) if (nowMs - heardAtMs > REPORTER_MS) this.reporters.delete(startId)
+    if (this.reporters.size === 0) return
+    const withMembers = nowMs - this.lastMs.members >= MEMBERS_MS
+    if (withMembers) this.lastMs.members = nowMs
+    const view: FleetView = { type: 'view', from: self, facts: facts(), readings, members: withMembers ? this.roster.members() : [] }
+    const bytes = encodeMessage(view)
+    for (const { host } of this.reporters.values()) datagrams.send(host, bytes)
+  }
+
+  /** Readings that differ from the last view; those with requests in progress are repeated. */
+  private changedReadings (nowMs: number): ByTarget<FleetReading> {
+    const isRepeat = nowMs - this.lastMs.members >= MEMBERS_MS
+    return this.options.ledger.readings().filter(([targetId, { inProgress, failingChance, refusalShare, latencyMs }]) => {
+      const text = `${inProgress} ${failingChance.toFixed(1)} ${refusalShare.toFixed(1)} ${Math.round(latencyMs / 50)}`
+      const isChanged = this.published.get(targetId) !== text
+      this.published.set(targetId, text)
+      return isChanged || (isRepeat && inProgress > 0)
+    })
+  }
+
+  private sumIfDue (nowMs: number, isUrgent: boolean): void {
+    const last = this.lastMs
+    if (!isUrgent && nowMs - last.zone < ZONE_MS) return
+    const isFull = nowMs - last.zoneRepeat >= QUIET_ZONE_MS
+    const tallies = this.options.ledger.zoneTallies().filter(([targetId, tally]) => {
+      const text = Object.values(tally).join(' ')
+      const isChanged = this.sentSums.get(targetId) !== text
+      this.sentSums.set(targetId, text)
+      return isChanged || isFull
+    })
+    if (tallies.length === 0 && nowMs - last.zone < QUIET_ZONE_MS) return
+    last.zone = nowMs
+    if (isFull) last.zoneRepeat = nowMs
+    const { self, datagrams } = this.options
+    const bytes = encodeMessage({ type: 'zone', from: self, isFull, tallies })
+    for (const zone of this.roster.zones()) {
+      if (zone === self.availabilityZone) continue
+      for (const { host } of this.roster.relays(zone)) datagrams.send(host, bytes)
+    }
+  }
+
+  private receive (bytes: Uint8Array): void {
+    const message = decodeMessage(bytes)
+    if (message === undefined) {
+      this.unreadable++
+      return
+    }
+    if (message.from.instanceId === this.options.self.instanceId) return
+    const handle = this.handlers[message.type] as (message: RelayMessage) => void
+    if (this.roster.heard(message.from)) this.options.log.info('peer seen', { peer: message.from.instanceId, zone: message.from.availabilityZone })
+    handle(message)
+  }
+
+  private readonly handlers: { readonly [Type in RelayMessage['type']]: (message: Extract<RelayMessage, { readonly type: Type }>) => void } = {
+    report: message => { this.takeReport(message) },
+    zone: message => { this.takeSums(message) },
+    view: message => { this.takeView(message) }
+  }
+
+  private takeReport ({ from, isFull, isLeaving, tallies }: Report): void {
+    if (isLeaving) {
+      this.reporters.delete(from.startId)
+      this.roster.remove(from.instanceId)
+      this.options.log.info('peer left', { peer: from.instanceId })
+      return
+    }
+    this.reporters.set(from.startId, { host: from.host, heardAtMs: this.options.clock.monotonicMs() })
+    this.options.ledger.takeDaemon(from.startId, tallies, isFull)
+  }
+
+  private takeSums ({ from, isFull, tallies }: ZoneSums): void {
+    this.options.ledger.takeZone(`${from.availabilityZone} ${from.startId}`, tallies, isFull)
+  }
+
+  private takeView ({ from, facts, readings, members }: FleetView): void {
+    this.roster.learn(members)
+    this.options.own.takeFleet(readings)
+    this.options.onFacts(facts, from)
+  }
+}
--- a/packages/standins/src/platform/platformStandin.spec.ts
+++ b/packages/standins/src/platform/platformStandin.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
 import { SeededRandom, SystemClock } from '@lovagehoist/common'
 import type { DirectoryEntry } from '@lovagehoist/common'
-import { createPlatform } from '@lovagehoist/platform'
-import type { PlatformClients } from '@lovagehoist/platform'
+import { createPlatform } from '@lovagehoist/store'
+import type { PlatformClients } from '@lovagehoist/store'
 import { request } from 'undici'
 import { PlatformStandin } from './platformStandin.js'
 
--- a/packages/targets/src/connections/connectionList.ts
+++ b/packages/targets/src/connections/connectionList.ts
@@ -65,15 +65,17 @@
    */
   take (isIdempotent: boolean): Connection | undefined {
     this.sweep()
-    const nowMs = this.clock.monotonicMs()
-    const openedAfterMs = this.suspectBeforeMs(nowMs)
-    const index = this.idle.findIndex(connection =>
-      connection.openedAtMs >= openedAfterMs && (isIdempotent || nowMs - connection.provenAtMs <= PROVEN_MS))
+    const index = this.findIdle(isIdempotent)
     const [found] = index < 0 ? [] : this.idle.splice(index, 1)
     if (found !== undefined) this.busy.add(found)
     return found
   }
 
+  /** Whether a connection is idle that suits a request. */
+  hasIdle (isIdempotent: boolean): boolean {
+    return this.findIdle(isIdempotent) >= 0
+  }
+
   /**
    * Opens a connection for immediate use.
    *
@@ -145,6 +147,13 @@
     }
   }
 
+  private findIdle (isIdempotent: boolean): number {
+    const nowMs = this.clock.monotonicMs()
+    const openedAfterMs = this.suspectBeforeMs(nowMs)
+    return this.idle.findIndex(connection => connection.isUsable &&
+      connection.openedAtMs >= openedAfterMs && (isIdempotent || nowMs - connection.provenAtMs <= PROVEN_MS))
+  }
+
   private noteAnswer (connection: Connection): void {
     for (const wait of this.waits) {
       if (connection.openedAtMs > wait.sentAtMs) wait.hasNewAnswered = true
--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -114,9 +114,12 @@
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
     if (status < 200 || this.stage !== 'sending') return
     const headers = toText(controller.rawHeaders as Buffer[])
-    const framing = framingOf(this.options.request.method, status, headers)
-    if (framing.type === 'unprovable') {
-      this.giveUp(new GivenUp('broken-answer', framing.message))
+    const { method, refuteAnswer, allowsUntilClose } = this.options.request
+    const framing = framingOf(method, status, headers)
+    const isUnprovable = framing.type === 'unprovable' || (framing.type === 'until-close' && allowsUntilClose !== true)
+    const refutation = isUnprovable ? framing.message : refuteAnswer?.(status, headers)
+    if (refutation !== undefined) {
+      this.giveUp(new GivenUp('broken-answer', refutation))
       return
     }
     if (framing.type === 'length') this.expectedBytes = framing.bytes
--- a/packages/targets/src/connections/framing.ts
+++ b/packages/targets/src/connections/framing.ts
@@ -5,6 +5,7 @@
   | { readonly type: 'length', readonly bytes: number }
   | { readonly type: 'chunked' }
   | { readonly type: 'none' }
+  | { readonly type: 'until-close', readonly message: string }
   | { readonly type: 'unprovable', readonly message: string }
 
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304])
@@ -23,7 +24,7 @@
 }
 
 /**
- * Tells how the end of an answer's body is known; an answer that ends with its connection can't be proven whole.
+ * Tells how the end of an answer's body is known; an answer that ends with its connection can't be proven whole unless the target's contract allows it.
  *
  * @param method - Method of the request.
  * @param status - Status of the answer.
@@ -40,7 +41,7 @@
     return isChunked ? { type: 'chunked' } : { type: 'unprovable', message: 'the answer uses an unknown transfer coding' }
   }
   const [length, ...others] = lengths
-  if (length === undefined) return { type: 'unprovable', message: 'the answer states no length, so its end could not be proven' }
+  if (length === undefined) return { type: 'until-close', message: 'the answer states no length, so its end could not be proven' }
   if (others.length > 0 || !DIGITS.test(length)) return { type: 'unprovable', message: 'the answer states a contradictory length' }
   return { type: 'length', bytes: Number(length) }
 }
--- a/packages/targets/src/connections/targetSender.ts
+++ b/packages/targets/src/connections/targetSender.ts
@@ -83,6 +83,9 @@
     this.lists.get(targetId)?.retire(olderThanMs)
   }
 
+  /** Whether a connection to a target is idle that suits a request. */
+  readonly hasIdle = (targetId: string, isIdempotent: boolean): boolean => this.lists.get(targetId)?.hasIdle(isIdempotent) ?? false
+
   /** Destroys all connections. */
   close (): void {
     for (const list of this.lists.values()) list.retire(-1)
--- /dev/null
+++ b/packages/targets/src/load/fleetLedger.ts
@@ -0,0 +1,164 @@
+import type { ByTarget, Clock, FleetReading, TargetTally } from '@lovagehoist/common'
+import { ConditionBook } from '../condition/conditionBook.js'
+import { NO_SAMPLES, addSamples } from './recentMean.js'
+import type { RecentMean } from './recentMean.js'
+import { addOutcomes, refusalShareAt } from './refusalShare.js'
+import type { RefusalShare } from './refusalShare.js'
+
+/** Reports of one daemon or one zone. */
+interface Source {
+  readonly tallies: Map<string, TargetTally>
+  /** Whether a full report has come. */
+  hasAll: boolean
+  heardAtMs: number
+}
+
+/** Time after which the requests in progress of a silent source no longer count. */
+const SILENT_MS = 2_000
+const EMPTY: TargetTally = { inProgress: 0, succeeded: 0, failed: 0, refused: 0, latencySumMs: 0 }
+const NO_REFUSALS: RefusalShare = { share: 0, atMs: 0 }
+
+const difference = (now: TargetTally, before: TargetTally): TargetTally => ({
+  inProgress: now.inProgress - before.inProgress,
+  succeeded: Math.max(0, now.succeeded - before.succeeded),
+  failed: Math.max(0, now.failed - before.failed),
+  refused: Math.max(0, now.refused - before.refused),
+  latencySumMs: Math.max(0, now.latencySumMs - before.latencySumMs)
+})
+
+const sum = (a: TargetTally, b: TargetTally): TargetTally => ({
+  inProgress: a.inProgress + b.inProgress,
+  succeeded: a.succeeded + b.succeeded,
+  failed: a.failed + b.failed,
+  refused: a.refused + b.refused,
+  latencySumMs: a.latencySumMs + b.latencySumMs
+})
+
+/** Merges what daemons of the own zone and other zones report of targets. */
+export class FleetLedger {
+  /** Daemons of the own zone by start id. */
+  private readonly daemons = new Map<string, Source>()
+  /** Other zones by name and reporting daemon. */
+  private readonly zones = new Map<string, Source>()
+  private readonly ownCondition: ConditionBook
+  private readonly otherCondition: ConditionBook
+  private readonly latencies = new Map<string, RecentMean>()
+  private readonly refusals = new Map<string, RefusalShare>()
+  /** Sums of the own zone's outcomes since this ledger began. */
+  private readonly totals = new Map<string, TargetTally>()
+
+  private constructor (private readonly clock: Clock) {
+    this.ownCondition = ConditionBook.create(clock)
+    this.otherCondition = ConditionBook.create(clock)
+  }
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @param clock - Source of time.
+   * @returns The ledger.
+   */
+  static create (clock: Clock): FleetLedger {
+    return new FleetLedger(clock)
+  }
+
+  /**
+   * Takes a report of a daemon of the own zone.
+   *
+   * @param startId - Process that reports.
+   * @param tallies - Tallies that changed, or all of them.
+   * @param isFull - Whether they are all.
+   */
+  takeDaemon (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean): void {
+    for (const [targetId, delta] of this.take(this.daemons, startId, tallies, isFull)) {
+      this.totals.set(targetId, sum(this.totals.get(targetId) ?? EMPTY, delta))
+      this.learn(this.ownCondition, targetId, delta)
+    }
+  }
+
+  /**
+   * Takes the sums of another zone.
+   *
+   * @param zone - Zone and reporting process.
+   * @param tallies - Sums that changed, or all of them.
+   * @param isFull - Whether they are all.
+   */
+  takeZone (zone: string, tallies: ByTarget<TargetTally>, isFull: boolean): void {
+    for (const [targetId, delta] of this.take(this.zones, zone, tallies, isFull)) this.learn(this.otherCondition, targetId, delta)
+  }
+
+  /** Sums of the own zone, with its requests in progress now. */
+  zoneTallies (): ByTarget<TargetTally> {
+    const inProgress = this.inProgressOf(this.daemons)
+    const ids = new Set([...this.totals.keys(), ...inProgress.keys()])
+    return [...ids].map(targetId => [targetId, { ...(this.totals.get(targetId) ?? EMPTY), inProgress: inProgress.get(targetId) ?? 0 }] as const)
+  }
+
+  /** What is known of each target that anybody reported on. */
+  readings (): ByTarget<FleetReading> {
+    const nowMs = this.clock.monotonicMs()
+    const own = this.inProgressOf(this.daemons)
+    const others = this.inProgressOf(this.zones)
+    const ids = new Set([...this.latencies.keys(), ...this.refusals.keys(), ...own.keys(), ...others.keys()])
+    return [...ids].map(targetId => [targetId, {
+      inProgress: (own.get(targetId) ?? 0) + (others.get(targetId) ?? 0),
+      failingChance: Math.max(this.ownCondition.chance(targetId), this.otherCondition.chance(targetId)),
+      refusalShare: refusalShareAt(this.refusals.get(targetId) ?? NO_REFUSALS, nowMs),
+      latencyMs: this.latencies.get(targetId)?.mean ?? 0
+    }] as const)
+  }
+
+  /** Forgets a target that is gone or has started anew. */
+  forget (targetId: string): void {
+    this.ownCondition.forget(targetId)
+    this.otherCondition.forget(targetId)
+    this.latencies.delete(targetId)
+    this.refusals.delete(targetId)
+    this.totals.delete(targetId)
+    for (const source of [...this.daemons.values(), ...this.zones.values()]) source.tallies.delete(targetId)
+  }
+
+  /** Drops sources that fell silent. */
+  sweep (): void {
+    const limitMs = this.clock.monotonicMs() - SILENT_MS
+    for (const sources of [this.daemons, this.zones]) {
+      for (const [name, { heardAtMs }] of sources) if (heardAtMs < limitMs) sources.delete(name)
+    }
+    this.ownCondition.sweep()
+    this.otherCondition.sweep()
+  }
+
+  private take (sources: Map<string, Source>, name: string, tallies: ByTarget<TargetTally>, isFull: boolean): ByTarget<TargetTally> {
+    const nowMs = this.clock.monotonicMs()
+    const source = sources.get(name) ?? { tallies: new Map<string, TargetTally>(), hasAll: false, heardAtMs: nowMs }
+    sources.set(name, source)
+    source.heardAtMs = nowMs
+    // A tally of unknown beginning only sets where counting begins; after a full report, a new target's count begins at zero.
+    const beginsAtZero = source.hasAll && !isFull
+    const deltas = tallies.flatMap(([targetId, tally]) => {
+      const before = source.tallies.get(targetId) ?? (beginsAtZero ? EMPTY : undefined)
+      return before === undefined ? [] : [[targetId, difference(tally, before)] as const]
+    })
+    for (const [targetId, tally] of tallies) source.tallies.set(targetId, tally)
+    source.hasAll ||= isFull
+    return deltas
+  }
+
+  private learn (condition: ConditionBook, targetId: string, { succeeded, failed, refused, latencySumMs }: TargetTally): void {
+    if (succeeded + failed > 0) condition.observe(targetId, { succeeded, failed })
+    if (succeeded > 0) this.latencies.set(targetId, addSamples(this.latencies.get(targetId) ?? NO_SAMPLES, latencySumMs / succeeded, succeeded))
+    if (refused + succeeded + failed === 0) return
+    const before = this.refusals.get(targetId) ?? NO_REFUSALS
+    this.refusals.set(targetId, addOutcomes(before, { refused, accepted: succeeded + failed }, this.clock.monotonicMs()))
+  }
+
+  private inProgressOf (sources: ReadonlyMap<string, Source>): ReadonlyMap<string, number> {
+    const limitMs = this.clock.monotonicMs() - SILENT_MS
+    const sums = new Map<string, number>()
+    for (const { tallies, heardAtMs } of sources.values()) {
+      if (heardAtMs < limitMs) continue
+      for (const [targetId, { inProgress }] of tallies) if (inProgress > 0) sums.set(targetId, (sums.get(targetId) ?? 0) + inProgress)
+    }
+    return sums
+  }
+}
--- /dev/null
+++ b/packages/targets/src/placing/placement.ts
@@ -0,0 +1,107 @@
+import type { Random } from '@lovagehoist/common'
+import { requestFailureChance } from '../condition/failureEstimate.js'
+
+/** What is known of a target when a request is placed. */
+export interface Candidate {
+  readonly targetId: string
+  readonly slots: number
+  /** Requests in progress from the whole fleet, as far as known. */
+  readonly inProgress: number
+  /** Chance that the target is failing, 0 to 1. */
+  readonly failingChance: number
+  /** Share of recent requests that the target refused, 0 to 1. */
+  readonly refusalShare: number
+  /** Time for one request when a slot is free. */
+  readonly serviceTimeMs: number
+  readonly isOwnZone: boolean
+  /** Whether a connection is open and idle. */
+  readonly isConnected: boolean
+  /** Time since any daemon known to this one used the target. */
+  readonly idleMs: number
+}
+
+/** Which request is placed. */
+export interface PlacementNeed {
+  /** Time left until the answer is due. */
+  readonly leftMs: number
+  /** Whether requests that go first use the same targets. */
+  readonly yieldsSlots: boolean
+}
+
+/** Where a request goes, or why it has no place. */
+export type Placement =
+  | { readonly type: 'placed', readonly targetId: string, readonly waitMs: number, readonly costMs: number }
+  | { readonly type: 'too-late', readonly waitMs: number }
+  | { readonly type: 'no-target' }
+
+/** A failed request counts as if its answer had taken this much longer; a caller's patience is several seconds. */
+const FAILURE_COST_MS = 6_000
+/** A refused try costs a round trip and a repeat out of the budget. */
+const REFUSAL_COST_MS = 1_500
+/** Bytes between zones are dear: another zone is used only when the own one is busy or failing. */
+const OTHER_ZONE_COST_MS = 150
+/** Opening a connection costs the target and a round trip. */
+const CONNECT_COST_MS = 30
+/** A target that nobody used lately is worth a request: its condition is unknown, and new ones need work. */
+const IDLE_BONUS_MS = 60
+const IDLE_AFTER_MS = 2_500
+/** Share of the service time by which a full target counts slower than an empty one, so that load spreads. */
+const SPREAD_SHARE = 0.5
+/** Candidates whose costs differ by less are equal, and one of them is drawn. */
+const TIE_MS = 12
+/** Slots of each target that requests of lower rank leave free. */
+const RESERVED_SLOTS = 1
+
+/**
+ * Expected wait for a slot.
+ *
+ * @param candidate - Target.
+ * @param reservedSlots - Slots that the request may not use.
+ * @returns Wait in milliseconds.
+ */
+export const expectedWaitMs = ({ slots, inProgress, serviceTimeMs }: Candidate, reservedSlots = 0): number => {
+  const usable = Math.max(1, slots - reservedSlots)
+  const ahead = inProgress - usable + 1
+  return ahead <= 0 ? 0 : ahead / slots * serviceTimeMs
+}
+
+const costOf = (candidate: Candidate, waitMs: number): number => {
+  const { slots, inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected, idleMs } = candidate
+  const load = Math.min(1, inProgress / slots)
+  return waitMs + serviceTimeMs * (1 + SPREAD_SHARE * load * load) +
+    requestFailureChance(failingChance) * FAILURE_COST_MS +
+    refusalShare * REFUSAL_COST_MS +
+    (isOwnZone ? 0 : OTHER_ZONE_COST_MS) +
+    (isConnected ? 0 : CONNECT_COST_MS) -
+    (idleMs > IDLE_AFTER_MS ? IDLE_BONUS_MS : 0)
+}
+
+interface Weighed {
+  readonly candidate: Candidate
+  readonly waitMs: number
+  readonly costMs: number
+}
+
+/**
+ * Chooses a target: the least expected time to an answer, failures counted as time.
+ *
+ * @param candidates - Targets that may run the request.
+ * @param need - Request.
+ * @param random - Draws between equals, so that daemons with the same view do not all choose the same.
+ * @returns The place.
+ */
+export const place = (candidates: readonly Candidate[], need: PlacementNeed, random: Random): Placement => {
+  if (candidates.length === 0) return { type: 'no-target' }
+  const reserved = need.yieldsSlots ? RESERVED_SLOTS : 0
+  const weighed = candidates.map((candidate): Weighed => {
+    const waitMs = expectedWaitMs(candidate, reserved)
+    return { candidate, waitMs, costMs: costOf(candidate, waitMs) }
+  })
+  const inTime = weighed.filter(({ candidate, waitMs }) => waitMs + candidate.serviceTimeMs <= need.leftMs)
+  if (inTime.length === 0) return { type: 'too-late', waitMs: Math.min(...weighed.map(({ waitMs }) => waitMs)) }
+  const leastMs = Math.min(...inTime.map(({ costMs }) => costMs))
+  const best = inTime.filter(({ costMs }) => costMs <= leastMs + TIE_MS)
+  const chosen = best[random.int(best.length)] ?? best[0]
+  if (chosen === undefined) return { type: 'no-target' }
+  return { type: 'placed', targetId: chosen.candidate.targetId, waitMs: chosen.waitMs, costMs: chosen.costMs }
+}
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,32 @@
+// Bundles the gateway daemon into one file, from sources, so that a start loads one script and nothing that it does not use.
+import { build } from 'esbuild'
+
+const PACKAGES = ['common', 'store', 'peers', 'targets', 'callers', 'operators', 'daemon']
+
+const alias = Object.fromEntries([
+  ['@lovagehoist/platform', './platform/src/index.ts'],
+  ...PACKAGES.map(name => [`@lovagehoist/${name}`, `./packages/${name}/src/index.ts`])
+])
+
+await build({
+  entryPoints: ['packages/daemon/src/gateway/main.ts'],
+  outfile: 'target/lovagehoistd.cjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  alias,
+  legalComments: 'none',
+  minifySyntax: true,
+  metafile: process.argv.includes('--sizes'),
+  logLevel: 'warning'
+}).then(async result => {
+  if (result.metafile === undefined) return
+  const inputs = Object.entries(result.metafile.outputs['target/lovagehoistd.cjs'].inputs)
+  const sizes = new Map()
+  for (const [path, { bytesInOutput }] of inputs) {
+    const name = /node_modules\/((?:@[^/]+\/)?[^/]+)/.exec(path)?.[1] ?? 'own'
+    sizes.set(name, (sizes.get(name) ?? 0) + bytesInOutput)
+  }
+  for (const [name, bytes] of [...sizes].sort((a, b) => b[1] - a[1])) process.stdout.write(`${bytes}\t${name}\n`)
+})
