Take a reset for a broken answer also where no length is stated

Ruled out: lengths (checked already), chunked answers (an error). Test: untilClose.spec.ts failed first.

--- a/packages/targets/src/connections/connection.ts
+++ b/packages/targets/src/connections/connection.ts
@@ -53,11 +53,13 @@
   private provenMs: number
   private isTaken = false
   private isDead = false
+  private hasFailed = false
 
   private constructor (private readonly socket: Socket, private readonly clock: Clock, origin: string) {
     this.openedAtMs = clock.monotonicMs()
     this.provenMs = this.openedAtMs
-    socket.on('error', () => {})
+    // Runs before the HTTP client's own listener, which takes a reset for the end of an answer without a length.
+    socket.on('error', () => { this.hasFailed = true })
     socket.once('close', () => { this.destroy() })
     this.client = new Client(origin, {
       pipelining: 1,
@@ -92,6 +94,11 @@
     return !this.isDead && !this.socket.destroyed && !this.socket.readableEnded
   }
 
+  /** Whether the connection ended with an error rather than in order. */
+  get isBroken (): boolean {
+    return this.hasFailed
+  }
+
   /** Monotonic time of connecting or of the latest whole exchange. */
   get provenAtMs (): number {
     return this.provenMs
--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -143,6 +143,10 @@
 
   onResponseEnd (controller: Dispatcher.DispatchController): void {
     if (this.stage !== 'answering') return
+    if (this.options.connection.isBroken) {
+      this.fail(new GivenUp('broken-answer', 'the connection broke before the end of the answer'))
+      return
+    }
     if (this.expectedBytes !== undefined && this.expectedBytes !== this.receivedBytes) {
       this.fail(new GivenUp('broken-answer', 'the answer is shorter than it states'))
       return
