--- a/packages/callers/src/answers/deliver.ts
+++ b/packages/callers/src/answers/deliver.ts
@@ -21,8 +21,19 @@
 /** Breaks the caller's connection so that what was sent can't be taken for a whole answer. */
 const breakOff = (response: ServerResponse): void => { response.destroy() }
 
-const writeHead = ({ response, requestId }: DeliverOptions, answer: ReadyAnswer): void => {
+/** Whether an answer's end is only known by the end of its connection. */
+const isUntilClose = ({ headers, status }: ReadyAnswer, method: string): boolean =>
+  method !== 'HEAD' && !BODILESS_STATUSES.has(status) && headerOf(headers, 'content-length') === undefined && headerOf(headers, 'transfer-encoding') === undefined
+
+const writeHead = ({ response, requestId, method }: DeliverOptions, answer: ReadyAnswer): void => {
   const headers = answerHeaders(answer.headers)
+  if (isUntilClose(answer, method)) {
+    // A length of the gateway's own would claim a completeness that the target has not proven.
+    response.removeHeader('content-length')
+    response.removeHeader('transfer-encoding')
+    response.removeHeader('keep-alive')
+    response.setHeader('connection', 'close')
+  }
   response.writeHead(answer.status, [...headers, VERDICT_HEADER, 'ran', REQUEST_ID_HEADER, requestId])
 }
 
--- a/packages/callers/src/gateway/tryOnce.ts
+++ b/packages/callers/src/gateway/tryOnce.ts
@@ -38,7 +38,8 @@
   'caller-fault': 'succeeded',
   refused: 'failed',
   reset: 'failed',
-  timeout: 'failed',
+  // Routes may allow less time than the work takes; requests that wait unusually long are counted while they wait.
+  timeout: 'unknown',
   'broken-answer': 'failed',
   'server-error': 'failed',
   'zone-unreachable': 'failed',
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -64,11 +64,24 @@
     log.info('draining', { graceMs: settings.bounds.graceMs })
     const longestExchangeMs = Math.max(0, settings.bounds.graceMs - BALANCER_LAG_MS - LEAVE_MARGIN_MS)
     const { cutExchanges } = await this.callers.drain({ balancerLagMs: BALANCER_LAG_MS, longestExchangeMs })
+    await this.leave()
+    log.info('daemon left', { cutExchanges })
+    this.resolveDone()
+  }
+
+  /** Stops at once, cutting what is in flight. */
+  async stop (): Promise<void> {
+    this.isLeaving = true
+    this.callers.close()
+    await this.leave()
+    this.resolveDone()
+  }
+
+  private async leave (): Promise<void> {
+    if (this.stopping.signal.aborted) return
     this.stopping.abort()
     for (const server of this.servers) server.close()
     await this.parts.close()
-    log.info('daemon left', { cutExchanges })
-    this.resolveDone()
   }
 
   private async start ({ readinessPath, metrics }: GatewayListen): Promise<void> {
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -122,6 +122,7 @@
     close: async () => {
       targets.sender.close()
       await store.close()
+      world.datagrams.close()
     }
   }
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/index.ts
@@ -0,0 +1,2 @@
+export * from './gatewayDaemon.js'
+export * from './gatewayParts.js'
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -15,8 +15,9 @@
 
 /** Merges what daemons and zones report. */
 export interface Ledger {
-  readonly takeDaemon: (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean) => void
-  readonly takeZone: (zone: string, tallies: ByTarget<TargetTally>, isFull: boolean) => void
+  /** Takes a report; tells whether it has failures that others should know at once. */
+  readonly takeDaemon: (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean) => boolean
+  readonly takeZone: (zone: string, tallies: ByTarget<TargetTally>, isFull: boolean) => boolean
   readonly zoneTallies: () => ByTarget<TargetTally>
   readonly readings: () => ByTarget<FleetReading>
   readonly sweep: () => void
@@ -238,11 +239,11 @@
       return
     }
     this.reporters.set(from.startId, { host: from.host, heardAtMs: this.options.clock.monotonicMs() })
-    this.options.ledger.takeDaemon(from.startId, tallies, isFull)
+    if (this.options.ledger.takeDaemon(from.startId, tallies, isFull)) this.note(true)
   }
 
   private takeSums ({ from, isFull, tallies }: ZoneSums): void {
-    this.options.ledger.takeZone(`${from.availabilityZone} ${from.startId}`, tallies, isFull)
+    if (this.options.ledger.takeZone(`${from.availabilityZone} ${from.startId}`, tallies, isFull)) this.note(true)
   }
 
   private takeView ({ from, facts, readings, members }: FleetView): void {
--- /dev/null
+++ b/packages/targets/src/load/fleetLedger.spec.ts
@@ -0,0 +1,46 @@
+import { expect } from 'chai'
+import { ManualClock } from '@lovagehoist/common/testing'
+import type { TargetTally } from '@lovagehoist/common'
+import { UNKNOWN_CHANCE } from '../condition/failureEstimate.js'
+import { FleetLedger } from './fleetLedger.js'
+
+const tally = (change: Partial<TargetTally>): TargetTally => ({ inProgress: 0, succeeded: 0, failed: 0, refused: 0, latencySumMs: 0, ...change })
+
+const chanceOf = (ledger: FleetLedger, targetId: string): number | undefined =>
+  ledger.readings().find(([id]) => id === targetId)?.[1].failingChance
+
+describe('fleet ledger', () => {
+  it('counts a target that first appears in a later full report', () => {
+    const ledger = FleetLedger.create(ManualClock.create())
+    ledger.takeZone('b relay', [], true)
+    ledger.takeZone('b relay', [['t1', tally({ failed: 1, inProgress: 1 })]], true)
+    expect(chanceOf(ledger, 't1')).to.be.above(0.7)
+  })
+
+  it('does not count what a daemon did before it was first heard', () => {
+    const ledger = FleetLedger.create(ManualClock.create())
+    ledger.takeDaemon('d1', [['t1', tally({ failed: 9, inProgress: 1 })]], true)
+    expect(chanceOf(ledger, 't1')).to.equal(UNKNOWN_CHANCE)
+  })
+
+  it('adds the requests in progress of daemons and zones, and forgets silent ones', () => {
+    const clock = ManualClock.create()
+    const ledger = FleetLedger.create(clock)
+    ledger.takeDaemon('d1', [['t1', tally({ inProgress: 2 })]], true)
+    ledger.takeZone('b relay', [['t1', tally({ inProgress: 3 })]], true)
+    expect(ledger.readings()[0]?.[1].inProgress).to.equal(5)
+    clock.jumpMs(2_500)
+    ledger.takeZone('b relay', [['t1', tally({ inProgress: 3 })]], true)
+    expect(ledger.readings()[0]?.[1].inProgress).to.equal(3)
+  })
+
+  it('reports sums of its zone only', () => {
+    const ledger = FleetLedger.create(ManualClock.create())
+    ledger.takeDaemon('d1', [], true)
+    ledger.takeDaemon('d2', [], true)
+    ledger.takeDaemon('d1', [['t1', tally({ succeeded: 2, inProgress: 1 })]], false)
+    ledger.takeDaemon('d2', [['t1', tally({ succeeded: 3 })]], false)
+    ledger.takeZone('b relay', [['t1', tally({ succeeded: 7 })]], true)
+    expect(ledger.zoneTallies()).to.deep.equal([['t1', tally({ succeeded: 5, inProgress: 1 })]])
+  })
+})
--- a/packages/targets/src/load/fleetLedger.ts
+++ b/packages/targets/src/load/fleetLedger.ts
@@ -34,6 +34,8 @@
   latencySumMs: a.latencySumMs + b.latencySumMs
 })
 
+const hasFailures = (deltas: ByTarget<TargetTally>): boolean => deltas.some(([, { failed }]) => failed > 0)
+
 /** Merges what daemons of the own zone and other zones report of targets. */
 export class FleetLedger {
   /** Daemons of the own zone by start id. */
@@ -68,12 +70,15 @@
    * @param startId - Process that reports.
    * @param tallies - Tallies that changed, or all of them.
    * @param isFull - Whether they are all.
+   * @returns Whether there are new failures.
    */
-  takeDaemon (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean): void {
-    for (const [targetId, delta] of this.take(this.daemons, startId, tallies, isFull)) {
+  takeDaemon (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean): boolean {
+    const deltas = this.take(this.daemons, startId, tallies, isFull)
+    for (const [targetId, delta] of deltas) {
       this.totals.set(targetId, sum(this.totals.get(targetId) ?? EMPTY, delta))
       this.learn(this.ownCondition, targetId, delta)
     }
+    return hasFailures(deltas)
   }
 
   /**
@@ -82,9 +87,12 @@
    * @param zone - Zone and reporting process.
    * @param tallies - Sums that changed, or all of them.
    * @param isFull - Whether they are all.
+   * @returns Whether there are new failures.
    */
-  takeZone (zone: string, tallies: ByTarget<TargetTally>, isFull: boolean): void {
-    for (const [targetId, delta] of this.take(this.zones, zone, tallies, isFull)) this.learn(this.otherCondition, targetId, delta)
+  takeZone (zone: string, tallies: ByTarget<TargetTally>, isFull: boolean): boolean {
+    const deltas = this.take(this.zones, zone, tallies, isFull)
+    for (const [targetId, delta] of deltas) this.learn(this.otherCondition, targetId, delta)
+    return hasFailures(deltas)
   }
 
   /** Sums of the own zone, with its requests in progress now. */
@@ -134,7 +142,7 @@
     sources.set(name, source)
     source.heardAtMs = nowMs
     // A tally of unknown beginning only sets where counting begins; after a full report, a new target's count begins at zero.
-    const beginsAtZero = source.hasAll && !isFull
+    const beginsAtZero = source.hasAll
     const deltas = tallies.flatMap(([targetId, tally]) => {
       const before = source.tallies.get(targetId) ?? (beginsAtZero ? EMPTY : undefined)
       return before === undefined ? [] : [[targetId, difference(tally, before)] as const]
--- a/packages/targets/src/load/targetBoard.ts
+++ b/packages/targets/src/load/targetBoard.ts
@@ -134,7 +134,8 @@
       serviceTimeMs: this.latencyOf(target.service) * this.slowFactor(target.service, view, nowMs < warmAtMs),
       isOwnZone: target.availabilityZone === zone,
       isConnected,
-      idleMs: nowMs - Math.max(own?.lastUseMs ?? -Infinity, view === undefined ? -Infinity : view.atMs)
+      idleMs: nowMs - Math.max(own?.lastUseMs ?? -Infinity, view === undefined ? -Infinity : view.atMs),
+      isNew: own === undefined && view === undefined
     }
   }
 
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -18,6 +18,8 @@
   readonly isConnected: boolean
   /** Time since any daemon known to this one used the target. */
   readonly idleMs: number
+  /** Whether no daemon known to this one has used the target yet. */
+  readonly isNew: boolean
 }
 
 /** Which request is placed. */
@@ -42,13 +44,22 @@
 const OTHER_ZONE_COST_MS = 150
 /** Opening a connection costs the target and a round trip. */
 const CONNECT_COST_MS = 30
-/** A target that nobody used lately is worth a request: its condition is unknown, and new ones need work. */
-const IDLE_BONUS_MS = 60
-const IDLE_AFTER_MS = 2_500
+/** Bonus that outweighs what is unknown of a target, so that it gets a request. */
+const TRIAL_BONUS_MS = 1_500
+/** Part of the requests that may go to a target for a trial: all daemons see the same need, and one request is enough. */
+const TRIAL_SHARE = 0.12
+/** Time without use after which a target gets a trial while much of its service fails: capacity that is not used helps nobody. */
+const UNUSED_MS = 1_000
+/** Chance of failing above which a target gets no trial. */
+const TRIAL_CHANCE = 0.4
+/** Mean chance of failing, or mean share of refusals, from which much of a service fails. */
+const MUCH_FAILS_SHARE = 0.2
 /** Share of the service time by which a full target counts slower than an empty one, so that load spreads. */
 const SPREAD_SHARE = 0.5
 /** Candidates whose costs differ by less are equal, and one of them is drawn. */
 const TIE_MS = 12
+/** Part of the mean service time in which quick requests end: what waits longer than the rest of its time can't end in time. */
+const QUICK_SHARE = 0.5
 /** Slots of each target that requests of lower rank leave free. */
 const RESERVED_SLOTS = 1
 
@@ -66,16 +77,25 @@
 }
 
 const costOf = (candidate: Candidate, waitMs: number): number => {
-  const { slots, inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected, idleMs } = candidate
+  const { slots, inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected } = candidate
   const load = Math.min(1, inProgress / slots)
   return waitMs + serviceTimeMs * (1 + SPREAD_SHARE * load * load) +
     requestFailureChance(failingChance) * FAILURE_COST_MS +
     refusalShare * REFUSAL_COST_MS +
     (isOwnZone ? 0 : OTHER_ZONE_COST_MS) +
-    (isConnected ? 0 : CONNECT_COST_MS) -
-    (idleMs > IDLE_AFTER_MS ? IDLE_BONUS_MS : 0)
+    (isConnected ? 0 : CONNECT_COST_MS)
 }
 
+const meanOf = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+
+/** Whether much of a service fails or refuses work. */
+const isMuchFailing = (candidates: readonly Candidate[]): boolean =>
+  meanOf(candidates.map(({ failingChance }) => failingChance)) > MUCH_FAILS_SHARE ||
+  meanOf(candidates.map(({ refusalShare }) => refusalShare)) > MUCH_FAILS_SHARE
+
+const wantsTrial = ({ isNew, idleMs, failingChance }: Candidate, isSpreading: boolean): boolean =>
+  failingChance < TRIAL_CHANCE && (isNew || (isSpreading && idleMs > UNUSED_MS))
+
 interface Weighed {
   readonly candidate: Candidate
   readonly waitMs: number
@@ -93,11 +113,14 @@
 export const place = (candidates: readonly Candidate[], need: PlacementNeed, random: Random): Placement => {
   if (candidates.length === 0) return { type: 'no-target' }
   const reserved = need.yieldsSlots ? RESERVED_SLOTS : 0
+  const isSpreading = isMuchFailing(candidates)
+  const isTrial = random.next() < TRIAL_SHARE
   const weighed = candidates.map((candidate): Weighed => {
     const waitMs = expectedWaitMs(candidate, reserved)
-    return { candidate, waitMs, costMs: costOf(candidate, waitMs) }
+    const bonusMs = isTrial && wantsTrial(candidate, isSpreading) ? TRIAL_BONUS_MS : 0
+    return { candidate, waitMs, costMs: costOf(candidate, waitMs) - bonusMs }
   })
-  const inTime = weighed.filter(({ candidate, waitMs }) => waitMs + candidate.serviceTimeMs <= need.leftMs)
+  const inTime = weighed.filter(({ candidate, waitMs }) => waitMs === 0 || waitMs + QUICK_SHARE * candidate.serviceTimeMs <= need.leftMs)
   if (inTime.length === 0) return { type: 'too-late', waitMs: Math.min(...weighed.map(({ waitMs }) => waitMs)) }
   const leastMs = Math.min(...inTime.map(({ costMs }) => costMs))
   const best = inTime.filter(({ costMs }) => costMs <= leastMs + TIE_MS)
