--- a/packages/callers/src/gateway/gatewayPassage.ts
+++ b/packages/callers/src/gateway/gatewayPassage.ts
@@ -19,6 +19,8 @@
   readonly service: string
   readonly configVersion: number
   readonly yieldsSlots: boolean
+  /** Address of the caller. */
+  readonly caller: string
   readonly method: string
   /** Path with query. */
   readonly path: string
@@ -109,6 +111,7 @@
     service,
     configVersion: config.version,
     yieldsSlots: routes.yields(service, route.priority),
+    caller: request.socket.remoteAddress ?? '',
     method: request.method ?? 'GET',
     path: path.value.full,
     body: body.value,
--- a/packages/callers/src/gateway/retryAllowance.ts
+++ b/packages/callers/src/gateway/retryAllowance.ts
@@ -7,7 +7,7 @@
 export class RetryAllowance {
   private readonly saved = new Map<string, number>()
 
-  private constructor (private readonly bounds: GatewayBounds, private readonly fleetSize: () => number) {}
+  private constructor (private readonly bounds: () => GatewayBounds, private readonly fleetSize: () => number) {}
 
   /**
    * Creates an allowance.
@@ -16,13 +16,13 @@
    * @param fleetSize - Number of live daemons.
    * @returns The allowance.
    */
-  static create (bounds: GatewayBounds, fleetSize: () => number): RetryAllowance {
+  static create (bounds: () => GatewayBounds, fleetSize: () => number): RetryAllowance {
     return new RetryAllowance(bounds, fleetSize)
   }
 
   /** Notes a request for a service. */
   earn (service: string): void {
-    this.saved.set(service, Math.min(this.most(), this.savedOf(service) + this.bounds.retryShare * USED_PART))
+    this.saved.set(service, Math.min(this.most(), this.savedOf(service) + this.bounds().retryShare * USED_PART))
   }
 
   /**
@@ -43,6 +43,6 @@
   }
 
   private most (): number {
-    return Math.max(1, this.bounds.retrySlack * USED_PART / this.fleetSize())
+    return Math.max(1, this.bounds().retrySlack * USED_PART / this.fleetSize())
   }
 }
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -8,6 +8,7 @@
 import type { RequestMetrics } from '../metrics/requestMetrics.js'
 import { acceptGateway, gatewayRequestId } from './gatewayPassage.js'
 import type { GatewayAcceptOptions, GatewayPassage } from './gatewayPassage.js'
+import type { PoisonWatch } from './poisonWatch.js'
 import type { RetryAllowance } from './retryAllowance.js'
 import { RETRY_RULES } from './retryRules.js'
 import { tryOnce } from './tryOnce.js'
@@ -17,6 +18,7 @@
 export interface GatewayServeOptions extends GatewayAcceptOptions, TryOptions {
   readonly choices: TargetChoices
   readonly allowance: RetryAllowance
+  readonly poison: PoisonWatch
   readonly metrics: RequestMetrics
   readonly invariants: Invariants
   readonly log: Log
@@ -42,6 +44,8 @@
 /** Least and most time after which a refused caller is told to return. */
 const LEAST_RETRY_MS = 250
 const MOST_RETRY_MS = 2_000
+/** A request that takes targets down is not wanted back soon. */
+const POISON_RETRY_MS = 10_000
 
 const problemReply = (kind: Problem['kind'], verdict: RunVerdict, detail: string, retryAfterMs?: number): Reply =>
   ({ type: 'problem', problem: { kind, verdict, detail, ...(verdict !== 'not-run' || retryAfterMs === undefined ? {} : { retryAfterMs }) } })
@@ -57,7 +61,7 @@
 
 /** Reply when no target was chosen. */
 const unplaced = (tries: Tries, choice: Exclude<Choice, { readonly type: 'chosen' }>): Reply => {
-  if (tries.last !== undefined && tries.verdict !== 'not-run') return finish(tries)
+  if (tries.last !== undefined) return finish(tries)
   if (choice.type === 'no-target') return problemReply('no-target', tries.verdict, 'no target of the service may take work', LEAST_RETRY_MS)
   return problemReply('overload', tries.verdict, 'the request could not be finished in time', retryAfterMs(choice.waitMs))
 }
@@ -70,6 +74,9 @@
   return problemReply(last?.outcome === 'timeout' ? 'deadline' : 'target-failed', verdict, last?.detail ?? '')
 }
 
+/** What is equal in all repeats of a request. */
+const descriptionOf = ({ method, path, body, caller }: GatewayPassage): string => `${method} ${path} ${caller} ${body?.toString('latin1') ?? ''}`
+
 const mayRetry = (options: GatewayServeOptions, passage: GatewayPassage, tries: Tries, result: TryResult): boolean => {
   const { route, gone, answerByMs, service } = passage
   const rule = RETRY_RULES[result.outcome]
@@ -85,6 +92,10 @@
 const forward = async (options: GatewayServeOptions, passage: GatewayPassage): Promise<Reply> => {
   const { route, service, requestId, yieldsSlots, answerByMs } = passage
   let tries = NO_TRIES
+  if (options.poison.isStopped(() => descriptionOf(passage))) {
+    options.log.warn('request stopped: equal ones broke the connections of several targets', { requestId, service })
+    return problemReply('quarantined', 'not-run', 'requests like this one took targets down', POISON_RETRY_MS)
+  }
   options.allowance.earn(service)
   for (;;) {
     const choice = options.choices.choose({ service, isIdempotent: route.isIdempotent, yieldsSlots, triedTargetIds: tries.triedTargetIds, answerByMs })
@@ -94,6 +105,7 @@
     const result = await tryOnce(options, passage, choice.target, choice.open)
     options.metrics.attempt(service, result.outcome === 'wrong-target' ? 'refused' : result.outcome)
     options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, latencyMs: Math.round(result.latencyMs), detail: result.detail })
+    if (result.outcome === 'reset') options.poison.noteCrash(descriptionOf(passage))
     tries = addTry(tries, result)
     if (!mayRetry(options, passage, tries, result)) return finish(tries)
     options.metrics.retry(service)
@@ -131,6 +143,8 @@
     return
   }
   const delivery = await deliver({ response, requestId, method, invariants: options.invariants }, reply.answer)
+  const totalMs = Math.round(options.clock.monotonicMs() - passage.receivedAtMs)
   options.metrics.request(service, 'ran', delivery)
-  options.log.info('answered', { requestId, service, status: reply.answer.status, delivery, configVersion: passage.configVersion, totalMs: Math.round(options.clock.monotonicMs() - passage.receivedAtMs) })
+  options.metrics.latency(service, totalMs)
+  options.log.info('answered', { requestId, service, status: reply.answer.status, delivery, configVersion: passage.configVersion, totalMs })
 }
--- a/packages/callers/src/gateway/tryOnce.ts
+++ b/packages/callers/src/gateway/tryOnce.ts
@@ -1,4 +1,5 @@
-import type { Clock, GatewayHeaders, ListedTarget, OpenTry, OutcomeKind, RawHeaders, RunVerdict, TargetAnswer, TargetFailure, TargetSender, TryEnding } from '@lovagehoist/common'
+import type { Readable } from 'node:stream'
+import type { CancelTimer, Clock, GatewayHeaders, ListedTarget, OpenTry, OutcomeKind, RawHeaders, RunVerdict, TargetAnswer, TargetFailure, TargetSender, TryEnding } from '@lovagehoist/common'
 import { headerOf } from '../exchange/headers.js'
 import { holdAnswer } from '../exchange/heldAnswer.js'
 import type { ReadyAnswer } from '../exchange/heldAnswer.js'
@@ -36,13 +37,13 @@
   ok: 'succeeded',
   slow: 'succeeded',
   'caller-fault': 'succeeded',
-  refused: 'failed',
+  refused: 'unreachable',
   reset: 'failed',
   // Routes may allow less time than the work takes; requests that wait unusually long are counted while they wait.
   timeout: 'unknown',
   'broken-answer': 'failed',
   'server-error': 'failed',
-  'zone-unreachable': 'failed',
+  'zone-unreachable': 'unreachable',
   shed: 'refused',
   cancelled: 'unknown',
   'deadline-too-short': 'unknown',
@@ -82,11 +83,20 @@
   latencyMs: failure.latencyMs
 })
 
+/** Gives a body up when the answer is due. */
+const limitBody = ({ clock }: TryOptions, { answerByMs }: GatewayPassage, body: Readable): CancelTimer => {
+  const cancel = clock.after(Math.max(0, answerByMs - clock.monotonicMs()), () => { body.destroy() })
+  body.once('close', cancel)
+  return cancel
+}
+
 const answered = async (options: TryOptions, passage: GatewayPassage, target: ListedTarget, answer: TargetAnswer): Promise<TryResult> => {
   const judged = judgeStatus(options.headers, answer)
   const base = { target, ...judged, isSent: true, latencyMs: answer.latencyMs, detail: `status ${answer.status}` }
+  const cancelLimit = limitBody(options, passage, answer.body)
   try {
     const ready = await holdAnswer(answer, HELD_BYTES)
+    if (ready.rest === undefined) cancelLimit()
     return { ...base, answer: judged.verdict === 'ran' ? ready : undefined }
   } catch {
     const isCancelled = passage.gone.aborted
@@ -96,13 +106,6 @@
   }
 }
 
-/** Limits a body that flows to the caller by the time at which the answer is due. */
-const limitRest = ({ clock }: TryOptions, passage: GatewayPassage, { rest }: ReadyAnswer): void => {
-  if (rest === undefined) return
-  const cancel = clock.after(Math.max(0, passage.answerByMs - clock.monotonicMs()), () => { rest.destroy() })
-  rest.once('close', cancel)
-}
-
 /**
  * Sends a request once to a chosen target and judges the end.
  *
@@ -129,7 +132,6 @@
     allowsUntilClose: true
   }, cancelled)
   const result = sent.type === 'failure' ? failed(target, sent) : await answered(options, passage, target, sent)
-  if (result.answer !== undefined) limitRest(options, passage, result.answer)
   open.end(ENDING_OF[result.outcome], clock.monotonicMs() - startedAtMs)
   return result
 }
--- a/packages/callers/src/metrics/requestMetrics.ts
+++ b/packages/callers/src/metrics/requestMetrics.ts
@@ -1,9 +1,13 @@
-import { Counter } from 'prom-client'
+import { Counter, Histogram } from 'prom-client'
 import type { Registry } from 'prom-client'
 import type { OutcomeKind, RunVerdict } from '@lovagehoist/common'
 import type { Delivery } from '../answers/deliver.js'
 import type { ProblemKind } from '../answers/problem.js'
 
+const MS_PER_SECOND = 1_000
+/** Covers quick answers and the longest time limits of callers. */
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 16]
+
 /** Result of an attempt to claim a key. */
 export type ClaimResult = 'claimed' | 'replayed' | 'in-progress' | 'unknown' | 'conflict' | 'store-out'
 
@@ -15,6 +19,7 @@
   readonly budgetRefusal: (service: string) => void
   readonly heldAnswer: (service: string, result: 'whole' | 'broken' | 'too-large') => void
   readonly claim: (result: ClaimResult) => void
+  readonly latency: (service: string, latencyMs: number) => void
 }
 
 /**
@@ -32,12 +37,20 @@
   const refusals = counter('retry_budget_refusals_total', 'Retries that the budget did not allow.', ['service'])
   const held = counter('held_answers_total', 'Idempotent answers held until they were whole.', ['service', 'result'])
   const claims = counter('key_claims_total', 'Claims of keys by result.', ['result'])
+  const latencies = new Histogram({
+    name: 'lovagehoist_request_seconds',
+    help: 'Time from a request\'s head to the end of its answer, for answers of targets.',
+    labelNames: ['service'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [registry]
+  })
   return {
     request: (service, verdict, outcome) => { requests.inc({ service, verdict, outcome }) },
     attempt: (service, outcome) => { attempts.inc({ service, outcome }) },
     retry: service => { retries.inc({ service }) },
     budgetRefusal: service => { refusals.inc({ service }) },
     heldAnswer: (service, result) => { held.inc({ service, result }) },
-    claim: result => { claims.inc({ result }) }
+    claim: result => { claims.inc({ result }) },
+    latency: (service, latencyMs) => { latencies.observe({ service }, latencyMs / MS_PER_SECOND) }
   }
 }
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -171,6 +171,8 @@
   readonly succeeded: number
   /** Requests that failed or were not answered, since the start of the process. */
   readonly failed: number
+  /** Requests that failed sooner than their work could have ended, since the start of the process. */
+  readonly failedEarly: number
   /** Requests that the target refused before running them, since the start of the process. */
   readonly refused: number
   /** Sum of the latencies of the answered requests, in milliseconds. */
@@ -193,7 +195,7 @@
 export type ByTarget<T> = ReadonlyArray<readonly [targetId: string, value: T]>
 
 /** How a try at a target ended, as evidence about the target. */
-export type TryEnding = 'succeeded' | 'failed' | 'refused' | 'unknown'
+export type TryEnding = 'succeeded' | 'failed' | 'unreachable' | 'refused' | 'unknown'
 
 /** A try in progress. */
 export interface OpenTry {
--- a/packages/common/src/log/log.ts
+++ b/packages/common/src/log/log.ts
@@ -32,6 +32,8 @@
   readonly format: LogFormat
   readonly clock: Clock
   readonly write: (line: string) => void
+  /** Fields of each line, such as the instance that writes it. */
+  readonly fields?: LogFields
 }
 
 const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 }
@@ -41,10 +43,10 @@
   return { message: String(message), fields: fields as LogFields | undefined }
 }
 
-const renderers: Readonly<Record<LogFormat, (entry: LogObject, atMs: number) => string>> = {
-  json: (entry, atMs) => {
+const renderers: Readonly<Record<LogFormat, (entry: LogObject, atMs: number, common: LogFields | undefined) => string>> = {
+  json: (entry, atMs, common) => {
     const { message, fields } = partsOf(entry)
-    return JSON.stringify({ at: new Date(atMs).toISOString(), level: entry.type, part: entry.tag, message, ...fields })
+    return JSON.stringify({ at: new Date(atMs).toISOString(), ...common, level: entry.type, part: entry.tag, message, ...fields })
   },
   pretty: (entry, atMs) => {
     const { message, fields } = partsOf(entry)
@@ -76,7 +78,7 @@
 export const createLog = (options: LogOptions): Log => {
   const reporter = {
     log: (entry: LogObject): void => {
-      options.write(`${renderers[options.format](entry, options.clock.wallMs())}\n`)
+      options.write(`${renderers[options.format](entry, options.clock.wallMs(), options.fields)}\n`)
     }
   }
   return wrap(createConsola({ level: CONSOLA_LEVELS[options.level], reporters: [reporter], throttle: 0 }))
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -60,9 +60,10 @@
   async drain (): Promise<void> {
     if (this.isLeaving) return
     this.isLeaving = true
-    const { settings, log } = this.world
-    log.info('draining', { graceMs: settings.bounds.graceMs })
-    const longestExchangeMs = Math.max(0, settings.bounds.graceMs - BALANCER_LAG_MS - LEAVE_MARGIN_MS)
+    const { live, log } = this.world
+    const { graceMs } = live.current().bounds
+    log.info('draining', { graceMs })
+    const longestExchangeMs = Math.max(0, graceMs - BALANCER_LAG_MS - LEAVE_MARGIN_MS)
     const { cutExchanges } = await this.callers.drain({ balancerLagMs: BALANCER_LAG_MS, longestExchangeMs })
     await this.leave()
     log.info('daemon left', { cutExchanges })
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -1,4 +1,4 @@
-import { RetryAllowance, RouteIndex, ShareCursor, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
+import { PoisonWatch, RetryAllowance, RouteIndex, ShareCursor, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
 import type { GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
@@ -7,11 +7,17 @@
 import type { Datagrams } from '@lovagehoist/peers'
 import { ConnectionSender, FleetLedger, ListingFollower, TargetBoard, TargetChooser, TargetRoster } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
+import { registerGatewayMetrics } from './gatewayMetrics.js'
+import type { LiveSettings } from './liveSettings.js'
 import { PeerFacts } from './peerFacts.js'
+import { watchSuspension } from './suspension.js'
 
 /** What a gateway daemon is given. */
 export interface GatewayWorld {
   readonly settings: GatewaySettings
+  readonly live: LiveSettings
+  /** Time since the machine started, which goes on while it is suspended. */
+  readonly uptimeMs: () => number
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
@@ -42,6 +48,8 @@
 /** Time between two reads of the fleet's instances, and the one after a start. */
 const INSTANCES_MS = 15_000
 const FIRST_INSTANCES_MS = 1_000
+/** The settings file may change without a signal. */
+const SETTINGS_MS = 15_000
 
 const createTargets = ({ settings, clock, random, log }: GatewayWorld, registry: Registry, invariants: Invariants) => {
   const board = TargetBoard.create(clock)
@@ -57,10 +65,10 @@
   return { board, ledger, sender, roster, chooser }
 }
 
-const createPeers = (world: GatewayWorld, self: InstanceRecord, targets: ReturnType<typeof createTargets>, facts: PeerFacts): RelayNode => {
-  const { settings, clock, log, datagrams } = world
+const createPeers = (world: GatewayWorld, self: InstanceRecord, targets: ReturnType<typeof createTargets>, facts: PeerFacts, crashes: PoisonWatch): RelayNode => {
+  const { live, clock, log, datagrams } = world
   const { board, ledger } = targets
-  return RelayNode.create({ self, bootstrapHosts: settings.bootstrapHosts, clock, log: log.child('peers'), datagrams, own: board, ledger, facts: facts.current, onFacts: facts.take })
+  return RelayNode.create({ self, bootstrapHosts: () => live.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, own: board, ledger, crashes, facts: facts.current, onFacts: facts.take })
 }
 
 const watchOverdue = (clock: Clock, board: TargetBoard) => async (signal: AbortSignal): Promise<void> => {
@@ -70,6 +78,13 @@
   }
 }
 
+const rereadSettings = async ({ live, clock }: GatewayWorld, signal: AbortSignal): Promise<void> => {
+  while (!signal.aborted) {
+    await clock.sleepMs(SETTINGS_MS, signal)
+    if (!signal.aborted) await live.reload('interval')
+  }
+}
+
 const register = async ({ store, clock, random, log }: GatewayWorld, self: InstanceRecord, relay: RelayNode, signal: AbortSignal): Promise<void> => {
   let isRegistered = false
   while (!signal.aborted) {
@@ -99,7 +114,9 @@
   const targets = createTargets(world, registry, invariants)
   const facts = PeerFacts.create({ settings, clock, log: log.child('peers'), store, config, roster: targets.roster })
   const self: InstanceRecord = { instanceId: settings.instanceId, startId: random.id().slice(0, 12), host: settings.peers.host, availabilityZone: settings.availabilityZone }
-  const relay = createPeers(world, self, targets, facts)
+  const poison = PoisonWatch.create(clock)
+  const relay = createPeers(world, self, targets, facts, poison)
+  registerGatewayMetrics({ registry, clock, config, roster: targets.roster, board: targets.board, relay })
   const listing = ListingFollower.create({ store, roster: targets.roster, relayRank: () => relay.relayRank, clock, random, log: log.child('targets') })
   const serve: GatewayServeOptions = {
     clock,
@@ -109,16 +126,26 @@
     shares: ShareCursor.create(random),
     choices: targets.chooser,
     sender: targets.sender,
-    allowance: RetryAllowance.create(settings.bounds, () => relay.roster.size),
+    allowance: RetryAllowance.create(() => world.live.current().bounds, () => relay.roster.size),
+    poison,
     metrics: createRequestMetrics(registry),
     log: log.child('request')
   }
+  const onSuspended = (durationMs: number): void => {
+    targets.sender.retireAll()
+    targets.roster.age(durationMs)
+  }
   return {
     handler: async (request, response) => { await serveGateway(serve, request, response) },
     registry,
     facts,
     isReady: () => inForce !== undefined && targets.roster.hasListing,
-    tasks: [config.run.bind(config), listing.run.bind(listing), relay.run.bind(relay), targets.sender.run.bind(targets.sender), watchOverdue(clock, targets.board), async signal => { await register(world, self, relay, signal) }],
+    tasks: [
+      config.run.bind(config), listing.run.bind(listing), relay.run.bind(relay), targets.sender.run.bind(targets.sender), watchOverdue(clock, targets.board),
+      watchSuspension({ clock, uptimeMs: world.uptimeMs, log, onSuspended }),
+      async signal => { await register(world, self, relay, signal) },
+      async signal => { await rereadSettings(world, signal) }
+    ],
     close: async () => {
       targets.sender.close()
       await store.close()
--- a/packages/daemon/src/gateway/index.ts
+++ b/packages/daemon/src/gateway/index.ts
@@ -1,2 +1,3 @@
 export * from './gatewayDaemon.js'
 export * from './gatewayParts.js'
+export * from './liveSettings.js'
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -1,10 +1,15 @@
 import { randomBytes, randomInt } from 'node:crypto'
 import { write } from 'node:fs'
 import { readFile } from 'node:fs/promises'
+import { uptime } from 'node:os'
+import { err } from 'neverthrow'
+import type { Result } from 'neverthrow'
 import { LineSink, SeededRandom, SystemClock, createLog } from '@lovagehoist/common'
+import type { GatewaySettings } from '@lovagehoist/common'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
 import { GatewayDaemon } from './gatewayDaemon.js'
+import { LiveSettings } from './liveSettings.js'
 
 const EXIT_OK = 0
 const EXIT_FAULT = 1
@@ -12,6 +17,7 @@
 const ID_BYTES = 16
 const SEED_LIMIT = 0x7fffffff
 const STDOUT = 1
+const MS_PER_SECOND = 1_000
 /** About ten lines a request at the load that one instance carries; more would cost more than it explains. */
 const LINES_PER_SECOND = 200
 /** Port of the metrics, as the deploy file names it. */
@@ -29,21 +35,26 @@
     fail(`${SETTINGS_VARIABLE}: expected the path of the settings file`)
     return
   }
-  const text = await readFile(file, 'utf8').catch(() => undefined)
-  const settings = text === undefined ? undefined : decodeSettings(text)
-  if (settings === undefined || settings.isErr()) {
-    fail(`${file}: ${settings === undefined ? 'expected a readable file' : settings.error}`)
+  const read = async (): Promise<Result<GatewaySettings, string>> => {
+    const text = await readFile(file, 'utf8').catch(() => undefined)
+    return text === undefined ? err('expected a readable file') : decodeSettings(text)
+  }
+  const settings = await read()
+  if (settings.isErr()) {
+    fail(`${file}: ${settings.error}`)
     return
   }
   const clock = SystemClock.create()
   const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
   const sink = LineSink.create({ clock, linesPerSecond: LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
-  const log = createLog({ level: 'info', format: 'json', clock, write: sink.take })
+  const log = createLog({ level: 'info', format: 'json', clock, write: sink.take, fields: { instance: settings.value.instanceId } })
   const store = RowStore.create(settings.value.store, clock)
+  const live = LiveSettings.create(settings.value, read, log.child('settings'))
   const datagrams = await openDatagrams(settings.value.peers, log.child('peers'))
   const daemon = await GatewayDaemon.create(
-    { settings: settings.value, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams },
+    { settings: settings.value, live, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams },
     { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT } })
+  process.on('SIGHUP', () => { live.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
   process.on('SIGTERM', () => { daemon.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) })
   await daemon.done
   await sink.close()
--- /dev/null
+++ b/packages/daemon/src/gateway/suspension.ts
@@ -0,0 +1,34 @@
+import type { Clock, Log } from '@lovagehoist/common'
+
+/** What the watch needs. */
+export interface SuspensionOptions {
+  readonly clock: Clock
+  /** Time since the machine started, which goes on while it is suspended. */
+  readonly uptimeMs: () => number
+  readonly log: Log
+  /** Called with the length of each suspension. */
+  readonly onSuspended: (durationMs: number) => void
+}
+
+const LOOK_MS = 250
+/** Steps below this are the rounding of the clocks. */
+const LEAST_STEP_MS = 400
+
+/**
+ * Watches for suspensions of the machine: the monotonic clock stands still in them, the uptime does not.
+ *
+ * @param options - Clocks and what is told.
+ * @returns A loop that runs until its signal aborts.
+ */
+export const watchSuspension = ({ clock, uptimeMs, log, onSuspended }: SuspensionOptions) => async (signal: AbortSignal): Promise<void> => {
+  let offsetMs = uptimeMs() - clock.monotonicMs()
+  while (!signal.aborted) {
+    await clock.sleepMs(LOOK_MS, signal)
+    const nowOffsetMs = uptimeMs() - clock.monotonicMs()
+    const stepMs = nowOffsetMs - offsetMs
+    offsetMs = nowOffsetMs
+    if (stepMs < LEAST_STEP_MS) continue
+    log.warn('the machine was suspended', { durationMs: Math.round(stepMs) })
+    onSuspended(stepMs)
+  }
+}
--- a/packages/operators/src/cli/program.ts
+++ b/packages/operators/src/cli/program.ts
@@ -4,6 +4,7 @@
 import { addConfigPromote } from '../commands/configPromote.js'
 import { addConfigStatus } from '../commands/configStatus.js'
 import { addConfigTrial } from '../commands/configTrial.js'
+import { addExplainCommand } from '../commands/explainCommand.js'
 import { addInstanceCommands } from '../commands/instanceCommands.js'
 import { addTargetsCommand } from '../commands/targetsCommand.js'
 import { CommandFailure } from './context.js'
@@ -32,6 +33,7 @@
   for (const add of [addConfigCheck, addConfigTrial, addConfigPromote, addConfigStatus, addConfigHistory]) add(config, world)
   addInstanceCommands(program, world)
   addTargetsCommand(program, world)
+  addExplainCommand(program, world)
   return program
 }
 
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -1,4 +1,5 @@
 import type { ByTarget, FleetReading, InstanceRecord, TargetTally } from '@lovagehoist/common'
+import type { Counts } from './crashLedger.js'
 
 /** What a daemon holds of the configuration and the list of targets. */
 export interface HeldFacts {
@@ -19,7 +20,11 @@
   /** Whether all tallies are in it, or only those that changed. */
   readonly isFull: boolean
   readonly isLeaving: boolean
+  /** Age of the process. */
+  readonly uptimeMs: number
   readonly tallies: ByTarget<TargetTally>
+  /** Requests that broke connections of targets, by fingerprint. */
+  readonly crashes: Counts
 }
 
 /** The relay of a zone tells the relays of other zones the sums of its zone. */
@@ -28,6 +33,7 @@
   readonly from: InstanceRecord
   readonly isFull: boolean
   readonly tallies: ByTarget<TargetTally>
+  readonly crashes: Counts
 }
 
 /** A relay tells those that report to it what the fleet knows. */
@@ -37,6 +43,7 @@
   readonly facts: HeldFacts
   /** Readings that changed. */
   readonly readings: ByTarget<FleetReading>
+  readonly crashes: Counts
   /** Daemons heard lately; empty when they are left out. */
   readonly members: readonly InstanceRecord[]
 }
@@ -57,10 +64,10 @@
 }
 
 const packTally = ([id, tally]: ByTarget<TargetTally>[number]): Row =>
-  [id, tally.inProgress, tally.succeeded, tally.failed, tally.refused, tally.latencySumMs]
+  [id, tally.inProgress, tally.succeeded, tally.failed, tally.failedEarly, tally.refused, tally.latencySumMs]
 
-const unpackTally = ([id, inProgress = 0, succeeded = 0, failed = 0, refused = 0, latencySumMs = 0]: Row): ByTarget<TargetTally>[number] =>
-  [id, { inProgress, succeeded, failed, refused, latencySumMs }]
+const unpackTally = ([id, inProgress = 0, succeeded = 0, failed = 0, failedEarly = 0, refused = 0, latencySumMs = 0]: Row): ByTarget<TargetTally>[number] =>
+  [id, { inProgress, succeeded, failed, failedEarly, refused, latencySumMs }]
 
 const packReading = ([id, reading]: ByTarget<FleetReading>[number]): Row =>
   [id, reading.inProgress, Math.round(reading.failingChance * PERCENT), Math.round(reading.refusalShare * PERCENT), Math.round(reading.latencyMs)]
@@ -77,6 +84,11 @@
   return value as readonly Row[]
 }
 
+const packCrashes = (crashes: Counts): Params => crashes.length === 0 ? {} : { crashes }
+
+const unpackCrashes = (value: unknown): Counts =>
+  value === undefined ? [] : unpackRows(value).map(([fingerprint, count = 0]) => [fingerprint, count])
+
 const unpackFacts = (value: unknown): HeldFacts => {
   const [configVersion, listingDigest, listingVersion, listingAgeMs] = Array.isArray(value) ? value as readonly unknown[] : []
   if (typeof configVersion !== 'number' || typeof listingDigest !== 'string' || typeof listingVersion !== 'number' || typeof listingAgeMs !== 'number') {
@@ -89,15 +101,18 @@
   readonly from?: unknown
   readonly full?: unknown
   readonly leaving?: unknown
+  readonly uptime?: unknown
   readonly rows?: unknown
   readonly facts?: unknown
   readonly members?: unknown
+  readonly crashes?: unknown
 }
 
 const encoders: { readonly [Type in RelayMessage['type']]: (message: Extract<RelayMessage, { readonly type: Type }>) => Params } = {
-  report: ({ from, isFull, isLeaving, tallies }) => ({ from: packInstance(from), full: isFull, leaving: isLeaving, rows: tallies.map(packTally) }),
-  zone: ({ from, isFull, tallies }) => ({ from: packInstance(from), full: isFull, rows: tallies.map(packTally) }),
-  view: ({ from, facts, readings, members }) => ({
+  report: ({ from, isFull, isLeaving, uptimeMs, tallies, crashes }) => ({ ...packCrashes(crashes), from: packInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: tallies.map(packTally) }),
+  zone: ({ from, isFull, tallies, crashes }) => ({ ...packCrashes(crashes), from: packInstance(from), full: isFull, rows: tallies.map(packTally) }),
+  view: ({ from, facts, readings, members, crashes }) => ({
+    ...packCrashes(crashes),
     from: packInstance(from),
     facts: [facts.configVersion, facts.listingDigest, facts.listingVersion, Math.round(facts.listingAgeMs)],
     rows: readings.map(packReading),
@@ -106,14 +121,15 @@
 }
 
 const decoders: Readonly<Record<RelayMessage['type'], (params: Params) => RelayMessage>> = {
-  report: ({ from, full, leaving, rows }) => ({ type: 'report', from: unpackInstance(from), isFull: full === true, isLeaving: leaving === true, tallies: unpackRows(rows).map(unpackTally) }),
-  zone: ({ from, full, rows }) => ({ type: 'zone', from: unpackInstance(from), isFull: full === true, tallies: unpackRows(rows).map(unpackTally) }),
-  view: ({ from, facts, rows, members }) => ({
+  report: ({ from, full, leaving, uptime, rows, crashes }) => ({ type: 'report', from: unpackInstance(from), isFull: full === true, isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, tallies: unpackRows(rows).map(unpackTally), crashes: unpackCrashes(crashes) }),
+  zone: ({ from, full, rows, crashes }) => ({ type: 'zone', from: unpackInstance(from), isFull: full === true, tallies: unpackRows(rows).map(unpackTally), crashes: unpackCrashes(crashes) }),
+  view: ({ from, facts, rows, members, crashes }) => ({
     type: 'view',
     from: unpackInstance(from),
     facts: unpackFacts(facts),
     readings: unpackRows(rows).map(unpackReading),
-    members: Array.isArray(members) ? members.map(unpackInstance) : []
+    members: Array.isArray(members) ? members.map(unpackInstance) : [],
+    crashes: unpackCrashes(crashes)
   })
 }
 
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -1,4 +1,6 @@
 import type { ByTarget, CancelTimer, Clock, FleetReading, InstanceRecord, Log, TargetTally } from '@lovagehoist/common'
+import { CrashLedger } from './crashLedger.js'
+import type { Counts } from './crashLedger.js'
 import type { Datagrams } from './datagrams.js'
 import { decodeMessage, encodeMessage } from './messages.js'
 import type { FleetView, HeldFacts, RelayMessage, Report, ZoneSums } from './messages.js'
@@ -16,23 +18,30 @@
 /** Merges what daemons and zones report. */
 export interface Ledger {
   /** Takes a report; tells whether it has failures that others should know at once. */
-  readonly takeDaemon: (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean) => boolean
+  readonly takeDaemon: (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean, uptimeMs: number) => boolean
   readonly takeZone: (zone: string, tallies: ByTarget<TargetTally>, isFull: boolean) => boolean
   readonly zoneTallies: () => ByTarget<TargetTally>
   readonly readings: () => ByTarget<FleetReading>
   readonly sweep: () => void
 }
 
+/** Requests that break connections of targets, as this daemon and the fleet see them. */
+export interface CrashExchange {
+  readonly takeCrashes: () => Counts
+  readonly takeFleetCrashes: (counts: Counts) => void
+}
+
 /** What a relay node needs. */
 export interface RelayNodeOptions {
   readonly self: InstanceRecord
   /** Hosts that are told of this daemon while none of its zone is known. */
-  readonly bootstrapHosts: readonly string[]
+  readonly bootstrapHosts: () => readonly string[]
   readonly clock: Clock
   readonly log: Log
   readonly datagrams: Datagrams
   readonly own: OwnTallies
   readonly ledger: Ledger
+  readonly crashes: CrashExchange
   readonly facts: () => HeldFacts
   /** Called for each view of another daemon. */
   readonly onFacts: (facts: HeldFacts, from: InstanceRecord) => void
@@ -54,6 +63,8 @@
 const REPEAT_MS = 1_000
 const REPEATED_WITHIN_MS = 2_500
 const MEMBERS_MS = 1_000
+/** Begins the names of sources that are zones. */
+const ZONE_SOURCE = 'zone '
 /** Time after its last report for which a daemon gets views. */
 const REPORTER_MS = 1_500
 
@@ -65,6 +76,7 @@
 /** Exchanges load and evidence: daemons report to two relays of their zone, relays answer with the fleet's view. */
 export class RelayNode {
   readonly roster: RelayRoster
+  private readonly crashes: CrashLedger
   private readonly reporters = new Map<string, Reporter>()
   private readonly published = new Map<string, string>()
   private readonly sentSums = new Map<string, string>()
@@ -74,8 +86,11 @@
   private cancelUrgent: CancelTimer | undefined
   private readonly lastMs = { report: -Infinity, repeat: -Infinity, view: -Infinity, zone: -Infinity, zoneRepeat: -Infinity, members: -Infinity }
   private unreadable = 0
+  private readonly startedAtMs: number
 
   private constructor (private readonly options: RelayNodeOptions) {
+    this.startedAtMs = options.clock.monotonicMs()
+    this.crashes = CrashLedger.create(options.clock)
     this.roster = RelayRoster.create(options.self, options.clock)
     options.datagrams.onDatagram(bytes => { this.receive(bytes) })
     options.own.onChange(isUrgent => { this.note(isUrgent) })
@@ -148,15 +163,18 @@
   }
 
   private report (tallies: ByTarget<TargetTally>, isFull: boolean): void {
-    const { self, ledger, datagrams, bootstrapHosts } = this.options
-    ledger.takeDaemon(self.startId, tallies, isFull)
+    const { self, ledger, datagrams, bootstrapHosts, clock } = this.options
+    const uptimeMs = clock.monotonicMs() - this.startedAtMs
+    const crashes = this.options.crashes.takeCrashes()
+    ledger.takeDaemon(self.startId, tallies, isFull, uptimeMs)
+    this.crashes.take(self.startId, crashes)
     const relays = this.roster.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
-    const bytes = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, tallies })
+    const bytes = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, tallies, crashes })
     for (const { instanceId, host } of relays) {
       this.roster.asked(instanceId)
       datagrams.send(host, bytes)
     }
-    if (this.roster.size === 1) for (const host of bootstrapHosts) if (host !== self.host) datagrams.send(host, bytes)
+    if (this.roster.size === 1) for (const host of bootstrapHosts()) if (host !== self.host) datagrams.send(host, bytes)
   }
 
   private publishIfDue (nowMs: number, isUrgent: boolean): void {
@@ -166,6 +184,7 @@
     if (readings.length === 0 && nowMs - last.view < QUIET_VIEW_MS) return
     last.view = nowMs
     this.options.own.takeFleet(readings)
+    this.options.crashes.takeFleetCrashes(this.crashes.sums())
     this.sendView(nowMs, readings)
     this.options.ledger.sweep()
   }
@@ -176,7 +195,7 @@
     if (this.reporters.size === 0) return
     const withMembers = nowMs - this.lastMs.members >= MEMBERS_MS
     if (withMembers) this.lastMs.members = nowMs
-    const view: FleetView = { type: 'view', from: self, facts: facts(), readings, members: withMembers ? this.roster.members() : [] }
+    const view: FleetView = { type: 'view', from: self, facts: facts(), readings, members: withMembers ? this.roster.members() : [], crashes: this.crashes.sums() }
     const bytes = encodeMessage(view)
     for (const { host } of this.reporters.values()) datagrams.send(host, bytes)
   }
@@ -206,7 +225,7 @@
     last.zone = nowMs
     if (isFull) last.zoneRepeat = nowMs
     const { self, datagrams } = this.options
-    const bytes = encodeMessage({ type: 'zone', from: self, isFull, tallies })
+    const bytes = encodeMessage({ type: 'zone', from: self, isFull, tallies, crashes: this.crashes.sums(source => !source.startsWith(ZONE_SOURCE)) })
     for (const zone of this.roster.zones()) {
       if (zone === self.availabilityZone) continue
       for (const { host } of this.roster.relays(zone)) datagrams.send(host, bytes)
@@ -231,7 +250,8 @@
     view: message => { this.takeView(message) }
   }
 
-  private takeReport ({ from, isFull, isLeaving, tallies }: Report): void {
+  private takeReport ({ from, isFull, isLeaving, uptimeMs, tallies, crashes }: Report): void {
+    this.crashes.take(from.startId, crashes)
     if (isLeaving) {
       this.reporters.delete(from.startId)
       this.roster.remove(from.instanceId)
@@ -239,14 +259,16 @@
       return
     }
     this.reporters.set(from.startId, { host: from.host, heardAtMs: this.options.clock.monotonicMs() })
-    if (this.options.ledger.takeDaemon(from.startId, tallies, isFull)) this.note(true)
+    if (this.options.ledger.takeDaemon(from.startId, tallies, isFull, uptimeMs)) this.note(true)
   }
 
-  private takeSums ({ from, isFull, tallies }: ZoneSums): void {
+  private takeSums ({ from, isFull, tallies, crashes }: ZoneSums): void {
+    this.crashes.take(`${ZONE_SOURCE}${from.availabilityZone}`, crashes)
     if (this.options.ledger.takeZone(`${from.availabilityZone} ${from.startId}`, tallies, isFull)) this.note(true)
   }
 
-  private takeView ({ from, facts, readings, members }: FleetView): void {
+  private takeView ({ from, facts, readings, members, crashes }: FleetView): void {
+    this.options.crashes.takeFleetCrashes(crashes)
     this.roster.learn(members)
     this.options.own.takeFleet(readings)
     this.options.onFacts(facts, from)
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -1,7 +1,8 @@
+import { ok } from 'neverthrow'
 import { request } from 'undici'
 import { SeededRandom, SystemClock, createLog } from '@lovagehoist/common'
 import type { Address, GatewaySettings } from '@lovagehoist/common'
-import { GatewayDaemon } from '@lovagehoist/daemon/gateway'
+import { GatewayDaemon, LiveSettings } from '@lovagehoist/daemon/gateway'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore } from '@lovagehoist/platform'
 import { GatewayTarget } from './gatewayTarget.js'
@@ -64,6 +65,8 @@
   readonly targets = new Map<string, GatewayTarget>()
   readonly daemons: Running[] = []
   readonly lines: LoggedLine[] = []
+  /** All lines as the daemons wrote them. */
+  text = ''
   private readonly ports = portsOf(process.pid)
   private version = 0
   private nextId = 0
@@ -82,7 +85,14 @@
     this.store.put('op', 'config', {
       version: `r${this.version}`,
       routes: routes.map(({ prefix, kind, service, split, timeoutMs = 4_000, priority = 1, maxAttempts = 2 }, index) => ({
-        name: `route-${index}`, host: HOST_NAME, path_prefix: prefix, kind, timeout: `${timeoutMs}ms`, target_latency: '1000ms', priority, max_attempts: maxAttempts,
+        name: `route-${index}`,
+        host: HOST_NAME,
+        path_prefix: prefix,
+        kind,
+        timeout: `${timeoutMs}ms`,
+        target_latency: '1000ms',
+        priority,
+        max_attempts: maxAttempts,
         ...(split === undefined ? { service } : { traffic_split: split })
       })),
       services: [...services].map(name => ({ name, health_path: '/health', max_connections: 300, protocol: 'h1', tls: false })),
@@ -116,12 +126,15 @@
       memoryMb: 350,
       bounds: { drainMs: 2_000, graceMs: 6_000, configApplyMs: 2_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000 }
     }
-    const write = (line: string): void => { this.lines.push({ daemon: settings.instanceId, ...JSON.parse(line) as LoggedLine }) }
-    const log = createLog({ level: 'info', format: 'json', clock: this.clock, write })
+    const write = (line: string): void => {
+      this.text += line
+      this.lines.push(JSON.parse(line) as LoggedLine)
+    }
+    const log = createLog({ level: 'info', format: 'json', clock: this.clock, write, fields: { instance: settings.instanceId } })
     const random = SeededRandom.create(100 + this.daemons.length)
     const datagrams = await openDatagrams(settings.peers, log)
     const daemon = await GatewayDaemon.create(
-      { settings, clock: this.clock, random, log, store: RowStore.create(settings.store, this.clock), headers: PLATFORM_HEADERS, datagrams },
+      { settings, live: LiveSettings.create(settings, async () => ok(settings), log), uptimeMs: this.clock.monotonicMs, clock: this.clock, random, log, store: RowStore.create(settings.store, this.clock), headers: PLATFORM_HEADERS, datagrams },
       { readinessPath: READINESS_PATH })
     this.daemons.push({ daemon, callers, readiness })
     if (isAwaited) await this.until(async () => await this.readiness(this.daemons.length - 1) === 200)
--- a/packages/targets/src/condition/failureEstimate.ts
+++ b/packages/targets/src/condition/failureEstimate.ts
@@ -2,18 +2,31 @@
 export interface OutcomeCounts {
   /** Requests that the target answered as a sound one does. */
   readonly succeeded: number
-  /** Requests that it failed, broke off or did not answer. */
+  /** Requests that it failed, broke off or did not answer, after the time that work takes. */
   readonly failed: number
+  /** Requests that it failed sooner than work could have ended. */
+  readonly failedEarly: number
 }
 
-/** Mean time that a sound target stays sound; partial failures come every few dozen seconds somewhere in a pool. */
-const SOUND_MS = 50_000
+/** Mean time that a sound target stays sound; partial failures come every minute or two somewhere in a pool. */
+const SOUND_MS = 120_000
 /** Mean time that a partial failure lasts; the protocol says several seconds. */
-const FAILING_MS = 5_500
-/** Share of requests that a sound target fails; errors of single requests. */
-const SOUND_FAILURE_SHARE = 0.015
-/** Share of requests that a partially failing target fails. */
-const FAILING_FAILURE_SHARE = 0.6
+const FAILING_MS = 8_000
+
+/** How often an outcome comes from a target that is failing, and from a sound one. */
+interface Likelihood {
+  readonly failing: number
+  readonly sound: number
+}
+
+/** Sound targets fail about one request in a hundred, after its work; a failing one mostly fails at once. */
+const LIKELIHOODS: Readonly<Record<keyof OutcomeCounts, Likelihood>> = {
+  succeeded: { failing: 0.35, sound: 0.985 },
+  failed: { failing: 0.25, sound: 0.012 },
+  failedEarly: { failing: 0.4, sound: 0.003 }
+}
+const FAILING_FAILURE_SHARE = 1 - LIKELIHOODS.succeeded.failing
+const SOUND_FAILURE_SHARE = 1 - LIKELIHOODS.succeeded.sound
 
 const RELAXATION_MS = 1 / (1 / SOUND_MS + 1 / FAILING_MS)
 /** Chance that a target nobody knows anything about is failing. */
@@ -23,9 +36,9 @@
 
 const clamp = (chance: number): number => Math.min(MOST_CHANCE, Math.max(LEAST_CHANCE, chance))
 
-const update = (chance: number, failingShare: number, soundShare: number): number => {
-  const failing = chance * failingShare
-  return clamp(failing / (failing + (1 - chance) * soundShare))
+const update = (chance: number, { failing, sound }: Likelihood): number => {
+  const ofFailing = chance * failing
+  return clamp(ofFailing / (ofFailing + (1 - chance) * sound))
 }
 
 /**
@@ -45,10 +58,11 @@
  * @param counts - Outcomes since.
  * @returns The chance after the outcomes.
  */
-export const observe = (chance: number, { succeeded, failed }: OutcomeCounts): number => {
+export const observe = (chance: number, counts: OutcomeCounts): number => {
   let next = chance
-  for (let index = 0; index < succeeded; index++) next = update(next, 1 - FAILING_FAILURE_SHARE, 1 - SOUND_FAILURE_SHARE)
-  for (let index = 0; index < failed; index++) next = update(next, FAILING_FAILURE_SHARE, SOUND_FAILURE_SHARE)
+  for (const kind of ['succeeded', 'failed', 'failedEarly'] as const) {
+    for (let index = 0; index < counts[kind]; index++) next = update(next, LIKELIHOODS[kind])
+  }
   return next
 }
 
--- a/packages/targets/src/connections/targetSender.ts
+++ b/packages/targets/src/connections/targetSender.ts
@@ -86,9 +86,14 @@
   /** Whether a connection to a target is idle that suits a request. */
   readonly hasIdle = (targetId: string, isIdempotent: boolean): boolean => this.lists.get(targetId)?.hasIdle(isIdempotent) ?? false
 
+  /** Destroys all idle connections; those in use are not used again. */
+  retireAll (): void {
+    for (const list of this.lists.values()) list.retire(-1)
+  }
+
   /** Destroys all connections. */
   close (): void {
-    for (const list of this.lists.values()) list.retire(-1)
+    this.retireAll()
     this.lists.clear()
   }
 
--- a/packages/targets/src/load/fleetLedger.spec.ts
+++ b/packages/targets/src/load/fleetLedger.spec.ts
@@ -4,7 +4,7 @@
 import { UNKNOWN_CHANCE } from '../condition/failureEstimate.js'
 import { FleetLedger } from './fleetLedger.js'
 
-const tally = (change: Partial<TargetTally>): TargetTally => ({ inProgress: 0, succeeded: 0, failed: 0, refused: 0, latencySumMs: 0, ...change })
+const tally = (change: Partial<TargetTally>): TargetTally => ({ inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySumMs: 0, ...change })
 
 const chanceOf = (ledger: FleetLedger, targetId: string): number | undefined =>
   ledger.readings().find(([id]) => id === targetId)?.[1].failingChance
@@ -13,7 +13,7 @@
   it('counts a target that first appears in a later full report', () => {
     const ledger = FleetLedger.create(ManualClock.create())
     ledger.takeZone('b relay', [], true)
-    ledger.takeZone('b relay', [['t1', tally({ failed: 1, inProgress: 1 })]], true)
+    ledger.takeZone('b relay', [['t1', tally({ failedEarly: 1, inProgress: 1 })]], true)
     expect(chanceOf(ledger, 't1')).to.be.above(0.7)
   })
 
@@ -23,6 +23,12 @@
     expect(chanceOf(ledger, 't1')).to.equal(UNKNOWN_CHANCE)
   })
 
+  it('counts all that a young daemon did, also before its first report to this relay', () => {
+    const ledger = FleetLedger.create(ManualClock.create())
+    ledger.takeDaemon('d1', [['t1', tally({ failedEarly: 1, inProgress: 1 })]], true, 2_000)
+    expect(chanceOf(ledger, 't1')).to.be.above(0.7)
+  })
+
   it('adds the requests in progress of daemons and zones, and forgets silent ones', () => {
     const clock = ManualClock.create()
     const ledger = FleetLedger.create(clock)
--- a/packages/targets/src/load/fleetLedger.ts
+++ b/packages/targets/src/load/fleetLedger.ts
@@ -15,13 +15,16 @@
 
 /** Time after which the requests in progress of a silent source no longer count. */
 const SILENT_MS = 2_000
-const EMPTY: TargetTally = { inProgress: 0, succeeded: 0, failed: 0, refused: 0, latencySumMs: 0 }
+/** Age up to which all that a process did is recent. */
+const YOUNG_MS = 10_000
+const EMPTY: TargetTally = { inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySumMs: 0 }
 const NO_REFUSALS: RefusalShare = { share: 0, atMs: 0 }
 
 const difference = (now: TargetTally, before: TargetTally): TargetTally => ({
   inProgress: now.inProgress - before.inProgress,
   succeeded: Math.max(0, now.succeeded - before.succeeded),
   failed: Math.max(0, now.failed - before.failed),
+  failedEarly: Math.max(0, now.failedEarly - before.failedEarly),
   refused: Math.max(0, now.refused - before.refused),
   latencySumMs: Math.max(0, now.latencySumMs - before.latencySumMs)
 })
@@ -30,11 +33,12 @@
   inProgress: a.inProgress + b.inProgress,
   succeeded: a.succeeded + b.succeeded,
   failed: a.failed + b.failed,
+  failedEarly: a.failedEarly + b.failedEarly,
   refused: a.refused + b.refused,
   latencySumMs: a.latencySumMs + b.latencySumMs
 })
 
-const hasFailures = (deltas: ByTarget<TargetTally>): boolean => deltas.some(([, { failed }]) => failed > 0)
+const hasFailures = (deltas: ByTarget<TargetTally>): boolean => deltas.some(([, { failed, failedEarly }]) => failed + failedEarly > 0)
 
 /** Merges what daemons of the own zone and other zones report of targets. */
 export class FleetLedger {
@@ -70,10 +74,11 @@
    * @param startId - Process that reports.
    * @param tallies - Tallies that changed, or all of them.
    * @param isFull - Whether they are all.
+   * @param uptimeMs - Age of the process; all that a young one did is recent.
    * @returns Whether there are new failures.
    */
-  takeDaemon (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean): boolean {
-    const deltas = this.take(this.daemons, startId, tallies, isFull)
+  takeDaemon (startId: string, tallies: ByTarget<TargetTally>, isFull: boolean, uptimeMs = Infinity): boolean {
+    const deltas = this.take(this.daemons, startId, tallies, isFull, uptimeMs)
     for (const [targetId, delta] of deltas) {
       this.totals.set(targetId, sum(this.totals.get(targetId) ?? EMPTY, delta))
       this.learn(this.ownCondition, targetId, delta)
@@ -136,13 +141,13 @@
     this.otherCondition.sweep()
   }
 
-  private take (sources: Map<string, Source>, name: string, tallies: ByTarget<TargetTally>, isFull: boolean): ByTarget<TargetTally> {
+  private take (sources: Map<string, Source>, name: string, tallies: ByTarget<TargetTally>, isFull: boolean, uptimeMs = Infinity): ByTarget<TargetTally> {
     const nowMs = this.clock.monotonicMs()
     const source = sources.get(name) ?? { tallies: new Map<string, TargetTally>(), hasAll: false, heardAtMs: nowMs }
     sources.set(name, source)
     source.heardAtMs = nowMs
     // A tally of unknown beginning only sets where counting begins; after a full report, a new target's count begins at zero.
-    const beginsAtZero = source.hasAll
+    const beginsAtZero = source.hasAll || uptimeMs < YOUNG_MS
     const deltas = tallies.flatMap(([targetId, tally]) => {
       const before = source.tallies.get(targetId) ?? (beginsAtZero ? EMPTY : undefined)
       return before === undefined ? [] : [[targetId, difference(tally, before)] as const]
@@ -152,12 +157,13 @@
     return deltas
   }
 
-  private learn (condition: ConditionBook, targetId: string, { succeeded, failed, refused, latencySumMs }: TargetTally): void {
-    if (succeeded + failed > 0) condition.observe(targetId, { succeeded, failed })
+  private learn (condition: ConditionBook, targetId: string, { succeeded, failed, failedEarly, refused, latencySumMs }: TargetTally): void {
+    const ended = succeeded + failed + failedEarly
+    if (ended > 0) condition.observe(targetId, { succeeded, failed, failedEarly })
     if (succeeded > 0) this.latencies.set(targetId, addSamples(this.latencies.get(targetId) ?? NO_SAMPLES, latencySumMs / succeeded, succeeded))
-    if (refused + succeeded + failed === 0) return
+    if (refused + ended === 0) return
     const before = this.refusals.get(targetId) ?? NO_REFUSALS
-    this.refusals.set(targetId, addOutcomes(before, { refused, accepted: succeeded + failed }, this.clock.monotonicMs()))
+    this.refusals.set(targetId, addOutcomes(before, { refused, accepted: ended }, this.clock.monotonicMs()))
   }
 
   private inProgressOf (sources: ReadonlyMap<string, Source>): ReadonlyMap<string, number> {
--- a/packages/targets/src/load/targetBoard.ts
+++ b/packages/targets/src/load/targetBoard.ts
@@ -1,6 +1,7 @@
 import type { ByTarget, Clock, FleetReading, OpenTry, TargetTally, TryEnding } from '@lovagehoist/common'
 import { ConditionBook } from '../condition/conditionBook.js'
 import { relax } from '../condition/failureEstimate.js'
+import type { OutcomeCounts } from '../condition/failureEstimate.js'
 import type { Candidate } from '../placing/placement.js'
 import type { RosterEntry } from '../roster/targetRoster.js'
 import { NO_SAMPLES, addSamples } from './recentMean.js'
@@ -18,6 +19,7 @@
   readonly running: Set<Running>
   succeeded: number
   failed: number
+  failedEarly: number
   refused: number
   latencySumMs: number
   refusals: RefusalShare
@@ -40,6 +42,9 @@
 const OVERDUE_FLOOR_MS = 2_000
 /** A target that has just started is slower by about this factor. */
 const COLD_FACTOR = 2
+/** Part of the mean latency within which a failure came before the work could have ended. */
+const EARLY_SHARE = 0.2
+const NO_OUTCOMES: OutcomeCounts = { succeeded: 0, failed: 0, failedEarly: 0 }
 /** Age from which a view of the fleet says nothing of requests in progress. */
 const STALE_VIEW_MS = 1_500
 
@@ -107,7 +112,7 @@
         if (running.isOverdue || nowMs - running.startedAtMs < limitMs) continue
         running.isOverdue = true
         own.failed++
-        this.condition.observe(targetId, { succeeded: 0, failed: 1 })
+        this.condition.observe(targetId, { succeeded: 0, failed: 1, failedEarly: 0 })
         this.touch(targetId, true)
       }
     }
@@ -128,8 +133,7 @@
     return {
       targetId: target.id,
       slots: target.slots,
-      inProgress: (own?.running.size ?? 0) + this.othersInProgress(own, view, nowMs),
-      failingChance: Math.max(this.condition.chance(target.id), view === undefined ? 0 : relax(view.failingChance, nowMs - view.atMs)),
+      ...this.conditionOf(target.id),
       refusalShare: Math.max(own === undefined ? 0 : refusalShareAt(own.refusals, nowMs), view === undefined ? 0 : refusalShareAt({ share: view.refusalShare, atMs: view.atMs }, nowMs)),
       serviceTimeMs: this.latencyOf(target.service) * this.slowFactor(target.service, view, nowMs < warmAtMs),
       isOwnZone: target.availabilityZone === zone,
@@ -139,6 +143,22 @@
     }
   }
 
+  /**
+   * Tells load and condition of a target.
+   *
+   * @param targetId - Target.
+   * @returns Requests in progress from the fleet, and the chance that the target is failing.
+   */
+  conditionOf (targetId: string): Pick<Candidate, 'inProgress' | 'failingChance'> {
+    const nowMs = this.clock.monotonicMs()
+    const own = this.own.get(targetId)
+    const view = this.fleet.get(targetId)
+    return {
+      inProgress: (own?.running.size ?? 0) + this.othersInProgress(own, view, nowMs),
+      failingChance: Math.max(this.condition.chance(targetId), view === undefined ? 0 : relax(view.failingChance, nowMs - view.atMs))
+    }
+  }
+
   /**
    * Tallies to report.
    *
@@ -149,8 +169,8 @@
     const limitMs = this.clock.monotonicMs() - changedWithinMs
     return [...this.own].filter(([, { changedAtMs }]) => changedAtMs >= limitMs).map(([targetId, own]) => {
       own.reportedInProgress = own.running.size
-      const { succeeded, failed, refused, latencySumMs } = own
-      return [targetId, { inProgress: own.running.size, succeeded, failed, refused, latencySumMs: Math.round(latencySumMs) }] as const
+      const { succeeded, failed, failedEarly, refused, latencySumMs } = own
+      return [targetId, { inProgress: own.running.size, succeeded, failed, failedEarly, refused, latencySumMs: Math.round(latencySumMs) }] as const
     })
   }
 
@@ -172,7 +192,7 @@
     const own = this.ownOf(targetId)
     const nowMs = this.clock.monotonicMs()
     own.lastUseMs = nowMs
-    this.touch(targetId, ending === 'failed')
+    this.touch(targetId, ending === 'failed' || ending === 'unreachable')
     if (ending === 'unknown') return
     own.refusals = addOutcomes(own.refusals, { refused: ending === 'refused' ? 1 : 0, accepted: ending === 'refused' ? 0 : 1 }, nowMs)
     if (ending === 'refused') {
@@ -180,14 +200,19 @@
       return
     }
     if (ending === 'succeeded') this.services.set(running.service, addSamples(this.services.get(running.service) ?? NO_SAMPLES, latencyMs, 1))
-    if (running.isOverdue) return
-    if (ending === 'succeeded') {
-      own.succeeded++
-      own.latencySumMs += latencyMs
-    } else {
-      own.failed++
-    }
-    this.condition.observe(targetId, { succeeded: ending === 'succeeded' ? 1 : 0, failed: ending === 'failed' ? 1 : 0 })
+    if (!running.isOverdue) this.learn(targetId, own, this.kindOf(running.service, ending, latencyMs), latencyMs)
+  }
+
+  private learn (targetId: string, own: Own, kind: keyof OutcomeCounts, latencyMs: number): void {
+    own[kind]++
+    if (kind === 'succeeded') own.latencySumMs += latencyMs
+    this.condition.observe(targetId, { ...NO_OUTCOMES, [kind]: 1 })
+  }
+
+  private kindOf (service: string, ending: TryEnding, latencyMs: number): keyof OutcomeCounts {
+    if (ending === 'succeeded') return 'succeeded'
+    const isEarly = ending === 'failed' && latencyMs < EARLY_SHARE * this.latencyOf(service)
+    return isEarly ? 'failedEarly' : 'failed'
   }
 
   private othersInProgress (own: Own | undefined, view: FleetView | undefined, nowMs: number): number {
@@ -208,7 +233,7 @@
   private ownOf (targetId: string): Own {
     const known = this.own.get(targetId)
     if (known !== undefined) return known
-    const own: Own = { running: new Set(), succeeded: 0, failed: 0, refused: 0, latencySumMs: 0, refusals: { share: 0, atMs: 0 }, lastUseMs: -Infinity, changedAtMs: -Infinity, reportedInProgress: 0 }
+    const own: Own = { running: new Set(), succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySumMs: 0, refusals: { share: 0, atMs: 0 }, lastUseMs: -Infinity, changedAtMs: -Infinity, reportedInProgress: 0 }
     this.own.set(targetId, own)
     return own
   }
--- a/packages/targets/src/roster/targetRoster.ts
+++ b/packages/targets/src/roster/targetRoster.ts
@@ -106,6 +106,11 @@
     this.dropLapsed()
   }
 
+  /** Counts time that the monotonic clock missed as age of the listing. */
+  age (missedMs: number): void {
+    this.confirmedMs -= missedMs
+  }
+
   /**
    * Takes a listing; one that is older than the newest is left out.
    *
