--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -62,6 +62,10 @@
 /** Time between two repeats of what changed lately, which heal lost datagrams. */
 const REPEAT_MS = 1_000
 const REPEATED_WITHIN_MS = 2_500
+/** Up to so many targets, each repeat has all tallies: they fit into a few kilobytes. */
+const FEW_TARGETS = 64
+/** With more targets, every so many repeats have all. */
+const FULL_REPEATS = 10
 const MEMBERS_MS = 1_000
 /** Begins the names of sources that are zones. */
 const ZONE_SOURCE = 'zone '
@@ -86,6 +90,7 @@
   private cancelUrgent: CancelTimer | undefined
   private readonly lastMs = { report: -Infinity, repeat: -Infinity, view: -Infinity, zone: -Infinity, zoneRepeat: -Infinity, members: -Infinity }
   private unreadable = 0
+  private repeats = 0
   private readonly startedAtMs: number
 
   private constructor (private readonly options: RelayNodeOptions) {
@@ -151,9 +156,10 @@
   private reportIfDue (nowMs: number): void {
     const last = this.lastMs
     const relayKey = this.roster.relays(this.options.self.availabilityZone).map(({ startId }) => startId).join()
-    const isFull = relayKey !== this.relayKey
+    const isNewRelay = relayKey !== this.relayKey
     const isRepeat = nowMs - last.repeat >= REPEAT_MS
-    if (!isFull && !isRepeat && !this.hasNews && nowMs - last.report < HEARTBEAT_MS) return
+    if (!isNewRelay && !isRepeat && !this.hasNews && nowMs - last.report < HEARTBEAT_MS) return
+    const isFull = isNewRelay || (isRepeat && this.isFullRepeat())
     const changedWithinMs = isRepeat ? REPEATED_WITHIN_MS : nowMs - last.report
     this.relayKey = relayKey
     this.hasNews = false
@@ -162,6 +168,12 @@
     this.report(this.options.own.takeTallies(isFull ? undefined : changedWithinMs), isFull)
   }
 
+  /** Whether a repeat has all tallies, so that a relay that missed the first full report gets another. */
+  private isFullRepeat (): boolean {
+    this.repeats++
+    return this.options.own.takeTallies().length <= FEW_TARGETS || this.repeats % FULL_REPEATS === 0
+  }
+
   private report (tallies: ByTarget<TargetTally>, isFull: boolean): void {
     const { self, ledger, datagrams, bootstrapHosts, clock } = this.options
     const uptimeMs = clock.monotonicMs() - this.startedAtMs
