--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -99,6 +99,16 @@
   }
 }
 
+/** Loops that watch requests, the machine and the settings file. */
+const createUpkeep = (world: GatewayWorld, { board, sender, roster }: ReturnType<typeof createTargets>): GatewayParts['tasks'] => {
+  const { clock, uptimeMs, log } = world
+  const onSuspended = (durationMs: number): void => {
+    sender.retireAll()
+    roster.age(durationMs)
+  }
+  return [watchOverdue(clock, board), watchSuspension({ clock, uptimeMs, log, onSuspended }), async signal => { await rereadSettings(world, signal) }]
+}
+
 /**
  * Composes the parts of a gateway daemon.
  *
@@ -131,20 +141,14 @@
     metrics: createRequestMetrics(registry),
     log: log.child('request')
   }
-  const onSuspended = (durationMs: number): void => {
-    targets.sender.retireAll()
-    targets.roster.age(durationMs)
-  }
   return {
     handler: async (request, response) => { await serveGateway(serve, request, response) },
     registry,
     facts,
     isReady: () => inForce !== undefined && targets.roster.hasListing,
     tasks: [
-      config.run.bind(config), listing.run.bind(listing), relay.run.bind(relay), targets.sender.run.bind(targets.sender), watchOverdue(clock, targets.board),
-      watchSuspension({ clock, uptimeMs: world.uptimeMs, log, onSuspended }),
-      async signal => { await register(world, self, relay, signal) },
-      async signal => { await rereadSettings(world, signal) }
+      config.run.bind(config), listing.run.bind(listing), relay.run.bind(relay), targets.sender.run.bind(targets.sender),
+      ...createUpkeep(world, targets), async signal => { await register(world, self, relay, signal) }
     ],
     close: async () => {
       targets.sender.close()
--- a/packages/targets/src/condition/conditionBook.ts
+++ b/packages/targets/src/condition/conditionBook.ts
@@ -33,18 +33,18 @@
    * @param counts - Outcomes since the last call.
    */
   observe (targetId: string, counts: OutcomeCounts): void {
-    this.estimates.set(targetId, { chance: observe(this.chance(targetId), counts), atMs: this.clock.monotonicMs() })
+    this.estimates.set(targetId, { chance: observe(this.chance(targetId) ?? UNKNOWN_CHANCE, counts), atMs: this.clock.monotonicMs() })
   }
 
   /**
    * Tells the chance that a target is failing now.
    *
    * @param targetId - Target.
-   * @returns The chance, 0 to 1.
+   * @returns The chance, 0 to 1; undefined without evidence.
    */
-  chance (targetId: string): number {
+  chance (targetId: string): number | undefined {
     const estimate = this.estimates.get(targetId)
-    return estimate === undefined ? UNKNOWN_CHANCE : relax(estimate.chance, this.clock.monotonicMs() - estimate.atMs)
+    return estimate === undefined ? undefined : relax(estimate.chance, this.clock.monotonicMs() - estimate.atMs)
   }
 
   /** Forgets a target, as when it has started anew. */
--- a/packages/targets/src/condition/failureEstimate.ts
+++ b/packages/targets/src/condition/failureEstimate.ts
@@ -74,3 +74,19 @@
  */
 export const requestFailureChance = (chance: number): number =>
   chance * FAILING_FAILURE_SHARE + (1 - chance) * SOUND_FAILURE_SHARE
+
+/** Chances up to this are no sign that a target is failing. */
+const NO_SIGN_CHANCE = UNKNOWN_CHANCE * 1.1
+
+/**
+ * Joins what two observers hold of a target: a sign of one is kept, and without any the better informed one counts.
+ *
+ * @param first - Chance by one observer; undefined when it saw nothing.
+ * @param second - Chance by the other.
+ * @returns The chance that the target is failing.
+ */
+export const joinChances = (first: number | undefined, second: number | undefined): number => {
+  if (first === undefined || second === undefined) return first ?? second ?? UNKNOWN_CHANCE
+  const most = Math.max(first, second)
+  return most > NO_SIGN_CHANCE ? most : Math.min(first, second)
+}
--- a/packages/targets/src/load/fleetLedger.spec.ts
+++ b/packages/targets/src/load/fleetLedger.spec.ts
@@ -29,6 +29,22 @@
     expect(chanceOf(ledger, 't1')).to.be.above(0.7)
   })
 
+  it('takes successes of one zone for what they are although the other zones know nothing', () => {
+    const ledger = FleetLedger.create(ManualClock.create())
+    ledger.takeDaemon('d1', [], true)
+    ledger.takeDaemon('d1', [['t1', tally({ succeeded: 4 })]], false)
+    expect(chanceOf(ledger, 't1')).to.be.below(UNKNOWN_CHANCE / 4)
+  })
+
+  it('keeps the sign of failure that one zone has', () => {
+    const ledger = FleetLedger.create(ManualClock.create())
+    ledger.takeDaemon('d1', [], true)
+    ledger.takeZone('b relay', [], true)
+    ledger.takeDaemon('d1', [['t1', tally({ succeeded: 4 })]], false)
+    ledger.takeZone('b relay', [['t1', tally({ failedEarly: 2 })]], false)
+    expect(chanceOf(ledger, 't1')).to.be.above(0.8)
+  })
+
   it('adds the requests in progress of daemons and zones, and forgets silent ones', () => {
     const clock = ManualClock.create()
     const ledger = FleetLedger.create(clock)
--- a/packages/targets/src/load/fleetLedger.ts
+++ b/packages/targets/src/load/fleetLedger.ts
@@ -1,5 +1,6 @@
 import type { ByTarget, Clock, FleetReading, TargetTally } from '@lovagehoist/common'
 import { ConditionBook } from '../condition/conditionBook.js'
+import { joinChances } from '../condition/failureEstimate.js'
 import { NO_SAMPLES, addSamples } from './recentMean.js'
 import type { RecentMean } from './recentMean.js'
 import { addOutcomes, refusalShareAt } from './refusalShare.js'
@@ -115,7 +116,7 @@
     const ids = new Set([...this.latencies.keys(), ...this.refusals.keys(), ...own.keys(), ...others.keys()])
     return [...ids].map(targetId => [targetId, {
       inProgress: (own.get(targetId) ?? 0) + (others.get(targetId) ?? 0),
-      failingChance: Math.max(this.ownCondition.chance(targetId), this.otherCondition.chance(targetId)),
+      failingChance: joinChances(this.ownCondition.chance(targetId), this.otherCondition.chance(targetId)),
       refusalShare: refusalShareAt(this.refusals.get(targetId) ?? NO_REFUSALS, nowMs),
       latencyMs: this.latencies.get(targetId)?.mean ?? 0
     }] as const)
--- a/packages/targets/src/load/targetBoard.ts
+++ b/packages/targets/src/load/targetBoard.ts
@@ -1,6 +1,6 @@
 import type { ByTarget, Clock, FleetReading, OpenTry, TargetTally, TryEnding } from '@lovagehoist/common'
 import { ConditionBook } from '../condition/conditionBook.js'
-import { relax } from '../condition/failureEstimate.js'
+import { joinChances, relax } from '../condition/failureEstimate.js'
 import type { OutcomeCounts } from '../condition/failureEstimate.js'
 import type { Candidate } from '../placing/placement.js'
 import type { RosterEntry } from '../roster/targetRoster.js'
@@ -155,7 +155,7 @@
     const view = this.fleet.get(targetId)
     return {
       inProgress: (own?.running.size ?? 0) + this.othersInProgress(own, view, nowMs),
-      failingChance: Math.max(this.condition.chance(targetId), view === undefined ? 0 : relax(view.failingChance, nowMs - view.atMs))
+      failingChance: joinChances(this.condition.chance(targetId), view === undefined ? undefined : relax(view.failingChance, nowMs - view.atMs))
     }
   }
 
