--- a/packages/targets/src/condition/failureEstimate.ts
+++ b/packages/targets/src/condition/failureEstimate.ts
@@ -31,7 +31,8 @@
 const RELAXATION_MS = 1 / (1 / SOUND_MS + 1 / FAILING_MS)
 /** Chance that a target nobody knows anything about is failing. */
 export const UNKNOWN_CHANCE = FAILING_MS / (SOUND_MS + FAILING_MS)
-const LEAST_CHANCE = 0.005
+/** A target may have begun to fail since its last success. */
+const LEAST_CHANCE = 0.015
 const MOST_CHANCE = 0.98
 
 const clamp = (chance: number): number => Math.min(MOST_CHANCE, Math.max(LEAST_CHANCE, chance))
