--- /dev/null
+++ b/packages/common/src/log/lineSink.spec.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai'
+import { ManualClock } from '../fakes/manualClock.js'
+import { LineSink } from './lineSink.js'
+
+describe('line sink', () => {
+  let clock: ManualClock
+  let written: string
+  let finish: Array<() => void>
+
+  const create = (linesPerSecond: number): LineSink =>
+    LineSink.create({ clock, linesPerSecond, write: (bytes, done) => { written += bytes.toString(); finish.push(() => { done(null) }) } })
+
+  beforeEach(() => {
+    clock = ManualClock.create()
+    written = ''
+    finish = []
+  })
+
+  it('writes lines together and keeps failures for longer than successes', async () => {
+    const sink = create(2)
+    for (let index = 0; index < 5; index++) sink.take(`{"level":"info","n":${index}}\n`)
+    for (let index = 0; index < 5; index++) sink.take(`{"level":"warn","n":${index}}\n`)
+    await clock.advanceMs(100)
+    expect(written.match(/info/g)).to.have.length(2)
+    expect(written.match(/warn/g)).to.have.length(2)
+    expect(sink.droppedCount).to.equal(6)
+  })
+
+  it('says how many lines it left out', async () => {
+    const sink = create(1)
+    for (let index = 0; index < 4; index++) sink.take('{"level":"info"}\n')
+    await clock.advanceMs(1_000)
+    finish.shift()?.()
+    sink.take('{"level":"info"}\n')
+    await clock.advanceMs(100)
+    expect(written).to.include('"lines left out","count":3')
+  })
+
+  it('drops rather than waits when nobody takes the lines', async () => {
+    const sink = create(1_000_000)
+    const line = `${'x'.repeat(1_000)}\n`
+    for (let index = 0; index < 1_000; index++) sink.take(line)
+    await clock.advanceMs(100)
+    expect(sink.droppedCount).to.be.above(700)
+    expect(written.length).to.be.below(300_000)
+  })
+})
--- /dev/null
+++ b/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
@@ -0,0 +1,75 @@
+import { expect } from 'chai'
+import { err, ok } from 'neverthrow'
+import { SeededRandom, silentLog } from '@lovagehoist/common'
+import type { ConfigReading, ConfigWatch, GatewayConfig, PlatformResult } from '@lovagehoist/common'
+import { ManualClock } from '@lovagehoist/common/testing'
+import { GatewayConfigFollower } from './gatewayConfigFollower.js'
+
+const config = (version: number): GatewayConfig => ({ version, routes: [], services: [], limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 } })
+const reading = (version: number, storeVersion: number): ConfigReading => ({ storeVersion, config: config(version), text: `r${version}`, error: undefined })
+
+describe('gateway configuration follower', () => {
+  let clock: ManualClock
+  let applied: number[]
+  let watches: Array<() => PlatformResult<ConfigWatch>>
+  let reads: Array<() => PlatformResult<ConfigReading>>
+  let follower: GatewayConfigFollower
+  let stop: AbortController
+
+  beforeEach(() => {
+    clock = ManualClock.create()
+    applied = []
+    watches = []
+    reads = []
+    stop = new AbortController()
+    const never = async <T>(): Promise<T> => await new Promise<T>(() => {})
+    follower = GatewayConfigFollower.create({
+      store: {
+        readConfig: async () => await (reads.shift() ?? never)(),
+        watchConfig: async () => await (watches.shift() ?? never)()
+      },
+      clock,
+      random: SeededRandom.create(1),
+      log: silentLog,
+      onConfig: ({ version }) => { applied.push(version) }
+    })
+  })
+
+  afterEach(() => { stop.abort() })
+
+  const run = async (durationMs: number): Promise<void> => {
+    follower.run(stop.signal).catch(() => {})
+    await clock.advanceMs(durationMs)
+  }
+
+  it('applies what it reads and what it watches, in order', async () => {
+    reads = [async () => ok(reading(2, 10))]
+    watches = [async () => ok({ type: 'reading', reading: reading(5, 12) }), async () => ok({ type: 'unchanged', storeVersion: 13 })]
+    await run(1_000)
+    expect(applied).to.deep.equal([2, 5])
+  })
+
+  it('never goes back, whoever tells', async () => {
+    reads = [async () => ok(reading(7, 10))]
+    await run(100)
+    follower.take(reading(6, 99), 'peer')
+    follower.take(reading(7, 99), 'store')
+    expect(applied).to.deep.equal([7])
+    expect(follower.version).to.equal(7)
+  })
+
+  it('reads anew after a lost history and after a failed watch', async () => {
+    reads = [async () => ok(reading(1, 10)), async () => ok(reading(2, 20)), async () => ok(reading(3, 30))]
+    watches = [async () => ok({ type: 'history-lost' }), async () => err({ kind: 'unavailable', message: 'busy' })]
+    await run(2_000)
+    expect(applied).to.deep.equal([1, 2, 3])
+  })
+
+  it('keeps the last good one when a newer can not be read', async () => {
+    reads = [async () => ok(reading(4, 10))]
+    await run(100)
+    follower.take({ storeVersion: 11, config: undefined, text: undefined, error: 'routes.0.host: expected a text' }, 'store')
+    expect(follower.version).to.equal(4)
+    expect(follower.refusedCount).to.equal(1)
+  })
+})
