--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -39,6 +39,8 @@
 
 const NO_SERVICE = 'none'
 const NO_TRIES: Tries = { verdict: 'not-run', triedTargetIds: new Set(), sentCount: 0, last: undefined }
+/** Ends of a try that waited until the answer was due. */
+const LATE_OUTCOMES: ReadonlySet<TryResult['outcome']> = new Set(['timeout', 'silent-connection'])
 /** Targets that are tried when connections fail, before the request is refused. */
 const MOST_TARGETS = 5
 /** Least and most time after which a refused caller is told to return. */
@@ -71,7 +73,7 @@
   const { last, verdict } = tries
   if (last?.answer !== undefined) return { type: 'answer', answer: last.answer }
   if (verdict === 'not-run') return problemReply('overload', verdict, last?.detail ?? 'not sent', LEAST_RETRY_MS)
-  return problemReply(last?.outcome === 'timeout' ? 'deadline' : 'target-failed', verdict, last?.detail ?? '')
+  return problemReply(last !== undefined && LATE_OUTCOMES.has(last.outcome) ? 'deadline' : 'target-failed', verdict, last?.detail ?? '')
 }
 
 /** What is equal in all repeats of a request. */
--- a/packages/operators/src/explain/requestStory.ts
+++ b/packages/operators/src/explain/requestStory.ts
@@ -41,6 +41,17 @@
 
 const byTime = (a: LogLine, b: LogLine): number => a.at < b.at ? -1 : a.at > b.at ? 1 : 0
 
+/** Leaves the first of the lines that many daemons write of one event. */
+const firstOfEach = (lines: readonly LogLine[]): readonly LogLine[] => {
+  const seen = new Set<string>()
+  return lines.filter(({ message, fields }) => {
+    const event = `${message} ${String(fields.targetId)} ${String(fields.startedAtMs)}`
+    const isFirst = !seen.has(event)
+    seen.add(event)
+    return isFirst
+  })
+}
+
 /**
  * Collects the story of a request from the logs of any number of daemons.
  *
@@ -57,8 +68,8 @@
   const targetIds = new Set(lines.flatMap(({ fields }) => typeof fields.targetId === 'string' ? [fields.targetId] : []))
   const firstMs = Date.parse(lines[0]?.at ?? '')
   const lastMs = Date.parse(lines.at(-1)?.at ?? '')
-  const around = all.filter(({ at, part, fields }) =>
-    part === 'targets' && targetIds.has(String(fields.targetId)) && Date.parse(at) >= firstMs - AROUND_MS && Date.parse(at) <= lastMs + AROUND_MS).sort(byTime)
+  const around = firstOfEach(all.filter(({ at, part, fields }) =>
+    part === 'targets' && targetIds.has(String(fields.targetId)) && Date.parse(at) >= firstMs - AROUND_MS && Date.parse(at) <= lastMs + AROUND_MS).sort(byTime))
   const last = lines.findLast(({ message }) => Object.hasOwn(ENDINGS, message))
   const ending = last === undefined ? 'no answer is in these logs' : ENDINGS[last.message]?.(last.fields) ?? ''
   return { requestId, lines, around, ending }
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -10,8 +10,8 @@
   readonly onConfig: (config: GatewayConfig) => void
 }
 
-/** Longest wait of one watch; the store allows 30 s, and a silent connection is noticed only behind it. */
-const WATCH_MS = 12_000
+/** Longest wait of one watch; the store allows 30 s. Until a silent connection is noticed, other daemons tell of newer versions. */
+const WATCH_MS = 25_000
 /** Least time between two watches: quick successions of changes arrive together. */
 const LEAST_PAUSE_MS = 250
 /** Pauses after failures double from the first to the last. */
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -57,8 +57,8 @@
 const VIEW_MS = 100
 const QUIET_VIEW_MS = 300
 /** Time between two sums to other zones: bytes between zones are dear. */
-const ZONE_MS = 250
-const QUIET_ZONE_MS = 1_000
+const ZONE_MS = 800
+const FULL_ZONE_MS = 4_000
 /** Time between two repeats of what changed lately, which heal lost datagrams. */
 const REPEAT_MS = 1_000
 const REPEATED_WITHIN_MS = 2_500
@@ -83,7 +83,7 @@
   private readonly crashes: CrashLedger
   private readonly reporters = new Map<string, Reporter>()
   private readonly published = new Map<string, string>()
-  private readonly sentSums = new Map<string, string>()
+  private readonly sentSums = new Map<string, TargetTally>()
   private relayKey = ''
   private hasNews = false
   private isLeaving = false
@@ -223,21 +223,29 @@
     })
   }
 
+  /** Sends the sums of the zone: new failures at once, the rest seldom. */
   private sumIfDue (nowMs: number, isUrgent: boolean): void {
     const last = this.lastMs
-    if (!isUrgent && nowMs - last.zone < ZONE_MS) return
-    const isFull = nowMs - last.zoneRepeat >= QUIET_ZONE_MS
+    const isDue = nowMs - last.zone >= ZONE_MS
+    if (!isUrgent && !isDue) return
+    const isFull = isDue && nowMs - last.zoneRepeat >= FULL_ZONE_MS
     const tallies = this.options.ledger.zoneTallies().filter(([targetId, tally]) => {
-      const text = Object.values(tally).join(' ')
-      const isChanged = this.sentSums.get(targetId) !== text
-      this.sentSums.set(targetId, text)
-      return isChanged || isFull
+      const before = this.sentSums.get(targetId)
+      const hasFailed = tally.failed + tally.failedEarly > (before === undefined ? 0 : before.failed + before.failedEarly)
+      const isSent = isFull || hasFailed || (isDue && JSON.stringify(before) !== JSON.stringify(tally))
+      if (isSent) this.sentSums.set(targetId, tally)
+      return isSent
     })
-    if (tallies.length === 0 && nowMs - last.zone < QUIET_ZONE_MS) return
-    last.zone = nowMs
+    if (tallies.length === 0 && !isFull) return
+    if (isDue) last.zone = nowMs
     if (isFull) last.zoneRepeat = nowMs
+    this.sendSums(tallies, isFull)
+  }
+
+  private sendSums (tallies: ByTarget<TargetTally>, isFull: boolean): void {
     const { self, datagrams } = this.options
-    const bytes = encodeMessage({ type: 'zone', from: self, isFull, tallies, crashes: this.crashes.sums(source => !source.startsWith(ZONE_SOURCE)) })
+    const crashes = this.crashes.sums(source => !source.startsWith(ZONE_SOURCE))
+    const bytes = encodeMessage({ type: 'zone', from: self, isFull, tallies, crashes })
     for (const zone of this.roster.zones()) {
       if (zone === self.availabilityZone) continue
       for (const { host } of this.roster.relays(zone)) datagrams.send(host, bytes)
--- a/packages/targets/src/load/fleetLedger.ts
+++ b/packages/targets/src/load/fleetLedger.ts
@@ -15,7 +15,7 @@
 }
 
 /** Time after which the requests in progress of a silent source no longer count. */
-const SILENT_MS = 2_000
+const SILENT_MS = 2_500
 /** Age up to which all that a process did is recent. */
 const YOUNG_MS = 10_000
 const EMPTY: TargetTally = { inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySumMs: 0 }
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -42,8 +42,8 @@
 const REFUSAL_COST_MS = 1_500
 /** Bytes between zones are dear: another zone is used only when the own one is busy or failing. */
 const OTHER_ZONE_COST_MS = 150
-/** Opening a connection costs the target and a round trip. */
-const CONNECT_COST_MS = 30
+/** Opening a connection costs the target and a round trip, and connections are few; daemons keep to the targets that they know. */
+const CONNECT_COST_MS = 100
 /** Bonus that outweighs what is unknown of a target, so that it gets a request. */
 const TRIAL_BONUS_MS = 1_500
 /** Part of the requests that may go to a target for a trial: all daemons see the same need, and one request is enough. */
--- a/packages/targets/src/roster/listingFollower.ts
+++ b/packages/targets/src/roster/listingFollower.ts
@@ -13,7 +13,7 @@
 }
 
 /** Age of the listing from which a daemon reads it: the first relay of a zone reads for all, the others stand in when that fails. */
-const READ_AT_AGE_MS: Readonly<Record<'first' | 'second' | 'other', number>> = { first: 350, second: 750, other: 1_000 }
+const READ_AT_AGE_MS: Readonly<Record<'first' | 'second' | 'other', number>> = { first: 450, second: 800, other: 1_000 }
 /** Rhythm in which the age is looked at. */
 const LOOK_MS = 50
 /** Pauses after failures double from the first to the last. */
