--- a/packages/callers/src/gateway/gatewayParts.spec.ts
+++ b/packages/callers/src/gateway/gatewayParts.spec.ts
@@ -53,20 +53,41 @@
 describe('retry allowance', () => {
   const BOUNDS = { drainMs: 1, graceMs: 1, configApplyMs: 1, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000 }
   const FLEET = 36
+  const REQUEST_MS = 300
 
-  it('keeps the whole fleet inside its budget when every request of a window fails', () => {
-    const daemons = Array.from({ length: FLEET }, () => RetryAllowance.create(() => BOUNDS, () => FLEET))
-    let requests = 0
-    let repeats = 0
-    for (let round = 0; round < 18; round++) {
+  /** Lets every request of every daemon fail; gives requests and repeats of the fleet in each step. */
+  const failAll = (durationMs: number, isFirstStart: boolean): ReadonlyArray<{ readonly requests: number, readonly repeats: number }> => {
+    const clock = ManualClock.create()
+    const daemons = Array.from({ length: FLEET }, () => RetryAllowance.create({ clock, bounds: () => BOUNDS, isFirstStart, fleetSize: () => FLEET }))
+    const steps = []
+    for (let passedMs = 0; passedMs < durationMs; passedMs += REQUEST_MS) {
+      let repeats = 0
       for (const daemon of daemons) {
-        requests++
         daemon.earn('s')
         if (daemon.spend('s')) repeats++
       }
+      steps.push({ requests: FLEET, repeats })
+      clock.jumpMs(REQUEST_MS)
+    }
+    return steps
+  }
+
+  it('keeps the whole fleet inside its budget in every window, and uses most of it', () => {
+    const steps = failAll(40_000, true)
+    const length = Math.floor(BOUNDS.retryWindowMs / REQUEST_MS)
+    for (let begin = 0; begin + length <= steps.length; begin++) {
+      const window = steps.slice(begin, begin + length)
+      const requests = window.reduce((sum, step) => sum + step.requests, 0)
+      const repeats = window.reduce((sum, step) => sum + step.repeats, 0)
+      const limit = BOUNDS.retryShare * requests + BOUNDS.retrySlack
+      expect(repeats).to.be.at.most(limit)
+      if (begin > length) expect(repeats).to.be.above(limit * 0.7)
     }
-    expect(repeats).to.be.at.most(BOUNDS.retryShare * requests + BOUNDS.retrySlack)
-    expect(repeats).to.be.above(BOUNDS.retryShare * requests * 0.7)
+  })
+
+  it('gives a process that has just started no slack that its predecessor may have spent', () => {
+    expect(failAll(300, false)[0]?.repeats).to.equal(0)
+    expect(failAll(300, true)[0]?.repeats).to.equal(FLEET)
   })
 })
 
--- a/packages/callers/src/gateway/retryAllowance.ts
+++ b/packages/callers/src/gateway/retryAllowance.ts
@@ -1,28 +1,54 @@
-import type { GatewayBounds } from '@lovagehoist/common'
+import type { Clock, GatewayBounds } from '@lovagehoist/common'
 
-/** Part of the fleet's budget that is used: what callers' requests are counted differs a little from what was sent. */
-const USED_PART = 0.85
+/** What the allowance needs. */
+export interface RetryAllowanceOptions {
+  readonly clock: Clock
+  /** Share, slack and window of the whole fleet. */
+  readonly bounds: () => GatewayBounds
+  /** Whether no predecessor of this process can have spent any of the slack. */
+  readonly isFirstStart: boolean
+  /** Number of live daemons, this one included. */
+  readonly fleetSize: () => number
+}
+
+/** Part of the budget that is used: the windows of daemons and of who counts do not begin together. */
+const USED_PART = 0.93
+/** Parts of a window in which events are counted. */
+const BUCKETS = 20
+/** Size of the fleet that is assumed until the others are known. */
+const LEAST_FLEET = 24
 
-/** Repeats that this daemon may make at each service: a share of its requests, and its part of the fleet's slack. */
+interface Bucket {
+  readonly beganAtMs: number
+  requests: number
+  repeats: number
+}
+
+/**
+ * Repeats that this daemon may make at each service: a share of its own requests of the last window and its part of the fleet's
+ * slack. When every daemon keeps to its own, the sum keeps to the fleet's budget, without any exchange.
+ */
 export class RetryAllowance {
-  private readonly saved = new Map<string, number>()
+  private readonly services = new Map<string, Bucket[]>()
+  private readonly startedAtMs: number
 
-  private constructor (private readonly bounds: () => GatewayBounds, private readonly fleetSize: () => number) {}
+  private constructor (private readonly options: RetryAllowanceOptions) {
+    this.startedAtMs = options.clock.monotonicMs()
+  }
 
   /**
    * Creates an allowance.
    *
-   * @param bounds - Share and slack of the whole fleet.
-   * @param fleetSize - Number of live daemons.
+   * @param options - Clock, budget and size of the fleet.
    * @returns The allowance.
    */
-  static create (bounds: () => GatewayBounds, fleetSize: () => number): RetryAllowance {
-    return new RetryAllowance(bounds, fleetSize)
+  static create (options: RetryAllowanceOptions): RetryAllowance {
+    return new RetryAllowance(options)
   }
 
   /** Notes a request for a service. */
   earn (service: string): void {
-    this.saved.set(service, Math.min(this.most(), this.savedOf(service) + this.bounds().retryShare * USED_PART))
+    this.bucketOf(service).requests++
   }
 
   /**
@@ -32,17 +58,37 @@
    * @returns Whether there was one.
    */
   spend (service: string): boolean {
-    const saved = this.savedOf(service)
-    if (saved < 1) return false
-    this.saved.set(service, saved - 1)
+    const current = this.bucketOf(service)
+    const { retryShare } = this.options.bounds()
+    let requests = 0
+    let repeats = 0
+    for (const bucket of this.services.get(service) ?? []) {
+      requests += bucket.requests
+      repeats += bucket.repeats
+    }
+    if (repeats + 1 > (retryShare * requests + this.slack()) * USED_PART) return false
+    current.repeats++
     return true
   }
 
-  private savedOf (service: string): number {
-    return this.saved.get(service) ?? this.most()
+  /** Part of the slack; a process that has just started does not know what its predecessor spent. */
+  private slack (): number {
+    const { retrySlack, retryWindowMs } = this.options.bounds()
+    const ownPart = Math.min(1, (this.options.clock.monotonicMs() - this.startedAtMs) / retryWindowMs)
+    const knownPart = this.options.isFirstStart ? 1 : ownPart
+    return retrySlack * knownPart / Math.max(LEAST_FLEET, this.options.fleetSize())
   }
 
-  private most (): number {
-    return Math.max(1, this.bounds().retrySlack * USED_PART / this.fleetSize())
+  private bucketOf (service: string): Bucket {
+    const { clock, bounds } = this.options
+    const nowMs = clock.monotonicMs()
+    const { retryWindowMs } = bounds()
+    const kept = (this.services.get(service) ?? []).filter(({ beganAtMs }) => nowMs - beganAtMs < retryWindowMs)
+    this.services.set(service, kept)
+    const last = kept.at(-1)
+    if (last !== undefined && nowMs - last.beganAtMs < retryWindowMs / BUCKETS) return last
+    const bucket: Bucket = { beganAtMs: nowMs, requests: 0, repeats: 0 }
+    kept.push(bucket)
+    return bucket
   }
 }
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -140,6 +140,11 @@
   const passage = accepted.value
   const { requestId, service, method } = passage
   const reply = await forward(options, passage)
+  if (passage.gone.aborted) {
+    options.metrics.request(service, 'none', 'caller-gone')
+    options.log.info('caller left', { requestId, service, afterMs: Math.round(options.clock.monotonicMs() - passage.receivedAtMs) })
+    return
+  }
   if (reply.type === 'problem') {
     refuse(options, request, response, service, reply.problem)
     return
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -149,6 +149,8 @@
 export interface GatewaySettings {
   readonly instanceId: string
   readonly availabilityZone: string
+  /** Whether the whole fleet starts for the first time, so that no process had a predecessor. */
+  readonly isFirstStart: boolean
   /** Address for callers. */
   readonly callers: Address
   /** Address that the balancer asks for readiness. */
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -109,6 +109,29 @@
   return [watchOverdue(clock, board), watchSuspension({ clock, uptimeMs, log, onSuspended }), async signal => { await rereadSettings(world, signal) }]
 }
 
+interface ServeParts {
+  readonly inForce: () => InForce | undefined
+  readonly targets: ReturnType<typeof createTargets>
+  readonly relay: RelayNode
+  readonly poison: PoisonWatch
+  readonly registry: Registry
+  readonly invariants: Invariants
+}
+
+const createServe = ({ settings, clock, headers, random, live, log }: GatewayWorld, { inForce, targets, relay, poison, registry, invariants }: ServeParts): GatewayServeOptions => ({
+  clock,
+  headers,
+  invariants,
+  config: inForce,
+  shares: ShareCursor.create(random),
+  choices: targets.chooser,
+  sender: targets.sender,
+  allowance: RetryAllowance.create({ clock, bounds: () => live.current().bounds, isFirstStart: settings.isFirstStart, fleetSize: () => relay.roster.size }),
+  poison,
+  metrics: createRequestMetrics(registry),
+  log: log.child('request')
+})
+
 /**
  * Composes the parts of a gateway daemon.
  *
@@ -116,7 +139,7 @@
  * @returns The parts, not yet started.
  */
 export const composeGateway = (world: GatewayWorld): GatewayParts => {
-  const { settings, clock, random, log, store, headers } = world
+  const { settings, clock, random, log, store } = world
   const registry = createRegistry({ instance: settings.instanceId })
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let inForce: InForce | undefined
@@ -128,19 +151,7 @@
   const relay = createPeers(world, self, targets, facts, poison)
   registerGatewayMetrics({ registry, clock, config, roster: targets.roster, board: targets.board, relay })
   const listing = ListingFollower.create({ store, roster: targets.roster, relayRank: () => relay.relayRank, clock, random, log: log.child('targets') })
-  const serve: GatewayServeOptions = {
-    clock,
-    headers,
-    invariants,
-    config: () => inForce,
-    shares: ShareCursor.create(random),
-    choices: targets.chooser,
-    sender: targets.sender,
-    allowance: RetryAllowance.create(() => world.live.current().bounds, () => relay.roster.size),
-    poison,
-    metrics: createRequestMetrics(registry),
-    log: log.child('request')
-  }
+  const serve = createServe(world, { inForce: () => inForce, targets, relay, poison, registry, invariants })
   return {
     handler: async (request, response) => { await serveGateway(serve, request, response) },
     registry,
--- a/packages/operators/src/explain/requestStory.ts
+++ b/packages/operators/src/explain/requestStory.ts
@@ -24,6 +24,7 @@
 const AROUND_MS = 10_000
 const ENDINGS: Readonly<Record<string, (fields: Readonly<Record<string, unknown>>) => string>> = {
   answered: ({ status, delivery, totalMs }) => `answered by a target with ${String(status)} after ${String(totalMs)} ms (${String(delivery)})`,
+  'caller left': ({ afterMs }) => `the caller left after ${String(afterMs)} ms`,
   'answered by the gateway': ({ status, problem, verdict, detail }) => `the gateway answered ${String(status)} (${String(problem)}, ${String(verdict)}): ${String(detail)}`
 }
 
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -117,6 +117,7 @@
     const settings: GatewaySettings = {
       instanceId: `gate-${this.daemons.length}`,
       availabilityZone: zone,
+      isFirstStart: true,
       callers,
       readiness,
       peers: at(this.ports.peers),
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -58,8 +58,8 @@
 const SPREAD_SHARE = 0.5
 /** Candidates whose costs differ by less are equal, and one of them is drawn. */
 const TIE_MS = 12
-/** Part of the mean service time in which quick requests end: what waits longer than the rest of its time can't end in time. */
-const QUICK_SHARE = 0.5
+/** A request that has to wait is sent only where so many mean service times are left behind the wait: one that is cut late wastes a slot. */
+const ROOM_SHARE = 1.2
 /** Slots of each target that requests of lower rank leave free. */
 const RESERVED_SLOTS = 1
 
@@ -120,7 +120,7 @@
     const bonusMs = isTrial && wantsTrial(candidate, isSpreading) ? TRIAL_BONUS_MS : 0
     return { candidate, waitMs, costMs: costOf(candidate, waitMs) - bonusMs }
   })
-  const inTime = weighed.filter(({ candidate, waitMs }) => waitMs === 0 || waitMs + QUICK_SHARE * candidate.serviceTimeMs <= need.leftMs)
+  const inTime = weighed.filter(({ candidate, waitMs }) => waitMs === 0 || waitMs + ROOM_SHARE * candidate.serviceTimeMs <= need.leftMs)
   if (inTime.length === 0) return { type: 'too-late', waitMs: Math.min(...weighed.map(({ waitMs }) => waitMs)) }
   const leastMs = Math.min(...inTime.map(({ costMs }) => costMs))
   const best = inTime.filter(({ costMs }) => costMs <= leastMs + TIE_MS)
