--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -48,13 +48,13 @@
 }
 
 /** Rhythm of the loop; changes within it travel together. */
-const TICK_MS = 50
+const TICK_MS = 100
 /** Delay of a failure, so that several at once travel together. */
 const URGENT_MS = 5
 /** Longest time between two reports of a quiet daemon. */
 const HEARTBEAT_MS = 400
 /** Time between two views, and the longest one while nothing changes. */
-const VIEW_MS = 100
+const VIEW_MS = 150
 const QUIET_VIEW_MS = 300
 /** Time between two sums to other zones: bytes between zones are dear. */
 const ZONE_MS = 800
--- a/packages/targets/src/roster/listingFollower.ts
+++ b/packages/targets/src/roster/listingFollower.ts
@@ -15,7 +15,7 @@
 /** Age of the listing from which a daemon reads it: the first relay of a zone reads for all, the others stand in when that fails. */
 const READ_AT_AGE_MS: Readonly<Record<'first' | 'second' | 'other', number>> = { first: 450, second: 800, other: 1_000 }
 /** Rhythm in which the age is looked at. */
-const LOOK_MS = 50
+const LOOK_MS = 100
 /** Pauses after failures double from the first to the last. */
 const FIRST_RETRY_MS = 300
 const LAST_RETRY_MS = 1_500
