Learn how long slots are held from the whole fleet, by mean squares

Ruled out: phantom requests in progress, refused repeats. Tests: fleetLedger.spec, targetBoard.spec.

--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -177,8 +177,8 @@
   readonly failedEarly: number
   /** Requests that the target refused before running them, since the start of the process. */
   readonly refused: number
-  /** Sum of the latencies of the answered requests, in milliseconds. */
-  readonly latencySumMs: number
+  /** Sum of the squared latencies of the answered requests, in square milliseconds. */
+  readonly latencySquares: number
 }
 
 /** What the fleet knows of a target. */
@@ -189,7 +189,7 @@
   readonly failingChance: number
   /** Share of recent requests that the target refused, 0 to 1. */
   readonly refusalShare: number
-  /** Recent latency of answered requests; 0 when unknown. */
+  /** Recent latency of answered requests, as the root of the mean square; 0 when unknown. */
   readonly latencyMs: number
 }
 
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -52,7 +52,7 @@
 const SETTINGS_MS = 15_000
 
 const createTargets = ({ settings, clock, random, log }: GatewayWorld, registry: Registry, invariants: Invariants) => {
-  const board = TargetBoard.create(clock)
+  const board: TargetBoard = TargetBoard.create(clock, targetId => roster.serviceOf(targetId))
   const ledger = FleetLedger.create(clock)
   const sender = ConnectionSender.create({ clock, connectTimeoutMs: () => CONNECT_LIMIT_MS, registry, invariants })
   const onForget = (targetId: string): void => {
@@ -60,7 +60,7 @@
     ledger.forget(targetId)
     sender.retireConnections(targetId, -1)
   }
-  const roster = TargetRoster.create({ clock, log: log.child('targets'), onForget })
+  const roster: TargetRoster = TargetRoster.create({ clock, log: log.child('targets'), onForget })
   const chooser = TargetChooser.create({ roster, board, clock, random, availabilityZone: settings.availabilityZone, hasIdle: sender.hasIdle })
   return { board, ledger, sender, roster, chooser }
 }
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -64,10 +64,10 @@
 }
 
 const packTally = ([id, tally]: ByTarget<TargetTally>[number]): Row =>
-  [id, tally.inProgress, tally.succeeded, tally.failed, tally.failedEarly, tally.refused, tally.latencySumMs]
+  [id, tally.inProgress, tally.succeeded, tally.failed, tally.failedEarly, tally.refused, tally.latencySquares]
 
-const unpackTally = ([id, inProgress = 0, succeeded = 0, failed = 0, failedEarly = 0, refused = 0, latencySumMs = 0]: Row): ByTarget<TargetTally>[number] =>
-  [id, { inProgress, succeeded, failed, failedEarly, refused, latencySumMs }]
+const unpackTally = ([id, inProgress = 0, succeeded = 0, failed = 0, failedEarly = 0, refused = 0, latencySquares = 0]: Row): ByTarget<TargetTally>[number] =>
+  [id, { inProgress, succeeded, failed, failedEarly, refused, latencySquares }]
 
 const packReading = ([id, reading]: ByTarget<FleetReading>[number]): Row =>
   [id, reading.inProgress, Math.round(reading.failingChance * PERCENT), Math.round(reading.refusalShare * PERCENT), Math.round(reading.latencyMs)]
--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -26,7 +26,7 @@
   }
 }
 
-const tally = (change: Partial<TargetTally>): TargetTally => ({ inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySumMs: 0, ...change })
+const tally = (change: Partial<TargetTally>): TargetTally => ({ inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySquares: 0, ...change })
 
 /** A node with scripted tallies that records what it learns. */
 class Node {
--- a/packages/targets/src/load/fleetLedger.spec.ts
+++ b/packages/targets/src/load/fleetLedger.spec.ts
@@ -4,7 +4,7 @@
 import { UNKNOWN_CHANCE } from '../condition/failureEstimate.js'
 import { FleetLedger } from './fleetLedger.js'
 
-const tally = (change: Partial<TargetTally>): TargetTally => ({ inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySumMs: 0, ...change })
+const tally = (change: Partial<TargetTally>): TargetTally => ({ inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySquares: 0, ...change })
 
 const chanceOf = (ledger: FleetLedger, targetId: string): number | undefined =>
   ledger.readings().find(([id]) => id === targetId)?.[1].failingChance
@@ -45,6 +45,17 @@
     expect(chanceOf(ledger, 't1')).to.be.above(0.8)
   })
 
+  it('does not let quick answers hide how long slots are held', () => {
+    const ledger = FleetLedger.create(ManualClock.create())
+    ledger.takeDaemon('d1', [], true)
+    let squares = 0
+    for (let index = 1; index <= 40; index++) {
+      squares += index % 2 === 0 ? 3 ** 2 : 640 ** 2
+      ledger.takeDaemon('d1', [['t1', tally({ succeeded: index, latencySquares: squares })]], false)
+    }
+    expect(ledger.readings()[0]?.[1].latencyMs).to.be.within(400, 520)
+  })
+
   it('adds the requests in progress of daemons and zones, and forgets silent ones', () => {
     const clock = ManualClock.create()
     const ledger = FleetLedger.create(clock)
--- a/packages/targets/src/load/fleetLedger.ts
+++ b/packages/targets/src/load/fleetLedger.ts
@@ -18,7 +18,7 @@
 const SILENT_MS = 2_500
 /** Age up to which all that a process did is recent. */
 const YOUNG_MS = 10_000
-const EMPTY: TargetTally = { inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySumMs: 0 }
+const EMPTY: TargetTally = { inProgress: 0, succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySquares: 0 }
 const NO_REFUSALS: RefusalShare = { share: 0, atMs: 0 }
 
 const difference = (now: TargetTally, before: TargetTally): TargetTally => ({
@@ -27,7 +27,7 @@
   failed: Math.max(0, now.failed - before.failed),
   failedEarly: Math.max(0, now.failedEarly - before.failedEarly),
   refused: Math.max(0, now.refused - before.refused),
-  latencySumMs: Math.max(0, now.latencySumMs - before.latencySumMs)
+  latencySquares: Math.max(0, now.latencySquares - before.latencySquares)
 })
 
 const sum = (a: TargetTally, b: TargetTally): TargetTally => ({
@@ -36,7 +36,7 @@
   failed: a.failed + b.failed,
   failedEarly: a.failedEarly + b.failedEarly,
   refused: a.refused + b.refused,
-  latencySumMs: a.latencySumMs + b.latencySumMs
+  latencySquares: a.latencySquares + b.latencySquares
 })
 
 const hasFailures = (deltas: ByTarget<TargetTally>): boolean => deltas.some(([, { failed, failedEarly }]) => failed + failedEarly > 0)
@@ -49,6 +49,7 @@
   private readonly zones = new Map<string, Source>()
   private readonly ownCondition: ConditionBook
   private readonly otherCondition: ConditionBook
+  /** Mean squares: long requests hold the slots, so quick ones must not hide them. */
   private readonly latencies = new Map<string, RecentMean>()
   private readonly refusals = new Map<string, RefusalShare>()
   /** Sums of the own zone's outcomes since this ledger began. */
@@ -118,7 +119,7 @@
       inProgress: (own.get(targetId) ?? 0) + (others.get(targetId) ?? 0),
       failingChance: joinChances(this.ownCondition.chance(targetId), this.otherCondition.chance(targetId)),
       refusalShare: refusalShareAt(this.refusals.get(targetId) ?? NO_REFUSALS, nowMs),
-      latencyMs: this.latencies.get(targetId)?.mean ?? 0
+      latencyMs: Math.sqrt(this.latencies.get(targetId)?.mean ?? 0)
     }] as const)
   }
 
@@ -158,10 +159,10 @@
     return deltas
   }
 
-  private learn (condition: ConditionBook, targetId: string, { succeeded, failed, failedEarly, refused, latencySumMs }: TargetTally): void {
+  private learn (condition: ConditionBook, targetId: string, { succeeded, failed, failedEarly, refused, latencySquares }: TargetTally): void {
     const ended = succeeded + failed + failedEarly
     if (ended > 0) condition.observe(targetId, { succeeded, failed, failedEarly })
-    if (succeeded > 0) this.latencies.set(targetId, addSamples(this.latencies.get(targetId) ?? NO_SAMPLES, latencySumMs / succeeded, succeeded))
+    if (succeeded > 0) this.latencies.set(targetId, addSamples(this.latencies.get(targetId) ?? NO_SAMPLES, latencySquares / succeeded, succeeded))
     if (refused + ended === 0) return
     const before = this.refusals.get(targetId) ?? NO_REFUSALS
     this.refusals.set(targetId, addOutcomes(before, { refused, accepted: ended }, this.clock.monotonicMs()))
--- a/packages/targets/src/load/targetBoard.spec.ts
+++ b/packages/targets/src/load/targetBoard.spec.ts
@@ -11,7 +11,7 @@
 
   beforeEach(() => {
     clock = ManualClock.create()
-    board = TargetBoard.create(clock)
+    board = TargetBoard.create(clock, id => id.startsWith('t') ? 's' : undefined)
   })
 
   it('trusts the successes that others had at a target it never used', () => {
@@ -32,6 +32,11 @@
     expect(board.conditionOf('early').failingChance).to.be.above(board.conditionOf('late').failingChance)
   })
 
+  it('takes the latency of a service from the readings of the fleet', () => {
+    for (let index = 0; index < 40; index++) board.takeFleet([['t1', { ...READING, latencyMs: 800 }], ['t2', { ...READING, latencyMs: 600 }], ['other', { ...READING, latencyMs: 9_000 }]])
+    expect(board.latencyOf('s')).to.be.closeTo(700, 60)
+  })
+
   it('counts a request that waits unusually long as a failure once, before it ends', () => {
     const open = board.begin('t1', 's')
     clock.jumpMs(2_500)
--- a/packages/targets/src/load/targetBoard.ts
+++ b/packages/targets/src/load/targetBoard.ts
@@ -21,7 +21,7 @@
   failed: number
   failedEarly: number
   refused: number
-  latencySumMs: number
+  latencySquares: number
   refusals: RefusalShare
   lastUseMs: number
   changedAtMs: number
@@ -56,7 +56,7 @@
   private readonly condition: ConditionBook
   private notify: (isUrgent: boolean) => void = () => {}
 
-  private constructor (private readonly clock: Clock) {
+  private constructor (private readonly clock: Clock, private readonly serviceOf: (targetId: string) => string | undefined) {
     this.condition = ConditionBook.create(clock)
   }
 
@@ -64,10 +64,11 @@
    * Creates an empty board.
    *
    * @param clock - Source of time.
+   * @param serviceOf - Service of a listed target.
    * @returns The board.
    */
-  static create (clock: Clock): TargetBoard {
-    return new TargetBoard(clock)
+  static create (clock: Clock, serviceOf: (targetId: string) => string | undefined): TargetBoard {
+    return new TargetBoard(clock, serviceOf)
   }
 
   /** Sets what is told of changes; failures are urgent. */
@@ -100,7 +101,11 @@
    */
   takeFleet (readings: ByTarget<FleetReading>): void {
     const atMs = this.clock.monotonicMs()
-    for (const [targetId, reading] of readings) this.fleet.set(targetId, { ...reading, atMs })
+    for (const [targetId, reading] of readings) {
+      this.fleet.set(targetId, { ...reading, atMs })
+      const service = this.serviceOf(targetId)
+      if (service !== undefined && reading.latencyMs > 0) this.services.set(service, addSamples(this.services.get(service) ?? NO_SAMPLES, reading.latencyMs, 1))
+    }
   }
 
   /** Counts requests that wait for too long as failures of their target. */
@@ -169,12 +174,12 @@
     const limitMs = this.clock.monotonicMs() - changedWithinMs
     return [...this.own].filter(([, { changedAtMs }]) => changedAtMs >= limitMs).map(([targetId, own]) => {
       own.reportedInProgress = own.running.size
-      const { succeeded, failed, failedEarly, refused, latencySumMs } = own
-      return [targetId, { inProgress: own.running.size, succeeded, failed, failedEarly, refused, latencySumMs: Math.round(latencySumMs) }] as const
+      const { succeeded, failed, failedEarly, refused, latencySquares } = own
+      return [targetId, { inProgress: own.running.size, succeeded, failed, failedEarly, refused, latencySquares: Math.round(latencySquares) }] as const
     })
   }
 
-  /** Mean latency of a service's answered requests. */
+  /** Recent latency of a service's answered requests, by the readings of its targets. */
   latencyOf (service: string): number {
     const recent = this.services.get(service)
     return recent === undefined || recent.samples === 0 ? FIRST_LATENCY_MS : recent.mean
@@ -199,13 +204,12 @@
       own.refused++
       return
     }
-    if (ending === 'succeeded') this.services.set(running.service, addSamples(this.services.get(running.service) ?? NO_SAMPLES, latencyMs, 1))
     if (!running.isOverdue) this.learn(targetId, own, this.kindOf(running.service, ending, latencyMs), latencyMs)
   }
 
   private learn (targetId: string, own: Own, kind: keyof OutcomeCounts, latencyMs: number): void {
     own[kind]++
-    if (kind === 'succeeded') own.latencySumMs += latencyMs
+    if (kind === 'succeeded') own.latencySquares += latencyMs * latencyMs
     this.condition.observe(targetId, { ...NO_OUTCOMES, [kind]: 1 })
   }
 
@@ -233,7 +237,7 @@
   private ownOf (targetId: string): Own {
     const known = this.own.get(targetId)
     if (known !== undefined) return known
-    const own: Own = { running: new Set(), succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySumMs: 0, refusals: { share: 0, atMs: 0 }, lastUseMs: -Infinity, changedAtMs: -Infinity, reportedInProgress: 0 }
+    const own: Own = { running: new Set(), succeeded: 0, failed: 0, failedEarly: 0, refused: 0, latencySquares: 0, refusals: { share: 0, atMs: 0 }, lastUseMs: -Infinity, changedAtMs: -Infinity, reportedInProgress: 0 }
     this.own.set(targetId, own)
     return own
   }
--- a/packages/targets/src/roster/targetRoster.ts
+++ b/packages/targets/src/roster/targetRoster.ts
@@ -89,6 +89,9 @@
     return entry !== undefined && !entry.target.isLeaving
   }
 
+  /** Service of a target; undefined for one that is not listed. */
+  readonly serviceOf = (targetId: string): string | undefined => this.entries.get(targetId)?.target.service ?? this.lapsed.get(targetId)?.target.service
+
   /** All entries, those that are leaving included. */
   all (): readonly RosterEntry[] {
     return [...this.entries.values(), ...this.lapsed.values()]
