--- a/packages/targets/src/placing/placement.spec.ts
+++ b/packages/targets/src/placing/placement.spec.ts
@@ -48,6 +48,16 @@
     expect(shares([candidate('near', { inProgress: 6 }), candidate('far', { isOwnZone: false })])).to.deep.equal({ far: DRAWS })
   })
 
+  it('lets a request wait at a sound target rather than fail at another', () => {
+    const sound = candidate('sound', { inProgress: 16 })
+    expect(shares([sound, candidate('failing', { failingChance: 0.95 })], { leftMs: 2_500, yieldsSlots: false })).to.deep.equal({ sound: DRAWS })
+  })
+
+  it('spreads daemons that choose at the same moment over targets of like cost', () => {
+    const { a = 0, b = 0 } = shares([candidate('a', { inProgress: 1 }), candidate('b', { inProgress: 2 })])
+    expect(b).to.be.within(DRAWS * 0.1, a)
+  })
+
   it('refuses what could not be answered in time', () => {
     expect(place([candidate('a', { inProgress: 30 })], { leftMs: 1_000, yieldsSlots: false }, SeededRandom.create(1))).to.include({ type: 'too-late' })
   })
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -56,10 +56,15 @@
 const MUCH_FAILS_SHARE = 0.2
 /** Share of the service time by which a full target counts slower than an empty one, so that load spreads. */
 const SPREAD_SHARE = 0.5
-/** Candidates whose costs differ by less are equal, and one of them is drawn. */
-const TIE_MS = 12
-/** A request that has to wait is sent only where so many mean service times are left behind the wait: one that is cut late wastes a slot. */
-const ROOM_SHARE = 1.2
+/** Costs that differ by this much make a choice e times as likely: daemons that choose at the same moment spread. */
+const SPREAD_COST_MS = 25
+/** Candidates that cost more than the best by this are left out of the draw. */
+const DRAWN_COST_MS = 60
+/** Share of the time left that wait and work may take without a risk of being late, and the one at which lateness is sure. */
+const SAFE_TIME_SHARE = 0.7
+const LOST_TIME_SHARE = 1.3
+/** Chance of being late from which a request that has to wait is refused: it would hold a slot for nothing. */
+const REFUSED_LATE_CHANCE = 0.75
 /** Slots of each target that requests of lower rank leave free. */
 const RESERVED_SLOTS = 1
 
@@ -76,6 +81,12 @@
   return ahead <= 0 ? 0 : ahead / slots * serviceTimeMs
 }
 
+/** Chance that an answer comes after the time left. */
+const lateChance = (candidate: Candidate, waitMs: number, leftMs: number): number => {
+  const share = (waitMs + candidate.serviceTimeMs) / Math.max(1, leftMs)
+  return Math.min(1, Math.max(0, (share - SAFE_TIME_SHARE) / (LOST_TIME_SHARE - SAFE_TIME_SHARE)))
+}
+
 const costOf = (candidate: Candidate, waitMs: number): number => {
   const { slots, inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected } = candidate
   const load = Math.min(1, inProgress / slots)
@@ -100,6 +111,18 @@
   readonly candidate: Candidate
   readonly waitMs: number
   readonly costMs: number
+  readonly lateChance: number
+}
+
+/** Draws a candidate, the cheaper the likelier. */
+const draw = (weighed: readonly Weighed[], random: Random): Weighed | undefined => {
+  const leastMs = Math.min(...weighed.map(({ costMs }) => costMs))
+  const weights = weighed.map(({ costMs }) => costMs > leastMs + DRAWN_COST_MS ? 0 : Math.exp((leastMs - costMs) / SPREAD_COST_MS))
+  let left = random.next() * weights.reduce((sum, weight) => sum + weight, 0)
+  return weighed.find((_, index) => {
+    left -= weights[index] ?? 0
+    return left < 0
+  }) ?? weighed.find(({ costMs }) => costMs === leastMs)
 }
 
 /**
@@ -107,7 +130,7 @@
  *
  * @param candidates - Targets that may run the request.
  * @param need - Request.
- * @param random - Draws between equals, so that daemons with the same view do not all choose the same.
+ * @param random - Draws between targets of like cost, so that daemons with the same view do not all choose the same.
  * @returns The place.
  */
 export const place = (candidates: readonly Candidate[], need: PlacementNeed, random: Random): Placement => {
@@ -117,14 +140,13 @@
   const isTrial = random.next() < TRIAL_SHARE
   const weighed = candidates.map((candidate): Weighed => {
     const waitMs = expectedWaitMs(candidate, reserved)
+    const late = lateChance(candidate, waitMs, need.leftMs)
     const bonusMs = isTrial && wantsTrial(candidate, isSpreading) ? TRIAL_BONUS_MS : 0
-    return { candidate, waitMs, costMs: costOf(candidate, waitMs) - bonusMs }
+    return { candidate, waitMs, lateChance: late, costMs: costOf(candidate, waitMs) + late * FAILURE_COST_MS - bonusMs }
   })
-  const inTime = weighed.filter(({ candidate, waitMs }) => waitMs === 0 || waitMs + ROOM_SHARE * candidate.serviceTimeMs <= need.leftMs)
-  if (inTime.length === 0) return { type: 'too-late', waitMs: Math.min(...weighed.map(({ waitMs }) => waitMs)) }
-  const leastMs = Math.min(...inTime.map(({ costMs }) => costMs))
-  const best = inTime.filter(({ costMs }) => costMs <= leastMs + TIE_MS)
-  const chosen = best[random.int(best.length)] ?? best[0]
+  const hopeful = weighed.filter(({ waitMs, lateChance }) => waitMs === 0 || lateChance < REFUSED_LATE_CHANCE)
+  if (hopeful.length === 0) return { type: 'too-late', waitMs: Math.min(...weighed.map(({ waitMs }) => waitMs)) }
+  const chosen = draw(hopeful, random)
   if (chosen === undefined) return { type: 'no-target' }
   return { type: 'placed', targetId: chosen.candidate.targetId, waitMs: chosen.waitMs, costMs: chosen.costMs }
 }
