--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -41,7 +41,7 @@
 /** A refused try costs a round trip and a repeat out of the budget. */
 const REFUSAL_COST_MS = 1_500
 /** Bytes between zones are dear: another zone is used only when the own one is busy or failing. */
-const OTHER_ZONE_COST_MS = 150
+const OTHER_ZONE_COST_MS = 200
 /** Opening a connection costs the target and a round trip, and connections are few; daemons keep to the targets that they know. */
 const CONNECT_COST_MS = 100
 /** Bonus that outweighs what is unknown of a target, so that it gets a request. */
@@ -56,10 +56,14 @@
 const MUCH_FAILS_SHARE = 0.2
 /** Share of the service time by which a full target counts slower than an empty one, so that load spreads. */
 const SPREAD_SHARE = 0.5
-/** Costs that differ by this much make a choice e times as likely: daemons that choose at the same moment spread. */
-const SPREAD_COST_MS = 25
-/** Candidates that cost more than the best by this are left out of the draw. */
-const DRAWN_COST_MS = 60
+/**
+ * Costs that differ by this much make a choice e times as likely. Counts of other daemons are some 100 ms old: in a full pool, all would
+ * choose the same target, so the draw widens with the load.
+ */
+const LEAST_SPREAD_MS = 20
+const FULL_SPREAD_MS = 200
+/** Candidates that cost more than the best by so many spreads are left out of the draw. */
+const DRAWN_SPREADS = 3
 /** Share of the time left that wait and work may take without a risk of being late, and the one at which lateness is sure. */
 const SAFE_TIME_SHARE = 0.7
 const LOST_TIME_SHARE = 1.3
@@ -115,9 +119,9 @@
 }
 
 /** Draws a candidate, the cheaper the likelier. */
-const draw = (weighed: readonly Weighed[], random: Random): Weighed | undefined => {
+const draw = (weighed: readonly Weighed[], spreadMs: number, random: Random): Weighed | undefined => {
   const leastMs = Math.min(...weighed.map(({ costMs }) => costMs))
-  const weights = weighed.map(({ costMs }) => costMs > leastMs + DRAWN_COST_MS ? 0 : Math.exp((leastMs - costMs) / SPREAD_COST_MS))
+  const weights = weighed.map(({ costMs }) => costMs > leastMs + DRAWN_SPREADS * spreadMs ? 0 : Math.exp((leastMs - costMs) / spreadMs))
   let left = random.next() * weights.reduce((sum, weight) => sum + weight, 0)
   return weighed.find((_, index) => {
     left -= weights[index] ?? 0
@@ -146,7 +150,9 @@
   })
   const hopeful = weighed.filter(({ waitMs, lateChance }) => waitMs === 0 || lateChance < REFUSED_LATE_CHANCE)
   if (hopeful.length === 0) return { type: 'too-late', waitMs: Math.min(...weighed.map(({ waitMs }) => waitMs)) }
-  const chosen = draw(hopeful, random)
+  const load = meanOf(hopeful.map(({ candidate: { inProgress, slots } }) => Math.min(1, inProgress / slots)))
+  const spreadMs = LEAST_SPREAD_MS + FULL_SPREAD_MS * load * load
+  const chosen = draw(hopeful, spreadMs, random)
   if (chosen === undefined) return { type: 'no-target' }
   return { type: 'placed', targetId: chosen.candidate.targetId, waitMs: chosen.waitMs, costMs: chosen.costMs }
 }
