--- a/packages/targets/src/placing/placement.load.spec.ts
+++ b/packages/targets/src/placing/placement.load.spec.ts
@@ -125,8 +125,16 @@
   private placeBy (daemon: number, count: (index: number) => number): number | undefined {
     const { slots, meanWorkMs } = this.load
     const candidates = this.targets.map((_, index): Candidate => ({
-      targetId: String(index), slots, inProgress: count(index), failingChance: this.books[daemon]?.chance(String(index)) ?? 0.06, refusalShare: 0,
-      serviceTimeMs: meanWorkMs, isOwnZone: true, isConnected: true, idleMs: 0, isNew: false
+      targetId: String(index),
+      slots,
+      inProgress: count(index),
+      failingChance: this.books[daemon]?.chance(String(index)) ?? 0.06,
+      refusalShare: 0,
+      serviceTimeMs: meanWorkMs,
+      isOwnZone: true,
+      isConnected: true,
+      idleMs: 0,
+      isNew: false
     }))
     const placement = place(candidates, { leftMs: LEFT_MS, yieldsSlots: false }, this.random)
     return placement.type === 'placed' ? Number(placement.targetId) : undefined
