--- a/packages/callers/src/admission/admission.spec.ts
+++ b/packages/callers/src/admission/admission.spec.ts
@@ -5,7 +5,7 @@
 import type { RouteConfig } from '@lovagehoist/common'
 import { ManualClock } from '@lovagehoist/common/fakes'
 import { Admission } from './admission.js'
-import type { AdmissionNeed } from './admission.js'
+import type { AdmissionNeed } from './admissionTypes.js'
 import { AdmissionMetrics } from './admissionMetrics.js'
 import { FairQueue } from './fairQueue.js'
 
--- a/packages/callers/src/admission/admissionMetrics.ts
+++ b/packages/callers/src/admission/admissionMetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram } from 'prom-client'
 import type { Registry } from 'prom-client'
-import type { RefusalReason } from './admission.js'
+import type { RefusalReason } from './admissionTypes.js'
 
 const WAIT_BUCKETS_SECONDS = [0.001, 0.005, 0.02, 0.1, 0.5, 2, 10]
 const MS_PER_SECOND = 1_000
--- a/packages/callers/src/admission/serviceQueue.ts
+++ b/packages/callers/src/admission/serviceQueue.ts
@@ -1,6 +1,6 @@
 import PQueue from 'p-queue'
 import type { Clock, RouteConfig } from '@lovagehoist/common'
-import type { AdmissionNeed, RefusalReason } from './admission.js'
+import type { AdmissionNeed, RefusalReason } from './admissionTypes.js'
 import type { AdmissionMetrics } from './admissionMetrics.js'
 import { FairQueue } from './fairQueue.js'
 import type { FairOptions } from './fairQueue.js'
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,6 +1,7 @@
 export * from './entry/callerServer.js'
 export * from './routing/routeTable.js'
 export * from './admission/admission.js'
+export * from './admission/admissionTypes.js'
 export * from './exchange/serveRequest.js'
 export * from './admission/admissionMetrics.js'
 export * from './exchange/retryBudget.js'
--- a/packages/operators/src/admin/adminServer.ts
+++ b/packages/operators/src/admin/adminServer.ts
@@ -5,6 +5,7 @@
 import type { Registry } from 'prom-client'
 import type { JsonValue, PeerBus, Settings, StateSource, Target, TargetRating } from '@lovagehoist/common'
 import type { FleetView } from '../inForce/fleetView.js'
+import type { AdminHandler } from './adminHandler.js'
 import { checkAccess } from './access.js'
 import type { ReadToken } from './access.js'
 import { dumpState } from './boundedDump.js'
@@ -28,9 +29,6 @@
   readonly readToken: ReadToken
 }
 
-/** Answers a request. */
-export type AdminHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>
-
 const MAX_CONNECTIONS = 64
 const REQUEST_TIMEOUT_MS = 10_000
 
--- a/packages/operators/src/admin/relay.ts
+++ b/packages/operators/src/admin/relay.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import type polka from 'polka'
 import type { JsonValue, PeerBus } from '@lovagehoist/common'
-import type { AdminHandler } from './adminServer.js'
+import type { AdminHandler } from './adminHandler.js'
 import { sendJson } from './sendJson.js'
 
 const CALL_TIMEOUT_MS = 5_000
