--- /dev/null
+++ b/packages/peers/src/relay/messages.fuzz.spec.ts
@@ -0,0 +1,40 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { decodeMessage, encodeMessage } from './messages.js'
+import type { RelayMessage } from './messages.js'
+
+const SEED = 41
+const RUNS = 300
+
+const instance = fc.record({ instanceId: fc.string(), startId: fc.string(), host: fc.ipV4(), availabilityZone: fc.string() })
+const count = fc.nat(1_000_000)
+const percent = fc.nat(100).map(value => value / 100)
+const tally = fc.record({ inProgress: count, succeeded: count, failed: count, failedEarly: count, refused: count, latencySquares: count })
+const tallies = fc.array(fc.tuple(fc.string(), tally))
+const reading = fc.record({ inProgress: count, failingChance: percent, refusalShare: percent, latencyMs: count })
+const crashes = fc.array(fc.tuple(fc.string(), count))
+const message: fc.Arbitrary<RelayMessage> = fc.oneof(
+  fc.record({ type: fc.constant('report' as const), from: instance, isFull: fc.boolean(), isLeaving: fc.boolean(), uptimeMs: count, tallies, crashes }),
+  fc.record({ type: fc.constant('zone' as const), from: instance, isFull: fc.boolean(), tallies, crashes }),
+  fc.record({
+    type: fc.constant('view' as const),
+    from: instance,
+    facts: fc.record({ configVersion: count, listingDigest: fc.string(), listingVersion: fc.integer({ min: -1, max: 1_000_000 }), listingAgeMs: count }),
+    readings: fc.array(fc.tuple(fc.string(), reading)),
+    crashes,
+    members: fc.array(instance)
+  })
+)
+
+describe('relay messages (fuzz)', () => {
+  it('arrive as they were sent', () => {
+    fc.assert(fc.property(message, sent => { expect(decodeMessage(encodeMessage(sent))).to.deep.equal(sent) }), { seed: SEED, numRuns: RUNS })
+  })
+
+  it('never fail the reader, whatever the bytes or the JSON', () => {
+    fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), bytes => { decodeMessage(bytes) }), { seed: SEED, numRuns: RUNS })
+    const params = fc.dictionary(fc.constantFrom('from', 'rows', 'facts', 'members', 'crashes', 'full'), fc.jsonValue())
+    const envelope = fc.record({ method: fc.constantFrom('report', 'zone', 'view', 'toString', '__proto__'), params })
+    fc.assert(fc.property(envelope, value => { decodeMessage(Buffer.from(JSON.stringify(value))) }), { seed: SEED, numRuns: RUNS })
+  })
+})
