Spread the work of young daemons; plan short work for short time limits

Ruled out: the configuration itself (in force), the store (stable). Tests: placement.spec, both failed first.

--- a/packages/targets/src/placing/placement.spec.ts
+++ b/packages/targets/src/placing/placement.spec.ts
@@ -54,6 +54,17 @@
     expect(shares([sound, candidate('failing', { failingChance: 0.95 })], { leftMs: 2_500, yieldsSlots: false })).to.deep.equal({ sound: DRAWS })
   })
 
+  it('plans short work for a short time limit rather than send the request to a failing target', () => {
+    const sound = candidate('sound', { inProgress: 8, serviceTimeMs: 880 })
+    expect(shares([sound, candidate('failing', { failingChance: 0.95, serviceTimeMs: 880 })], { leftMs: 900, yieldsSlots: false })).to.deep.equal({ sound: DRAWS })
+  })
+
+  it('gives unused targets work while the daemon is young', () => {
+    const pool = [candidate('a'), candidate('unused', { failingChance: UNKNOWN_CHANCE, idleMs: 1_500, isConnected: false })]
+    expect(shares(pool, { ...NEED, isYoung: true }).unused).to.be.above(DRAWS * 0.05)
+    expect(shares(pool).unused).to.equal(undefined)
+  })
+
   it('spreads daemons that choose at the same moment over targets of like cost', () => {
     const { a = 0, b = 0 } = shares([candidate('a', { inProgress: 1 }), candidate('b', { inProgress: 2 })])
     expect(b).to.be.within(DRAWS * 0.1, a)
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -28,6 +28,8 @@
   readonly leftMs: number
   /** Whether requests that go first use the same targets. */
   readonly yieldsSlots: boolean
+  /** Whether the daemon has just started and does not know yet which targets others use. */
+  readonly isYoung?: boolean
 }
 
 /** Where a request goes, or why it has no place. */
@@ -67,6 +69,8 @@
 /** Share of the time left that wait and work may take without a risk of being late, and the one at which lateness is sure. */
 const SAFE_TIME_SHARE = 0.7
 const LOST_TIME_SHARE = 1.3
+/** Part of its time limit that a request's own work is planned to take at most: a short limit means short work, whatever others of the service take. */
+const PLANNED_WORK_SHARE = 0.3
 /** Chance of being late from which a request that has to wait is refused: it would hold a slot for nothing. */
 const REFUSED_LATE_CHANCE = 0.75
 /** Slots of each target that requests of lower rank leave free. */
@@ -87,7 +91,8 @@
 
 /** Chance that an answer comes after the time left. */
 const lateChance = (candidate: Candidate, waitMs: number, leftMs: number): number => {
-  const share = (waitMs + candidate.serviceTimeMs) / Math.max(1, leftMs)
+  const workMs = Math.min(candidate.serviceTimeMs, PLANNED_WORK_SHARE * leftMs)
+  const share = (waitMs + workMs) / Math.max(1, leftMs)
   return Math.min(1, Math.max(0, (share - SAFE_TIME_SHARE) / (LOST_TIME_SHARE - SAFE_TIME_SHARE)))
 }
 
@@ -140,7 +145,8 @@
 export const place = (candidates: readonly Candidate[], need: PlacementNeed, random: Random): Placement => {
   if (candidates.length === 0) return { type: 'no-target' }
   const reserved = need.yieldsSlots ? RESERVED_SLOTS : 0
-  const isSpreading = isMuchFailing(candidates)
+  // After a loss of many daemons, much fails for a moment that the new ones have not seen.
+  const isSpreading = need.isYoung === true || isMuchFailing(candidates)
   const isTrial = random.next() < TRIAL_SHARE
   const weighed = candidates.map((candidate): Weighed => {
     const waitMs = expectedWaitMs(candidate, reserved)
--- a/packages/targets/src/placing/targetChooser.ts
+++ b/packages/targets/src/placing/targetChooser.ts
@@ -15,11 +15,18 @@
   readonly hasIdle: (targetId: string, isIdempotent: boolean) => boolean
 }
 
+/** Time after a start in which all targets get some work. */
+const YOUNG_MS = 10_000
+
 const round = (share: number): number => Math.round(share * 1_000) / 1_000
 
 /** Chooses targets by the roster and the board. */
 export class TargetChooser implements TargetChoices {
-  private constructor (private readonly options: TargetChooserOptions) {}
+  private readonly startedAtMs: number
+
+  private constructor (private readonly options: TargetChooserOptions) {
+    this.startedAtMs = options.clock.monotonicMs()
+  }
 
   /**
    * Creates a chooser.
@@ -39,9 +46,10 @@
    */
   readonly choose = (need: ChoiceNeed): Choice => {
     const { roster, board, clock, random, availabilityZone, hasIdle } = this.options
+    const nowMs = clock.monotonicMs()
     const entries = roster.ofService(need.service).filter(({ target }) => !need.triedTargetIds.has(target.id))
     const candidates = entries.map(entry => board.candidate(entry, availabilityZone, hasIdle(entry.target.id, need.isIdempotent)))
-    const placement = place(candidates, { leftMs: need.answerByMs - clock.monotonicMs(), yieldsSlots: need.yieldsSlots }, random)
+    const placement = place(candidates, { leftMs: need.answerByMs - nowMs, yieldsSlots: need.yieldsSlots, isYoung: nowMs - this.startedAtMs < YOUNG_MS }, random)
     if (placement.type !== 'placed') return placement
     const index = candidates.findIndex(({ targetId }) => targetId === placement.targetId)
     const entry = entries[index]
