--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -107,8 +107,8 @@
 export interface GatewayStore {
   readonly readTargets: () => PlatformResult<TargetListing>
   readonly readConfig: () => PlatformResult<ConfigReading>
-  /** Waits until the configuration changes, no longer than a limit. */
-  readonly watchConfig: (afterStoreVersion: number, waitMs: number) => PlatformResult<ConfigWatch>
+  /** Waits until the configuration changes, no longer than a limit; the signal gives the watch up. */
+  readonly watchConfig: (afterStoreVersion: number, waitMs: number, signal: AbortSignal) => PlatformResult<ConfigWatch>
   readonly readInstances: () => PlatformResult<readonly InstanceRecord[]>
   /** Registers an instance under its id. */
   readonly putInstance: (instance: InstanceRecord) => PlatformResult<void>
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -19,7 +19,7 @@
 /** The balancer asks once a second and takes an instance out after two misses; connections of before are still on their way then. */
 const BALANCER_LAG_MS = 2_600
 /** Time that is left for leaving before the process would be killed. */
-const LEAVE_MARGIN_MS = 500
+const LEAVE_MARGIN_MS = 800
 const HEAD_TIMEOUT_MS = 3_000
 const REQUEST_TIMEOUT_MS = 60_000
 /** Descriptors that sockets to callers may not use: files, targets, peers and the store need some. */
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -150,7 +150,7 @@
   const poison = PoisonWatch.create(clock)
   const relay = createPeers(world, self, targets, facts, poison)
   registerGatewayMetrics({ registry, clock, config, roster: targets.roster, board: targets.board, relay })
-  const listing = ListingFollower.create({ store, roster: targets.roster, relayRank: () => relay.relayRank, clock, random, log: log.child('targets') })
+  const listing = ListingFollower.create({ store, roster: targets.roster, relayRank: () => relay.relayRank, clock, random, log: log.child('targets'), onRegained: config.restart })
   const serve = createServe(world, { inForce: () => inForce, targets, relay, poison, registry, invariants })
   return {
     handler: async (request, response) => { await serveGateway(serve, request, response) },
--- a/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
@@ -49,6 +49,25 @@
     expect(applied).to.deep.equal([2, 5])
   })
 
+  it('gives up a watch that hangs and reads anew when the store is known to be back', async () => {
+    reads = [async () => ok(reading(1, 10)), async () => ok(reading(9, 20))]
+    follower = GatewayConfigFollower.create({
+      store: {
+        readConfig: async () => await (reads.shift() ?? (async () => err({ kind: 'unavailable', message: 'none' })))(),
+        watchConfig: async (_after, _waitMs, signal) => await new Promise(resolve => { signal.addEventListener('abort', () => { resolve(err({ kind: 'unavailable', message: 'given up' })) }) })
+      },
+      clock,
+      random: SeededRandom.create(1),
+      log: silentLog,
+      onConfig: ({ version }) => { applied.push(version) }
+    })
+    await run(500)
+    expect(applied).to.deep.equal([1])
+    follower.restart()
+    await clock.advanceMs(100)
+    expect(applied).to.deep.equal([1, 9])
+  })
+
   it('never goes back, whoever tells', async () => {
     reads = [async () => ok(reading(7, 10))]
     await run(100)
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -10,8 +10,8 @@
   readonly onConfig: (config: GatewayConfig) => void
 }
 
-/** Longest wait of one watch; the store allows 30 s. Until a silent connection is noticed, other daemons tell of newer versions. */
-const WATCH_MS = 25_000
+/** Longest wait of one watch; a silent connection is noticed behind it, if nothing tells of it before. */
+const WATCH_MS = 10_000
 /** Least time between two watches: quick successions of changes arrive together. */
 const LEAST_PAUSE_MS = 250
 /** Pauses after failures double from the first to the last. */
@@ -23,6 +23,7 @@
   private config: GatewayConfig | undefined
   private text: string | undefined
   private storeVersion: number | undefined
+  private watching = new AbortController()
   private failures = 0
   private refusals = 0
 
@@ -74,6 +75,12 @@
     this.text = text
   }
 
+  /** Gives up a watch that may hang on a connection from before an outage, and reads anew. */
+  readonly restart = (): void => {
+    this.options.log.info('watch of the configuration begun anew', { versionInForce: this.version })
+    this.watching.abort()
+  }
+
   /**
    * Follows the store until stopped.
    *
@@ -101,7 +108,13 @@
   }
 
   private async watch (afterVersion: number): Promise<number> {
-    const watched = await this.options.store.watchConfig(afterVersion, WATCH_MS)
+    this.watching = new AbortController()
+    const { signal } = this.watching
+    const watched = await this.options.store.watchConfig(afterVersion, WATCH_MS, signal)
+    if (signal.aborted) {
+      this.storeVersion = undefined
+      return 0
+    }
     if (watched.isErr()) {
       // What changed during the failure is found by a read, whatever became of the store's history.
       this.storeVersion = undefined
--- a/packages/targets/src/roster/listingFollower.ts
+++ b/packages/targets/src/roster/listingFollower.ts
@@ -10,6 +10,8 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
+  /** Called when the store answers again after failures. */
+  readonly onRegained?: () => void
 }
 
 /** Age of the listing from which a daemon reads it: the first relay of a zone reads for all, the others stand in when that fails. */
@@ -66,7 +68,10 @@
       this.failed(read.error)
       return
     }
-    if (this.failures > 0) log.info('store regained for the listing of targets', { failures: this.failures })
+    if (this.failures > 0) {
+      log.info('store regained for the listing of targets', { failures: this.failures })
+      this.options.onRegained?.()
+    }
     this.failures = 0
     roster.apply(read.value, askedAtMs)
   }
