Keep every target of a zone in some use

Spreading only when much fails comes too late for a loss of daemons. Ruled out: young daemons (mended before; the window lies before the restart).

--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -50,7 +50,10 @@
 const TRIAL_BONUS_MS = 1_500
 /** Part of the requests that may go to a target for a trial: all daemons see the same need, and one request is enough. */
 const TRIAL_SHARE = 0.12
-/** Time without use after which a target gets a trial while much of its service fails: capacity that is not used helps nobody. */
+/**
+ * Time without use after which a target gets a trial, so that all sound capacity is in use and known when daemons or targets are lost. Targets
+ * of other zones are left to their own zone, unless much of the service fails.
+ */
 const UNUSED_MS = 1_000
 /** Chance of failing above which a target gets no trial. */
 const TRIAL_CHANCE = 0.4
@@ -113,8 +116,8 @@
   meanOf(candidates.map(({ failingChance }) => failingChance)) > MUCH_FAILS_SHARE ||
   meanOf(candidates.map(({ refusalShare }) => refusalShare)) > MUCH_FAILS_SHARE
 
-const wantsTrial = ({ isNew, idleMs, failingChance }: Candidate, isSpreading: boolean): boolean =>
-  failingChance < TRIAL_CHANCE && (isNew || (isSpreading && idleMs > UNUSED_MS))
+const wantsTrial = ({ isNew, idleMs, failingChance, isOwnZone }: Candidate, isSpreading: boolean): boolean =>
+  failingChance < TRIAL_CHANCE && (isNew || (idleMs > UNUSED_MS && (isOwnZone || isSpreading)))
 
 interface Weighed {
   readonly candidate: Candidate
