Count tallies without taking them as reported

Cause: RelayNode.isFullRepeat called takeTallies() to count targets; the call marks all tallies as reported, so with more than 64 targets a daemon took some of its own requests in progress as known to its relay and counted them twice or not at all. Found by reading. Not reachable on the small sites (30 and 34 targets). Test: full takes are as many as full reports (6 against 1 before).

--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -34,6 +34,8 @@
   readonly views: Array<ByTarget<FleetReading>> = []
   readonly reports: Array<{ readonly startId: string, readonly tallies: ByTarget<TargetTally>, readonly isFull: boolean }> = []
   readonly zones: string[] = []
+  /** Times that all tallies were taken as reported. */
+  fullTakes = 0
   notify: (isUrgent: boolean) => void = () => {}
   readonly relay: RelayNode
 
@@ -46,7 +48,11 @@
       datagrams: network.at(self.host),
       own: {
         onChange: listener => { this.notify = listener },
-        takeTallies: () => this.tallies,
+        takeTallies: changedWithinMs => {
+          if (changedWithinMs === undefined) this.fullTakes++
+          return this.tallies
+        },
+        countTallies: () => this.tallies.length,
         takeFleet: readings => { this.views.push(readings) }
       },
       ledger: {
@@ -106,6 +112,14 @@
     expect(node('a1').reports.some(({ startId, isFull }) => startId === 'start-a3' && isFull)).to.equal(true)
   })
 
+  it('take all tallies of a daemon with many targets only for reports that have them all', async () => {
+    node('a3').tallies = Array.from({ length: 100 }, (_, index) => [`t${index}`, tally({ succeeded: 1 })])
+    start()
+    await clock.advanceMs(5_000)
+    const full = node('a3').reports.filter(({ startId, isFull }) => startId === 'start-a3' && isFull).length
+    expect(node('a3').fullTakes).to.equal(full)
+  })
+
   it('are passed over when they do not answer', async () => {
     network.isLost = (_bytes, from, to) => from === '10.0.0.1' || to === '10.0.0.1'
     start()
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -12,6 +12,8 @@
   readonly onChange: (listener: (isUrgent: boolean) => void) => void
   /** Tallies that changed within a time; all of them without one. */
   readonly takeTallies: (changedWithinMs?: number) => ByTarget<TargetTally>
+  /** Number of all tallies, without taking them as reported. */
+  readonly countTallies: () => number
   readonly takeFleet: (readings: ByTarget<FleetReading>) => void
 }
 
@@ -171,7 +173,7 @@
   /** Whether a repeat has all tallies, so that a relay that missed the first full report gets another. */
   private isFullRepeat (): boolean {
     this.repeats++
-    return this.options.own.takeTallies().length <= FEW_TARGETS || this.repeats % FULL_REPEATS === 0
+    return this.options.own.countTallies() <= FEW_TARGETS || this.repeats % FULL_REPEATS === 0
   }
 
   private report (tallies: ByTarget<TargetTally>, isFull: boolean): void {
--- a/packages/targets/src/load/targetBoard.ts
+++ b/packages/targets/src/load/targetBoard.ts
@@ -179,6 +179,11 @@
     })
   }
 
+  /** Number of targets that have a tally. */
+  countTallies (): number {
+    return this.own.size
+  }
+
   /** Recent latency of a service's answered requests, by the readings of its targets. */
   latencyOf (service: string): number {
     const recent = this.services.get(service)
