Relay on the machines that have processor and link for it

Cause: the two relays of a zone were the first by name. Grown deployments have two machines of 1.35 cores and 200 Mbit/s in each zone beside some thirty of 0.27 cores and 10 Mbit/s; a view of all targets to thirty daemons several times a second fills such a small link by itself (worked out: 4 KB x 33 daemons x 6.7/s = 7 Mbit/s). Change: an instance tells its fitness, from its settings, in its record and messages; the fittest relay, equals by name. Also: settings that nothing uses are no longer decoded (drain_period, config_apply, memory_mb); the test compares all bounds now.

--- a/packages/callers/src/gateway/gatewayParts.spec.ts
+++ b/packages/callers/src/gateway/gatewayParts.spec.ts
@@ -51,7 +51,7 @@
 })
 
 describe('retry allowance', () => {
-  const BOUNDS = { drainMs: 1, graceMs: 1, configApplyMs: 1, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000 }
+  const BOUNDS = { graceMs: 1, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000 }
   const FLEET = 36
   const REQUEST_MS = 300
 
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -101,6 +101,8 @@
   readonly startId: string
   readonly host: string
   readonly availabilityZone: string
+  /** Share of a relay's work that its machine can carry, from 0 to 1. */
+  readonly relayFitness: number
 }
 
 /** What the gateway reads from and writes to the platform's store. */
@@ -132,12 +134,8 @@
 
 /** Promises about time and capacity that the deployment states. */
 export interface GatewayBounds {
-  /** Time after which a leaving target gets no work. */
-  readonly drainMs: number
   /** Time from SIGTERM to SIGKILL. */
   readonly graceMs: number
-  /** Time in which an accepted configuration is in force. */
-  readonly configApplyMs: number
   /** Repeats as a share of the requests for a service. */
   readonly retryShare: number
   /** Repeats that the whole fleet may make beyond the share in each window. */
@@ -161,7 +159,10 @@
   readonly bootstrapHosts: readonly string[]
   readonly store: Address
   readonly maxDescriptors: number
-  readonly memoryMb: number
+  /** Processor time for each second, in cores of usual speed. */
+  readonly cores: number
+  /** Bandwidth of the machine's link. */
+  readonly linkMbps: number
   readonly bounds: GatewayBounds
 }
 
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -3,7 +3,7 @@
 import { Invariants, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
-import { RelayNode } from '@lovagehoist/peers'
+import { RelayNode, fitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
 import { ConnectionSender, FleetLedger, ListingFollower, TargetBoard, TargetChooser, TargetRoster } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
@@ -109,6 +109,15 @@
   return [watchOverdue(clock, board), watchSuspension({ clock, uptimeMs, log, onSuspended }), async signal => { await rereadSettings(world, signal) }]
 }
 
+/** What this daemon tells others of itself. */
+const describeSelf = ({ settings, random }: GatewayWorld): InstanceRecord => ({
+  instanceId: settings.instanceId,
+  startId: random.id().slice(0, 12),
+  host: settings.peers.host,
+  availabilityZone: settings.availabilityZone,
+  relayFitness: fitnessOf(settings)
+})
+
 interface ServeParts {
   readonly inForce: () => InForce | undefined
   readonly targets: ReturnType<typeof createTargets>
@@ -139,14 +148,14 @@
  * @returns The parts, not yet started.
  */
 export const composeGateway = (world: GatewayWorld): GatewayParts => {
-  const { settings, clock, random, log, store } = world
+  const { clock, random, log, store, settings } = world
   const registry = createRegistry({ instance: settings.instanceId })
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let inForce: InForce | undefined
   const config = GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), onConfig: next => { inForce = { config: next, routes: RouteIndex.create(next) } } })
   const targets = createTargets(world, registry, invariants)
   const facts = PeerFacts.create({ settings, clock, log: log.child('peers'), store, config, roster: targets.roster })
-  const self: InstanceRecord = { instanceId: settings.instanceId, startId: random.id().slice(0, 12), host: settings.peers.host, availabilityZone: settings.availabilityZone }
+  const self = describeSelf(world)
   const poison = PoisonWatch.create(clock)
   const relay = createPeers(world, self, targets, facts, poison)
   registerGatewayMetrics({ registry, clock, config, roster: targets.roster, board: targets.board, relay })
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -13,4 +13,5 @@
 export * from './relay/relayNode.js'
 export * from './relay/datagrams.js'
 export * from './relay/messages.js'
+export * from './relay/relayFitness.js'
 export * from './relay/peerDocuments.js'
--- a/packages/peers/src/relay/messages.fuzz.spec.ts
+++ b/packages/peers/src/relay/messages.fuzz.spec.ts
@@ -6,9 +6,9 @@
 const SEED = 41
 const RUNS = 300
 
-const instance = fc.record({ instanceId: fc.string(), startId: fc.string(), host: fc.ipV4(), availabilityZone: fc.string() })
 const count = fc.nat(1_000_000)
 const percent = fc.nat(100).map(value => value / 100)
+const instance = fc.record({ instanceId: fc.string(), startId: fc.string(), host: fc.ipV4(), availabilityZone: fc.string(), relayFitness: percent })
 const tally = fc.record({ inProgress: count, succeeded: count, failed: count, failedEarly: count, refused: count, latencySquares: count })
 const tallies = fc.array(fc.tuple(fc.string(), tally))
 const reading = fc.record({ inProgress: count, failingChance: percent, refusalShare: percent, latencyMs: count })
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -55,12 +55,16 @@
 
 const PERCENT = 100
 
-const packInstance = ({ instanceId, startId, host, availabilityZone }: InstanceRecord): readonly string[] => [instanceId, startId, host, availabilityZone]
+const packInstance = ({ instanceId, startId, host, availabilityZone, relayFitness }: InstanceRecord): readonly unknown[] =>
+  [instanceId, startId, host, availabilityZone, Math.round(relayFitness * PERCENT)]
 
 const unpackInstance = (value: unknown): InstanceRecord => {
-  if (!Array.isArray(value) || value.length !== 4 || !value.every(part => typeof part === 'string')) throw new TypeError('an instance is four texts')
-  const [instanceId = '', startId = '', host = '', availabilityZone = ''] = value as string[]
-  return { instanceId, startId, host, availabilityZone }
+  if (!Array.isArray(value) || value.length !== 5) throw new TypeError('an instance has five parts')
+  const texts = value.slice(0, 4) as readonly unknown[]
+  const fitness: unknown = value[4]
+  if (!texts.every(part => typeof part === 'string') || typeof fitness !== 'number') throw new TypeError('an instance is four texts and a number')
+  const [instanceId = '', startId = '', host = '', availabilityZone = ''] = texts as readonly string[]
+  return { instanceId, startId, host, availabilityZone, relayFitness: fitness / PERCENT }
 }
 
 const packTally = ([id, tally]: ByTarget<TargetTally>[number]): Row =>
--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -71,7 +71,7 @@
 }
 
 const record = (instanceId: string, availabilityZone: string, last: number): InstanceRecord =>
-  ({ instanceId, startId: `start-${instanceId}`, host: `10.0.0.${last}`, availabilityZone })
+  ({ instanceId, startId: `start-${instanceId}`, host: `10.0.0.${last}`, availabilityZone, relayFitness: 1 })
 
 describe('relays', () => {
   const RECORDS = [record('a1', 'a', 1), record('a2', 'a', 2), record('a3', 'a', 3), record('b1', 'b', 4), record('b2', 'b', 5)]
--- a/packages/peers/src/relay/relayRoster.ts
+++ b/packages/peers/src/relay/relayRoster.ts
@@ -19,9 +19,11 @@
 /** Daemons of another zone that are told to others; relays are found among them. */
 const NAMED_OF_OTHER_ZONE = 4
 
-const byId = (a: Known, b: Known): number => a.record.instanceId < b.record.instanceId ? -1 : 1
+/** Orders daemons by how well they can relay, equals by name. */
+const byFitness = ({ record: a }: Known, { record: b }: Known): number =>
+  b.relayFitness - a.relayFitness || (a.instanceId < b.instanceId ? -1 : 1)
 
-/** Daemons of the fleet and which of them relay for their zone: the first by name that answer. */
+/** Daemons of the fleet and which of them relay for their zone: the fittest that answer. */
 export class RelayRoster {
   private readonly known = new Map<string, Known>()
 
@@ -76,7 +78,7 @@
    * Relays of a zone.
    *
    * @param zone - Availability zone.
-   * @returns The first daemons by name that are not silent, this one included.
+   * @returns The fittest daemons that are not silent, this one included.
    */
   relays (zone: string): readonly InstanceRecord[] {
     const nowMs = this.clock.monotonicMs()
@@ -84,7 +86,7 @@
       record.availabilityZone === zone && !this.isSilent(askedAtMs, nowMs))
     const self: Known = { record: this.self, heardAtMs: nowMs, askedAtMs: undefined }
     const all = this.self.availabilityZone === zone ? [...answering, self] : answering
-    return all.sort(byId).slice(0, RELAYS).map(({ record }) => record)
+    return all.sort(byFitness).slice(0, RELAYS).map(({ record }) => record)
   }
 
   /** Zones of all daemons that are known. */
@@ -97,7 +99,7 @@
     const limitMs = this.clock.monotonicMs() - GONE_MS
     const own = [...this.known.values()].filter(({ record, heardAtMs }) => record.availabilityZone === this.self.availabilityZone && heardAtMs >= limitMs)
     const others = this.zones().filter(zone => zone !== this.self.availabilityZone)
-      .flatMap(zone => [...this.known.values()].filter(({ record }) => record.availabilityZone === zone).sort(byId).slice(0, NAMED_OF_OTHER_ZONE))
+      .flatMap(zone => [...this.known.values()].filter(({ record }) => record.availabilityZone === zone).sort(byFitness).slice(0, NAMED_OF_OTHER_ZONE))
     return [this.self, ...own.map(({ record }) => record), ...others.map(({ record }) => record)]
   }
 
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -124,8 +124,9 @@
       bootstrapHosts: ['127.0.0.2'],
       store: this.store.address,
       maxDescriptors: 4_096,
-      memoryMb: 350,
-      bounds: { drainMs: 2_000, graceMs: 6_000, configApplyMs: 2_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000 }
+      cores: 1,
+      linkMbps: 1_000,
+      bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000 }
     }
     const write = (line: string): void => {
       this.text += line
