Soak of the gateway from outside the programs; requests of a process's first moments wait for its configuration

Soak: real daemons as processes, each behind proxies of this project to store and targets; faults by signals, proxies, stand-ins and operator; callers keep open connections. Checked while it runs from what callers and targets see: wrong or crossed answers, doubled unsafe runs, false 'not run', requests changed on the way or run by another service, runs after drain, configuration late or going back, requests cut, recovery.

--- a/packages/callers/src/gateway/gatewayPassage.ts
+++ b/packages/callers/src/gateway/gatewayPassage.ts
@@ -9,6 +9,7 @@
 import { endToEndHeaders } from '../exchange/headers.js'
 import type { RouteIndex } from './routeIndex.js'
 import type { ShareCursor } from './shareCursor.js'
+import type { StartGate } from './startGate.js'
 
 /** A request that was accepted and read whole. */
 export interface GatewayPassage {
@@ -40,10 +41,14 @@
   readonly headers: GatewayHeaders
   readonly config: () => { readonly config: GatewayConfig, readonly routes: RouteIndex } | undefined
   readonly shares: ShareCursor
+  /** Holds requests of a process's first moments. */
+  readonly gate: StartGate
 }
 
 /** A daemon that has just started learns the configuration within this time. */
 const NOT_READY_RETRY_MS = 500
+/** Time taken for a caller's patience while no route is known that has a limit. */
+const UNSTATED_MS = 2_000
 const DIGITS = /^\d{1,9}$/
 const PORT = /:\d+$/
 
@@ -62,11 +67,17 @@
   return gone.signal
 }
 
-const waitMsOf = (request: IncomingMessage, headers: GatewayHeaders, route: GatewayRoute): Result<number, Problem> => {
+/** Time that the caller says it will wait; undefined when it says none, or nothing that can be read. */
+const statedMs = (request: IncomingMessage, headers: GatewayHeaders): number | undefined => {
   const wanted = request.headers[headers.deadline]
-  if (wanted === undefined) return ok(route.timeoutMs)
-  if (typeof wanted !== 'string' || !DIGITS.test(wanted)) return err(problem('malformed-request', `${headers.deadline} must be a whole number of milliseconds`))
-  return ok(Math.min(Number(wanted), route.timeoutMs))
+  return typeof wanted === 'string' && DIGITS.test(wanted) ? Number(wanted) : undefined
+}
+
+const waitMsOf = (request: IncomingMessage, headers: GatewayHeaders, route: GatewayRoute): Result<number, Problem> => {
+  if (request.headers[headers.deadline] === undefined) return ok(route.timeoutMs)
+  const wantedMs = statedMs(request, headers)
+  if (wantedMs === undefined) return err(problem('malformed-request', `${headers.deadline} must be a whole number of milliseconds`))
+  return ok(Math.min(wantedMs, route.timeoutMs))
 }
 
 /**
@@ -92,6 +103,8 @@
 export const acceptGateway = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse): Promise<Result<GatewayPassage, Problem | undefined>> => {
   const receivedAtMs = options.clock.monotonicMs()
   const gone = callerSignal(response)
+  await options.gate.pass(statedMs(request, options.headers) ?? UNSTATED_MS, gone)
+  if (gone.aborted) return err(undefined)
   const inForce = options.config()
   if (inForce === undefined) return err(problem('not-ready', 'no configuration is in force here yet', NOT_READY_RETRY_MS))
   const { config, routes } = inForce
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -1,4 +1,4 @@
-import { PoisonWatch, RetryAllowance, RouteIndex, ShareCursor, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
+import { PoisonWatch, RetryAllowance, RouteIndex, ShareCursor, StartGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
 import type { GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
@@ -133,6 +133,7 @@
   invariants,
   config: inForce,
   shares: ShareCursor.create(random),
+  gate: StartGate.create({ clock, isOpen: () => inForce() !== undefined && targets.roster.hasListing }),
   choices: targets.chooser,
   sender: targets.sender,
   allowance: RetryAllowance.create({ clock, bounds: () => live.current().bounds, isFirstStart: settings.isFirstStart, fleetSize: () => relay.roster.size }),
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -15,6 +15,8 @@
   readonly body: string
   /** Time that the request gave, in milliseconds. */
   readonly deadlineMs: number
+  /** Monotonic time at which it began. */
+  readonly atMs: number
   isCut: boolean
 }
 
@@ -27,6 +29,12 @@
 /** Stand-in of a target that speaks the platform's protocol towards daemons. */
 export class GatewayTarget {
   manner: AnswerManner = 'well'
+  /** Part of the requests that are answered in that manner; the others are answered well. */
+  mannerShare = 1
+  /** Body of a good answer. */
+  bodyFor: (requestId: string) => string = () => `from ${this.id}`
+  /** Requests that came, refused ones too. */
+  arrivals = 0
   workMs = 2
   readonly runs: TargetRun[] = []
 
@@ -50,10 +58,14 @@
     return target
   }
 
+  /** Port that the target listens on. */
+  get port (): number {
+    return (this.server.address() as AddressInfo).port
+  }
+
   /** Entry by which the target registers itself. */
   entry (service: string, zone: string, state: 'ready' | 'draining' = 'ready'): Readonly<Record<string, unknown>> {
-    const { port } = this.server.address() as AddressInfo
-    return { service, address: `127.0.0.1:${port}`, zone, version: 'v1', slots: 6, state, cold_remaining: '0ms', sequence: 1, born: 1_800_000_000_000 }
+    return { service, address: `127.0.0.1:${this.port}`, zone, version: 'v1', slots: 6, state, cold_remaining: '0ms', sequence: 1, born: 1_800_000_000_000 }
   }
 
   /** Stops the target at once, cutting its connections. */
@@ -73,19 +85,21 @@
       response.writeHead(WRONG_TARGET).end()
       return
     }
-    if (this.manner === 'refuse') {
+    this.arrivals++
+    const manner = this.arrivals * this.mannerShare % 1 + this.mannerShare >= 1 ? this.manner : 'well'
+    if (manner === 'refuse') {
       response.writeHead(FULL, { [PLATFORM_HEADERS.notRun]: '1' }).end()
       return
     }
-    const run: TargetRun = { requestId, path: request.url ?? '', body: body.toString(), deadlineMs: Number(headers[PLATFORM_HEADERS.deadline]), isCut: false }
+    const run: TargetRun = { requestId, path: request.url ?? '', body: body.toString(), deadlineMs: Number(headers[PLATFORM_HEADERS.deadline]), atMs: this.clock.monotonicMs(), isCut: false }
     this.runs.push(run)
     response.once('close', () => { if (!response.writableFinished) run.isCut = true })
     await this.clock.sleepMs(this.workMs)
-    this.answers[this.manner](request, response)
+    this.answers[manner](request, response)
   }
 
   private readonly answers: Readonly<Record<AnswerManner, (request: IncomingMessage, response: ServerResponse) => void>> = {
-    well: (_request, response) => { this.sign(response).writeHead(OK).end(`from ${this.id}`) },
+    well: ({ headers }, response) => { this.sign(response).writeHead(OK).end(this.bodyFor(String(headers[PLATFORM_HEADERS.requestId]))) },
     error: (_request, response) => { this.sign(response).writeHead(FAILED).end('failed') },
     refuse: () => {},
     hang: () => {},
--- a/packages/standins/src/network/relay.spec.ts
+++ b/packages/standins/src/network/relay.spec.ts
@@ -55,4 +55,40 @@
     const [later] = await once(cut, 'data') as [Buffer]
     expect(later.toString()).to.equal('again')
   })
+
+  it('leaves a connection silent that lost data, and carries a new one', async () => {
+    relay.set('127.0.0.2', { isAnswerSilent: true })
+    const silent = dial('127.0.0.2')
+    let received = 0
+    silent.on('data', chunk => { received += chunk.length })
+    silent.write('lost')
+    while (relay.droppedBytes < 'lost'.length) await clock.sleepMs(1)
+    relay.set('127.0.0.2', {})
+    silent.write('again')
+    while (relay.droppedBytes < 'lostagain'.length) await clock.sleepMs(1)
+    expect(received).to.equal(0)
+    const other = dial('127.0.0.2')
+    other.write('carried')
+    const [chunk] = await once(other, 'data') as [Buffer]
+    expect(chunk.toString()).to.equal('carried')
+  })
+
+  it('passes a reset on as a reset', async () => {
+    echo.removeAllListeners('connection').on('connection', (socket: Socket) => { socket.resetAndDestroy() })
+    const [error] = await once(dial('127.0.0.2'), 'error') as [NodeJS.ErrnoException]
+    expect(error.code).to.equal('ECONNRESET')
+  })
+
+  it('keeps the order of data when a delay ends', async () => {
+    relay.set('127.0.0.2', { delayMs: 50 })
+    const client = dial('127.0.0.2')
+    let text = ''
+    client.on('data', chunk => { text += chunk.toString() })
+    client.write('one')
+    await clock.sleepMs(10)
+    relay.set('127.0.0.2', {})
+    client.write('two')
+    while (text.length < 6) await clock.sleepMs(5)
+    expect(text).to.equal('onetwo')
+  })
 })
--- a/packages/standins/src/network/relay.ts
+++ b/packages/standins/src/network/relay.ts
@@ -4,8 +4,12 @@
 
 /** Fault of the link from one source address to the relayed listener. */
 export interface LinkFault {
-  /** Nothing passes from the source to the listener; connections stay open and silent. */
+  /** Nothing passes; connections stay open and silent. */
   readonly isCut: boolean
+  /** Connections that carry data fall silent for good, as after a loss that nobody repairs. */
+  readonly isSilent: boolean
+  /** The same, for what the listener answers. */
+  readonly isAnswerSilent: boolean
   /** Time added to each piece of data. */
   readonly delayMs: number
 }
@@ -16,7 +20,7 @@
   readonly port: number
 }
 
-const NO_FAULT: LinkFault = { isCut: false, delayMs: 0 }
+const NO_FAULT: LinkFault = { isCut: false, isSilent: false, isAnswerSilent: false, delayMs: 0 }
 
 /** Passes TCP connections on to a listener, and cuts or delays what comes from chosen source addresses. */
 export class Relay {
@@ -66,6 +70,11 @@
     this.faults.set(sourceHost, { ...NO_FAULT, ...fault })
   }
 
+  /** Resets all open connections; new ones work. */
+  reset (): void {
+    for (const socket of this.sockets) socket.resetAndDestroy()
+  }
+
   /** Stops the relay and cuts its connections. */
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
@@ -81,28 +90,45 @@
       return
     }
     const outbound = connect(this.destination.port, this.destination.host)
-    this.copy(inbound, outbound, source)
-    this.copy(outbound, inbound, source)
-    for (const socket of [inbound, outbound]) {
-      this.sockets.add(socket)
-      socket.on('error', () => { socket.destroy() })
-      socket.on('close', () => {
-        this.sockets.delete(socket)
-        inbound.destroy()
-        outbound.destroy()
-      })
-    }
+    this.copy(inbound, outbound, ({ isSilent }) => isSilent, source)
+    this.copy(outbound, inbound, ({ isSilent, isAnswerSilent }) => isSilent || isAnswerSilent, source)
+    this.pair(inbound, outbound)
+    this.pair(outbound, inbound)
+  }
+
+  /** Ends the other side as one side ended: a reset stays a reset. */
+  private pair (socket: Socket, other: Socket): void {
+    this.sockets.add(socket)
+    socket.on('error', () => { other.resetAndDestroy() })
+    socket.on('close', () => {
+      this.sockets.delete(socket)
+      other.destroy()
+    })
   }
 
-  private copy (from: Socket, to: Socket, source: string): void {
+  private copy (from: Socket, to: Socket, isSilencing: (fault: LinkFault) => boolean, source: string): void {
+    let isSilent = false
+    let waiting = 0
+    let tail = Promise.resolve()
     from.on('data', chunk => {
       const fault = this.faults.get(source) ?? NO_FAULT
-      if (fault.isCut) {
+      isSilent ||= isSilencing(fault)
+      if (fault.isCut || isSilent) {
         this.dropped += chunk.length
         return
       }
-      if (fault.delayMs === 0) to.write(chunk)
-      else this.clock.after(fault.delayMs, () => { to.write(chunk) })
+      if (fault.delayMs === 0 && waiting === 0) {
+        to.write(chunk)
+        return
+      }
+      // What was delayed before goes first, also after the delay has ended.
+      waiting++
+      const arrival = this.clock.sleepMs(fault.delayMs)
+      tail = tail.then(async () => {
+        await arrival
+        waiting--
+        to.write(chunk)
+      })
     })
   }
 }
--- a/packages/standins/src/soak/faults.ts
+++ b/packages/standins/src/soak/faults.ts
@@ -3,6 +3,7 @@
 import type { DaemonProcess } from '../process/daemonProcess.js'
 import type { BreakPoint, TargetBehaviour } from '../target/behaviour.js'
 import { HEALTHY_BEHAVIOUR } from '../target/behaviour.js'
+import type { EndFault, StartFault as StartFaultIn } from './faultLoop.js'
 
 /** What a fault acts on. */
 export interface FaultWorld {
@@ -20,11 +21,8 @@
   readonly addDaemon: () => Promise<void>
 }
 
-/** Ends a fault. */
-export type EndFault = () => Promise<void>
-
 /** Starts a fault. */
-export type StartFault = (world: FaultWorld) => Promise<EndFault>
+type StartFault = StartFaultIn<FaultWorld>
 
 const BREAK_POINTS: readonly BreakPoint[] = ['after-accept', 'after-head', 'mid-body', 'after-body', 'after-run', 'after-status', 'mid-answer', 'before-last-byte']
 const MIN_DAEMONS = 2
--- a/packages/standins/src/soak/runSoak.ts
+++ b/packages/standins/src/soak/runSoak.ts
@@ -6,7 +6,8 @@
 import { Fleet } from '../measure/fleet.js'
 import { Balancer } from './balancer.js'
 import { faults } from './faults.js'
-import type { EndFault, FaultWorld } from './faults.js'
+import type { FaultWorld } from './faults.js'
+import { FaultLoop } from './faultLoop.js'
 import { findBreaches } from './soakOracle.js'
 import type { SoakBreach } from './soakOracle.js'
 import { DumpWatch } from './watch.js'
@@ -46,11 +47,6 @@
 /** Targets of each service, by deployment. */
 const SERVICES: Readonly<Record<string, number>> = { burnbook: 8, sackpay: 16, kilndesk: 6, etlap: 9, beszerzes: 19, kiszallitas: 6 }
 const FLOOR_SHARE = 0.6
-const MIN_PAUSE_MS = 500
-const PAUSE_SPREAD_MS = 2_500
-const MIN_FAULT_MS = 1_500
-const FAULT_SPREAD_MS = 6_000
-const MAX_TOGETHER = 3
 const LOOK_MS = 2_000
 const KEPT_BREACHES = 5
 
@@ -87,52 +83,6 @@
   return world
 }
 
-/** Begins and ends faults until the time is over. */
-class FaultLoop {
-  readonly trace: string[] = []
-  readonly counts: Record<string, number> = {}
-  private readonly running = new Set<Promise<void>>()
-
-  private constructor (private readonly world: FaultWorld, private readonly options: SoakOptions) {}
-
-  static create (world: FaultWorld, options: SoakOptions): FaultLoop {
-    return new FaultLoop(world, options)
-  }
-
-  async run (signal: AbortSignal): Promise<void> {
-    const { fleet, random } = this.world
-    while (!signal.aborted) {
-      await fleet.clock.sleepMs(MIN_PAUSE_MS + random.int(PAUSE_SPREAD_MS), signal)
-      const together = 1 + random.int(MAX_TOGETHER)
-      for (let index = 0; index < together && !signal.aborted; index++) this.begin(signal)
-    }
-    await Promise.all(this.running)
-  }
-
-  private begin (signal: AbortSignal): void {
-    const names = Object.keys(faults)
-    const name = names[this.world.random.int(names.length)] ?? ''
-    this.counts[name] = (this.counts[name] ?? 0) + 1
-    const task = this.one(name, signal).catch((error: unknown) => { this.note(`${name} could not be made: ${String(error)}`) })
-    this.running.add(task)
-    task.finally(() => { this.running.delete(task) }).catch(() => {})
-  }
-
-  private async one (name: string, signal: AbortSignal): Promise<void> {
-    const { clock } = this.world.fleet
-    this.note(`begin ${name}`)
-    const end: EndFault | undefined = await faults[name]?.(this.world)
-    await clock.sleepMs(MIN_FAULT_MS + this.world.random.int(FAULT_SPREAD_MS), signal)
-    await end?.()
-    this.note(`end ${name}`)
-  }
-
-  private note (line: string): void {
-    this.trace.push(`${Math.round(this.world.fleet.clock.monotonicMs())} ms ${line}`)
-    this.options.progress(line)
-  }
-}
-
 const lookUntil = async (watch: DumpWatch, world: FaultWorld, signal: AbortSignal): Promise<void> => {
   while (!signal.aborted) {
     await world.fleet.clock.sleepMs(LOOK_MS, signal)
@@ -146,7 +96,7 @@
   return counts
 }
 
-const summarise = async (options: SoakOptions, world: FaultWorld, workload: Workload, watch: DumpWatch, loop: FaultLoop): Promise<SoakSummary> => {
+const summarise = async (options: SoakOptions, world: FaultWorld, workload: Workload, watch: DumpWatch, loop: FaultLoop<FaultWorld>): Promise<SoakSummary> => {
   const { records } = workload
   const breaches = findBreaches(records, await world.fleet.journal())
   const watched = watch.result()
@@ -179,7 +129,7 @@
   const { clock } = fleet
   const caller = Caller.create(clock)
   const watch = DumpWatch.create(fleet)
-  const loop = FaultLoop.create(world, options)
+  const loop = FaultLoop.create({ world, faults, clock, random: options.random, progress: options.progress })
   const balancer = Balancer.create(world)
   const stop = new AbortController()
   setMaxListeners(0, stop.signal)
