--- a/packages/common/src/log/log.ts
+++ b/packages/common/src/log/log.ts
@@ -9,8 +9,11 @@
 /** Shape of the lines: one JSON object each, or text for a terminal. */
 export type LogFormat = 'json' | 'pretty'
 
+/** Names that each line has already; a field of that name would hide them. */
+type OwnName = 'at' | 'level' | 'part' | 'message'
+
 /** Structured fields of a line. */
-export type LogFields = Readonly<Record<string, unknown>>
+export type LogFields = Readonly<Record<string, unknown>> & { readonly [Name in OwnName]?: never }
 
 /** Writes lines on changes of state; counters carry the rest. */
 export interface Log {
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -91,10 +91,10 @@
     if (!isRegistered) {
       const put = await store.putInstance(self)
       isRegistered = put.isOk()
-      if (put.isErr()) log.warn('this instance is not registered yet', { kind: put.error.kind, message: put.error.message })
+      if (put.isErr()) log.warn('this instance is not registered yet', { kind: put.error.kind, detail: put.error.message })
     }
     const read = relay.relayRank === 0 || relay.roster.size === 1 ? await store.readInstances() : undefined
-    read?.match(records => { relay.roster.learn(records) }, ({ kind, message }) => { log.warn('the fleet\'s instances could not be read', { kind, message }) })
+    read?.match(records => { relay.roster.learn(records) }, ({ kind, message }) => { log.warn('the fleet\'s instances could not be read', { kind, detail: message }) })
     await clock.sleepMs((isRegistered && relay.roster.size > 1 ? INSTANCES_MS : FIRST_INSTANCES_MS) * (0.5 + random.next()), signal)
   }
 }
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -133,7 +133,7 @@
   }
 
   private failed ({ kind, message }: PlatformError): number {
-    if (this.failures++ === 0) this.options.log.warn('store lost for the configuration', { kind, message, versionInForce: this.version })
+    if (this.failures++ === 0) this.options.log.warn('store lost for the configuration', { kind, detail: message, versionInForce: this.version })
     const limitMs = Math.min(LAST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1))
     return limitMs * (1 + this.options.random.next()) / 2
   }
--- a/packages/standins/src/gateway/gatewayPath.spec.ts
+++ b/packages/standins/src/gateway/gatewayPath.spec.ts
@@ -154,6 +154,7 @@
     fleet.store.setTrouble('busy')
     await fleet.addDaemon()
     expect((await fleet.call({ daemon: 1 })).body).to.equal('from t1')
+    expect(fleet.lines.filter(({ instance }) => instance === 'gate-1').map(({ message }) => message)).to.include('store lost for the listing of targets')
   })
 
   it('cuts nothing when it drains', async () => {
--- a/packages/targets/src/roster/listingFollower.ts
+++ b/packages/targets/src/roster/listingFollower.ts
@@ -79,7 +79,7 @@
   private failed ({ kind, message }: PlatformError): void {
     const { clock, random, log, roster } = this.options
     const nowMs = clock.monotonicMs()
-    if (this.failures++ === 0) log.warn('store lost for the listing of targets', { kind, message, listingAgeMs: Math.round(nowMs - roster.confirmedAtMs) })
+    if (this.failures++ === 0) log.warn('store lost for the listing of targets', { kind, detail: message, listingAgeMs: Math.round(nowMs - roster.confirmedAtMs) })
     const pauseMs = Math.min(LAST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1))
     this.notBeforeMs = nowMs + pauseMs * (1 + random.next()) / 2
   }
