--- a/packages/targets/src/connections/connectionList.ts
+++ b/packages/targets/src/connections/connectionList.ts
@@ -2,7 +2,6 @@
 import type { Clock, Target } from '@lovagehoist/common'
 import { Connection } from './connection.js'
 import type { OpenError } from './connection.js'
-import type { ReuseLimit } from './reuseLimit.js'
 
 /** An exchange on a reused connection that waits for its answer's head. */
 interface SilentWait {
@@ -25,6 +24,8 @@
 
 /** Longest life of a connection. */
 const MAX_AGE_MS = 300_000
+/** Longest time without an exchange. */
+const MAX_IDLE_MS = 30_000
 /** Age of the last proof up to which a connection may carry a non-idempotent request. */
 const PROVEN_MS = 2_000
 /** Wait for a head after which older connections are not chosen. */
@@ -37,7 +38,7 @@
   private readonly busy = new Set<Connection>()
   private readonly waits = new Set<SilentWait>()
 
-  private constructor (private readonly target: Target, private readonly clock: Clock, private readonly connectTimeoutMs: number, private readonly reuse: ReuseLimit) {}
+  private constructor (private readonly target: Target, private readonly clock: Clock, private readonly connectTimeoutMs: number) {}
 
   /**
    * Creates an empty list.
@@ -45,11 +46,10 @@
    * @param target - Where connections go.
    * @param clock - Source of time.
    * @param connectTimeoutMs - Limit of connecting.
-   * @param reuse - How long connections may rest.
    * @returns The list.
    */
-  static create (target: Target, clock: Clock, connectTimeoutMs: number, reuse: ReuseLimit): ConnectionList {
-    return new ConnectionList(target, clock, connectTimeoutMs, reuse)
+  static create (target: Target, clock: Clock, connectTimeoutMs: number): ConnectionList {
+    return new ConnectionList(target, clock, connectTimeoutMs)
   }
 
   /** Number of connections, idle and in use. */
@@ -122,7 +122,7 @@
   /** Destroys idle connections that are too old, unused for too long or closed by the target. */
   sweep (): void {
     const nowMs = this.clock.monotonicMs()
-    this.keepIdle(connection => connection.isUsable && nowMs - connection.openedAtMs <= MAX_AGE_MS && nowMs - connection.provenAtMs <= this.reuse.limitMs)
+    this.keepIdle(connection => connection.isUsable && nowMs - connection.openedAtMs <= MAX_AGE_MS && nowMs - connection.provenAtMs <= MAX_IDLE_MS)
   }
 
   /**
@@ -150,9 +150,8 @@
   private findIdle (isIdempotent: boolean): number {
     const nowMs = this.clock.monotonicMs()
     const openedAfterMs = this.suspectBeforeMs(nowMs)
-    const restMs = Math.min(this.reuse.limitMs, isIdempotent ? Infinity : PROVEN_MS)
     return this.idle.findIndex(connection => connection.isUsable &&
-      connection.openedAtMs >= openedAfterMs && nowMs - connection.provenAtMs <= restMs)
+      connection.openedAtMs >= openedAfterMs && (isIdempotent || nowMs - connection.provenAtMs <= PROVEN_MS))
   }
 
   private noteAnswer (connection: Connection): void {
--- a/packages/targets/src/connections/targetSender.ts
+++ b/packages/targets/src/connections/targetSender.ts
@@ -5,7 +5,6 @@
 import { ConnectionList } from './connectionList.js'
 import { Exchange } from './exchange.js'
 import type { ExchangeFailure } from './exchange.js'
-import { ReuseLimit } from './reuseLimit.js'
 
 /** What the sender needs. */
 export interface TargetSenderOptions {
@@ -30,10 +29,8 @@
 export class ConnectionSender implements TargetSender {
   private readonly lists = new Map<string, ConnectionList>()
   private readonly opened: Counter | undefined
-  private readonly reuse: ReuseLimit
 
   private constructor (private readonly options: TargetSenderOptions) {
-    this.reuse = ReuseLimit.create(options.clock)
     if (options.registry === undefined) return
     this.opened = new Counter({
       name: 'lovagehoist_target_connections_opened_total',
@@ -115,14 +112,12 @@
   private async exchange (list: ConnectionList, connection: Connection, request: TargetRequest, signal: AbortSignal): Promise<TargetAnswer | ExchangeFailure> {
     const { clock, invariants } = this.options
     const sentBefore = connection.sentBytes
-    const idleMs = clock.monotonicMs() - connection.provenAtMs
     const onEnd = (isWhole: boolean): void => { list.giveBack(connection, isWhole) }
     const result = await Exchange.create({ connection, request, clock, watch: list.watch(connection), onEnd }).run(signal)
     if (result.type === 'answer') return result
     const isUntouched = connection.sentBytes === sentBefore
     invariants?.check('not-run', result.verdict !== 'not-run' || isUntouched, { sentBytes: connection.sentBytes - sentBefore })
     this.judgeSilence(list, result.outcome, result)
-    if (result.outcome === 'reset' && !result.isFreshConnection) this.reuse.noteReset(idleMs, result.latencyMs)
     return result
   }
 
@@ -134,7 +129,7 @@
   private listOf (target: Target): ConnectionList {
     const known = this.lists.get(target.id)
     if (known !== undefined) return known
-    const list = ConnectionList.create(target, this.options.clock, this.options.connectTimeoutMs(target.service), this.reuse)
+    const list = ConnectionList.create(target, this.options.clock, this.options.connectTimeoutMs(target.service))
     this.lists.set(target.id, list)
     return list
   }
