--- a/packages/standins/src/measure/processUsage.ts
+++ b/packages/standins/src/measure/processUsage.ts
@@ -1,5 +1,9 @@
 import { readFile } from 'node:fs/promises'
-import type { DaemonProcess } from '../process/daemonProcess.js'
+
+/** A running process. */
+export interface RunningProcess {
+  readonly pid: number
+}
 
 /** Clock ticks a second in the kernel's process statistics. */
 const TICKS_PER_SECOND = 100
@@ -19,7 +23,7 @@
  * @param daemons - Running daemons.
  * @returns The sum in seconds.
  */
-export const cpuSecondsOf = async (daemons: readonly DaemonProcess[]): Promise<number> => {
+export const cpuSecondsOf = async (daemons: readonly RunningProcess[]): Promise<number> => {
   const seconds = await Promise.all(daemons.map(async daemon => await cpuSecondsOfProcess(daemon.pid)))
   return seconds.reduce((sum, value) => sum + value, 0)
 }
@@ -37,7 +41,7 @@
  * @param daemons - Running daemons.
  * @returns The mean in megabytes.
  */
-export const residentMbOf = async (daemons: readonly DaemonProcess[]): Promise<number> => {
+export const residentMbOf = async (daemons: readonly RunningProcess[]): Promise<number> => {
   const megabytes = await Promise.all(daemons.map(async daemon => await residentMbOfProcess(daemon.pid)))
   return megabytes.reduce((sum, value) => sum + value, 0) / Math.max(1, daemons.length)
 }
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,6 +1,7 @@
 import type { Scenario } from '../scenario.js'
 import { control } from './control.js'
 import { drain } from './drain.js'
+import { gateway } from './gateway.js'
 import { gray } from './gray.js'
 import { outage } from './outage.js'
 import { overhead } from './overhead.js'
@@ -19,5 +20,6 @@
   [drain.name]: drain,
   [poison.name]: poison,
   [silent.name]: silent,
-  [control.name]: control
+  [control.name]: control,
+  [gateway.name]: gateway
 }
--- a/packages/standins/src/soak/gateway/soakCaller.ts
+++ b/packages/standins/src/soak/gateway/soakCaller.ts
@@ -93,7 +93,8 @@
     return ready[this.fleet.random.int(Math.max(1, ready.length))]
   }
 
-  private async hangUp (): Promise<void> {
+  /** Closes the connection. */
+  async hangUp (): Promise<void> {
     this.instance = undefined
     await this.client?.destroy()
   }
