--- a/packages/standins/src/measure/scenarios/gateway.ts
+++ b/packages/standins/src/measure/scenarios/gateway.ts
@@ -41,8 +41,8 @@
   return { cpuShare: rounded((await cpuSecondsOf(daemons) - before.cpuSeconds) / perDaemon), storeCallsPerSecond: rounded((calls() - before.calls) / perDaemon) }
 }
 
-const underLoad = async (fleet: SoakFleet, durationMs: number): Promise<number> => {
-  const callers = fleet.instances.flatMap(() => Array.from({ length: PER_DAEMON }, () => SoakCaller.create(fleet)))
+const underLoad = async (fleet: SoakFleet, seed: number, durationMs: number): Promise<number> => {
+  const callers = fleet.instances.flatMap(() => Array.from({ length: PER_DAEMON }, (_, index) => SoakCaller.create(fleet, SeededRandom.create(seed + index))))
   const perSecond = PER_DAEMON * fleet.instances.length
   await runOpenLoop({ clock: fleet.clock, perSecond, durationMs }, async index => { await callers[index % callers.length]?.sendOne() })
   await Promise.all(callers.map(async caller => { await caller.hangUp() }))
@@ -56,7 +56,7 @@
     await fleet.clock.sleepMs(WARM_MS)
     const idle = await usageOf(fleet, async () => { await fleet.clock.sleepMs(durationMs) })
     let requests = 0
-    const loaded = await usageOf(fleet, async () => { requests = await underLoad(fleet, durationMs) })
+    const loaded = await usageOf(fleet, async () => { requests = await underLoad(fleet, seed, durationMs) })
     return {
       scenario: 'gateway',
       variant,
--- a/packages/standins/src/soak/faultLoop.ts
+++ b/packages/standins/src/soak/faultLoop.ts
@@ -65,9 +65,11 @@
 
   private async one (name: string, signal: AbortSignal): Promise<void> {
     const { clock, random, faults, world } = this.options
+    // Drawn before anything is waited for: the order of draws is that of the seed.
+    const durationMs = MIN_FAULT_MS + random.int(FAULT_SPREAD_MS)
     this.note(`begin ${name}`)
     const end = await faults[name]?.(world)
-    await clock.sleepMs(MIN_FAULT_MS + random.int(FAULT_SPREAD_MS), signal)
+    await clock.sleepMs(durationMs, signal)
     await end?.()
     this.note(`end ${name}`)
   }
--- a/packages/standins/src/soak/gateway/gatewaySoak.spec.ts
+++ b/packages/standins/src/soak/gateway/gatewaySoak.spec.ts
@@ -1,5 +1,4 @@
 import { expect } from 'chai'
-import { SeededRandom } from '@lovagehoist/common'
 import { runGatewaySoak } from './runGatewaySoak.js'
 
 /** Promises whose bound is a time are left to runs by hand: a busy machine of a test may be late itself. */
@@ -7,7 +6,7 @@
 
 describe('gateway soak (short)', () => {
   it('breaks no promise with real processes under faults from outside them', async () => {
-    const { breaches, requests } = await runGatewaySoak({ seed: 3, random: SeededRandom.create(3), durationMs: 6_000, instances: 3, callers: 12, progress: () => {} })
+    const { breaches, requests } = await runGatewaySoak({ seed: 3, durationMs: 6_000, instances: 3, callers: 12, progress: () => {} })
     expect(breaches.filter(({ kind }) => !TIMED.has(kind))).to.deep.equal([])
     expect(requests).to.be.greaterThan(0)
   })
--- a/packages/standins/src/soak/gateway/main.ts
+++ b/packages/standins/src/soak/gateway/main.ts
@@ -1,5 +1,4 @@
 import { Command } from 'commander'
-import { SeededRandom } from '@lovagehoist/common'
 import { runGatewaySoak } from './runGatewaySoak.js'
 
 const MS_PER_SECOND = 1_000
@@ -11,6 +10,7 @@
   readonly seconds: string
   readonly instances: string
   readonly callers: string
+  readonly only?: string
   readonly verbose: boolean
 }
 
@@ -21,16 +21,17 @@
   .option('--seconds <number>', 'time under faults in each run', '20')
   .option('--instances <number>', 'daemons', '6')
   .option('--callers <number>', 'callers, each with a connection of its own', '40')
+  .option('--only <names>', 'faults that may come, separated by commas')
   .option('--verbose', 'tells of each fault', false)
   .action(async (options: Options) => {
     const first = Number(options.seed)
     for (let seed = first; seed < first + Number(options.runs); seed++) {
       const summary = await runGatewaySoak({
         seed,
-        random: SeededRandom.create(seed),
         durationMs: Number(options.seconds) * MS_PER_SECOND,
         instances: Number(options.instances),
         callers: Number(options.callers),
+        ...(options.only === undefined ? {} : { only: options.only.split(',') }),
         progress: line => { if (options.verbose) process.stderr.write(`${line}\n`) }
       })
       process.stdout.write(`${JSON.stringify(summary)}\n`)
--- a/packages/standins/src/soak/gateway/runGatewaySoak.ts
+++ b/packages/standins/src/soak/gateway/runGatewaySoak.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import type { Random } from '@lovagehoist/common'
+import { SeededRandom } from '@lovagehoist/common'
 import { FaultLoop } from '../faultLoop.js'
 import { gatewayFaults } from './gatewayFaults.js'
 import { findGatewayBreaches } from './gatewayOracle.js'
@@ -10,10 +10,11 @@
 /** Arguments of a soak. */
 export interface GatewaySoakOptions {
   readonly seed: number
-  readonly random: Random
   readonly durationMs: number
   readonly instances: number
   readonly callers: number
+  /** Names of the faults that may come; all of them when absent. */
+  readonly only?: readonly string[]
   readonly progress: (line: string) => void
 }
 
@@ -40,6 +41,8 @@
 /** Time in which that must come: the platform's `recovery`. */
 const RECOVERY_MS = 15_000
 const OK = 200
+/** Keeps the seeds of callers of different runs apart. */
+const SEEDS_APART = 1_000
 
 const runsOf = ({ targets, gone }: SoakFleet): readonly SoakRun[] =>
   [...targets, ...gone].flatMap(({ target, service, leftAtMs }) =>
@@ -70,6 +73,11 @@
   return true
 }
 
+const chosenFaults = ({ only }: GatewaySoakOptions): typeof gatewayFaults =>
+  only === undefined ? gatewayFaults : Object.fromEntries(Object.entries(gatewayFaults).filter(([name]) => only.includes(name)))
+
+const callerRandom = ({ seed }: GatewaySoakOptions, index: number): SeededRandom => SeededRandom.create(seed * SEEDS_APART + index)
+
 const countBy = (names: ReadonlyArray<string | number>): Readonly<Record<string, number>> => {
   const counts: Record<string, number> = {}
   for (const name of names) counts[name] = (counts[name] ?? 0) + 1
@@ -97,9 +105,10 @@
  * @returns What was seen, with every broken promise.
  */
 export const runGatewaySoak = async (options: GatewaySoakOptions): Promise<GatewaySoakSummary> => {
-  const fleet = await SoakFleet.create(options.random, { instances: options.instances, targetsOfService: TARGETS_OF_SERVICE })
-  const loop = FaultLoop.create({ world: fleet, faults: gatewayFaults, clock: fleet.clock, random: options.random, progress: options.progress })
-  const callers = Array.from({ length: options.callers }, () => SoakCaller.create(fleet))
+  const random = SeededRandom.create(options.seed)
+  const fleet = await SoakFleet.create(random, { instances: options.instances, targetsOfService: TARGETS_OF_SERVICE })
+  const loop = FaultLoop.create({ world: fleet, faults: chosenFaults(options), clock: fleet.clock, random, progress: options.progress })
+  const callers = Array.from({ length: options.callers }, (_, index) => SoakCaller.create(fleet, callerRandom(options, index)))
   const [stopFaults, stopAll] = [new AbortController(), new AbortController()]
   for (const { signal } of [stopFaults, stopAll]) setMaxListeners(0, signal)
   const look = (): readonly GatewayBreach[] => findGatewayBreaches(callers.flatMap(({ calls }) => calls), runsOf(fleet), conditionsOf(fleet))
@@ -112,7 +121,7 @@
     while (fleet.clock.monotonicMs() < untilMs && look().length === 0) await fleet.clock.sleepMs(LOOK_MS)
     stopFaults.abort()
     await faults
-    const last = SoakCaller.create(fleet)
+    const last = SoakCaller.create(fleet, callerRandom(options, options.callers))
     callers.push(last)
     const hasRecovered = await recovers(fleet, last)
     stopAll.abort()
--- a/packages/standins/src/soak/gateway/soakCaller.ts
+++ b/packages/standins/src/soak/gateway/soakCaller.ts
@@ -1,3 +1,4 @@
+import type { Random } from '@lovagehoist/common'
 import { PLATFORM_HEADERS } from '@lovagehoist/platform'
 import { Client } from 'undici'
 import type { SoakCall } from './gatewayOracle.js'
@@ -25,16 +26,17 @@
   private instance: SoakInstance | undefined
   private client: Client | undefined
 
-  private constructor (private readonly fleet: SoakFleet) {}
+  private constructor (private readonly fleet: SoakFleet, private readonly random: Random) {}
 
   /**
    * Creates a caller without a connection.
    *
    * @param fleet - Instances to call.
+   * @param random - Source of this caller's choices, so that faults do not depend on callers.
    * @returns The caller.
    */
-  static create (fleet: SoakFleet): SoakCaller {
-    return new SoakCaller(fleet)
+  static create (fleet: SoakFleet, random: Random): SoakCaller {
+    return new SoakCaller(fleet, random)
   }
 
   /**
@@ -43,9 +45,9 @@
    * @param signal - Ends the loop after the request in progress.
    */
   async run (signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.fleet
+    const { clock } = this.fleet
     while (!signal.aborted) {
-      await clock.sleepMs(MIN_PAUSE_MS + random.int(PAUSE_SPREAD_MS), signal)
+      await clock.sleepMs(MIN_PAUSE_MS + this.random.int(PAUSE_SPREAD_MS), signal)
       if (!signal.aborted) await this.sendOne()
     }
     await this.hangUp()
@@ -80,7 +82,8 @@
   }
 
   private draft (): Draft {
-    const { random, config } = this.fleet
+    const { random } = this
+    const { config } = this.fleet
     const requestId = `call-${nextRequest++}`
     if (random.next() < ORDER_SHARE) return { requestId, path: `/orders/${requestId}`, body: `order ${requestId}`, isIdempotent: false, service: 'orders', sinceVersion: undefined }
     if (random.next() >= PROBE_SHARE) return { requestId, path: `/menus/${requestId}`, body: '', isIdempotent: true, service: 'menus', sinceVersion: undefined }
@@ -90,7 +93,7 @@
 
   private pickInstance (): SoakInstance | undefined {
     const ready = this.fleet.instances.filter(({ isReady }) => isReady)
-    return ready[this.fleet.random.int(Math.max(1, ready.length))]
+    return ready[this.random.int(Math.max(1, ready.length))]
   }
 
   /** Closes the connection. */
