--- a/packages/standins/src/soak/gateway/gatewayOracle.ts
+++ b/packages/standins/src/soak/gateway/gatewayOracle.ts
@@ -1,3 +1,5 @@
+import { groupBy } from '../groups.js'
+
 /** What a caller sent and got. */
 export interface SoakCall {
   readonly requestId: string
@@ -88,16 +90,6 @@
   }
 }
 
-const runsById = (runs: readonly SoakRun[]): ReadonlyMap<string, readonly SoakRun[]> => {
-  const groups = new Map<string, SoakRun[]>()
-  for (const run of runs) {
-    const group = groups.get(run.requestId)
-    if (group === undefined) groups.set(run.requestId, [run])
-    else group.push(run)
-  }
-  return groups
-}
-
 /** Newest version that each process had served before a time. */
 const inForceBefore = (calls: readonly SoakCall[]): (call: SoakCall) => boolean => {
   const served = calls.filter(({ status, sinceVersion }) => status === OK && sinceVersion !== undefined)
@@ -114,7 +106,7 @@
  * @returns Every broken promise.
  */
 export const findGatewayBreaches = (calls: readonly SoakCall[], runs: readonly SoakRun[], conditions: SoakConditions): readonly GatewayBreach[] => {
-  const byId = runsById(runs)
+  const byId = groupBy(runs, ({ requestId }) => requestId)
   const wasInForce = inForceBefore(calls)
   return calls.flatMap(call => {
     const seen: Seen = { call, runs: byId.get(call.requestId) ?? [], conditions, wasInForce: call.status === NOT_FOUND && wasInForce(call) }
--- a/packages/standins/src/soak/gateway/runGatewaySoak.ts
+++ b/packages/standins/src/soak/gateway/runGatewaySoak.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events'
 import { SeededRandom } from '@lovagehoist/common'
 import { FaultLoop } from '../faultLoop.js'
+import { countBy } from '../groups.js'
 import { gatewayFaults } from './gatewayFaults.js'
 import { findGatewayBreaches } from './gatewayOracle.js'
 import type { GatewayBreach, SoakCall, SoakConditions, SoakRun } from './gatewayOracle.js'
@@ -78,12 +79,6 @@
 
 const callerRandom = ({ seed }: GatewaySoakOptions, index: number): SeededRandom => SeededRandom.create(seed * SEEDS_APART + index)
 
-const countBy = (names: ReadonlyArray<string | number>): Readonly<Record<string, number>> => {
-  const counts: Record<string, number> = {}
-  for (const name of names) counts[name] = (counts[name] ?? 0) + 1
-  return counts
-}
-
 const summarise = (options: GatewaySoakOptions, fleet: SoakFleet, calls: readonly SoakCall[], breaches: readonly GatewayBreach[], loop: FaultLoop<SoakFleet>): GatewaySoakSummary => {
   const blamed = new Set(breaches.flatMap(({ call }) => call?.instanceId ?? fleet.instances.map(({ id }) => id)))
   return {
--- a/packages/standins/src/soak/runSoak.ts
+++ b/packages/standins/src/soak/runSoak.ts
@@ -8,6 +8,7 @@
 import { faults } from './faults.js'
 import type { FaultWorld } from './faults.js'
 import { FaultLoop } from './faultLoop.js'
+import { countBy } from './groups.js'
 import { findBreaches } from './soakOracle.js'
 import type { SoakBreach } from './soakOracle.js'
 import { DumpWatch } from './watch.js'
@@ -90,12 +91,6 @@
   }
 }
 
-const countBy = (names: readonly string[]): Readonly<Record<string, number>> => {
-  const counts: Record<string, number> = {}
-  for (const name of names) counts[name] = (counts[name] ?? 0) + 1
-  return counts
-}
-
 const summarise = async (options: SoakOptions, world: FaultWorld, workload: Workload, watch: DumpWatch, loop: FaultLoop<FaultWorld>): Promise<SoakSummary> => {
   const { records } = workload
   const breaches = findBreaches(records, await world.fleet.journal())
--- a/packages/standins/src/soak/soakOracle.ts
+++ b/packages/standins/src/soak/soakOracle.ts
@@ -1,5 +1,6 @@
 import type { JournalEntry } from '../target/journal.js'
 import type { SoakRecord } from './workload.js'
+import { groupBy } from './groups.js'
 
 /** A broken promise, with everything that was seen of the work. */
 export interface SoakBreach {
@@ -11,16 +12,6 @@
 
 const keyOfRun = (runId: string): string => runId.slice(0, runId.lastIndexOf('.'))
 
-const groupBy = <T>(items: readonly T[], keyOf: (item: T) => string): ReadonlyMap<string, readonly T[]> => {
-  const groups = new Map<string, T[]>()
-  for (const item of items) {
-    const group = groups.get(keyOf(item))
-    if (group === undefined) groups.set(keyOf(item), [item])
-    else group.push(item)
-  }
-  return groups
-}
-
 type Check = (records: readonly SoakRecord[], runs: readonly JournalEntry[]) => boolean
 
 const isBreached: Readonly<Record<SoakBreach['kind'], Check>> = {
