Take no request so late while leaving that it would be cut

A leaving daemon took requests on kept connections until its end. Change: 2.9 s after SIGTERM (half of the grace time at most), later than the balancer needs, requests get 503 'leaving' at once, with Retry-After. Test: 'takes no request so late while it leaves that it would have to cut it' got 200 before.

--- a/packages/callers/src/answers/problem.ts
+++ b/packages/callers/src/answers/problem.ts
@@ -10,6 +10,7 @@
   | 'unknown-route'
   | 'unknown-account'
   | 'not-ready'
+  | 'leaving'
   | 'request-too-large'
   | 'head-too-large'
   | 'request-too-slow'
@@ -29,6 +30,7 @@
   'unknown-route': 404,
   'unknown-account': 401,
   'not-ready': 503,
+  leaving: 503,
   'request-too-large': 413,
   'head-too-large': 431,
   'request-too-slow': 408,
--- a/packages/callers/src/gateway/gatewayPassage.ts
+++ b/packages/callers/src/gateway/gatewayPassage.ts
@@ -7,6 +7,7 @@
 import { parseRequestPath } from '../accept/requestPath.js'
 import type { Problem } from '../answers/problem.js'
 import { endToEndHeaders } from '../exchange/headers.js'
+import type { Departure } from './departure.js'
 import type { RouteIndex } from './routeIndex.js'
 import type { ShareCursor } from './shareCursor.js'
 import type { StartGate } from './startGate.js'
@@ -43,10 +44,13 @@
   readonly shares: ShareCursor
   /** Holds requests of a process's first moments. */
   readonly gate: StartGate
+  readonly departure: Departure
 }
 
 /** A daemon that has just started learns the configuration within this time. */
 const NOT_READY_RETRY_MS = 500
+/** Other instances can serve at once; the caller only has to connect anew. */
+const LEAVING_RETRY_MS = 50
 /** Time taken for a caller's patience while no route is known that has a limit. */
 const UNSTATED_MS = 2_000
 const DIGITS = /^\d{1,9}$/
@@ -103,6 +107,7 @@
 export const acceptGateway = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse): Promise<Result<GatewayPassage, Problem | undefined>> => {
   const receivedAtMs = options.clock.monotonicMs()
   const gone = callerSignal(response)
+  if (!options.departure.isTaking) return err(problem('leaving', 'this instance leaves and could not end the request', LEAVING_RETRY_MS))
   await options.gate.pass(statedMs(request, options.headers) ?? UNSTATED_MS, gone)
   if (gone.aborted) return err(undefined)
   const inForce = options.config()
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -63,6 +63,7 @@
     const { live, log } = this.world
     const { graceMs } = live.current().bounds
     log.info('draining', { graceMs })
+    this.parts.departure.begin(graceMs)
     const longestExchangeMs = Math.max(0, graceMs - BALANCER_LAG_MS - LEAVE_MARGIN_MS)
     const { cutExchanges } = await this.callers.drain({ balancerLagMs: BALANCER_LAG_MS, longestExchangeMs })
     await this.leave()
--- a/packages/daemon/src/gateway/gatewayParts.ts
+++ b/packages/daemon/src/gateway/gatewayParts.ts
@@ -1,4 +1,4 @@
-import { PoisonWatch, RetryAllowance, RouteIndex, ShareCursor, StartGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
+import { Departure, PoisonWatch, RetryAllowance, RouteIndex, ShareCursor, StartGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
 import type { GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
@@ -32,6 +32,7 @@
   readonly registry: Registry
   readonly isReady: () => boolean
   readonly facts: PeerFacts
+  readonly departure: Departure
   /** Loops that run until their signal aborts. */
   readonly tasks: ReadonlyArray<(signal: AbortSignal) => Promise<void>>
   readonly close: () => Promise<void>
@@ -123,16 +124,18 @@
   readonly targets: ReturnType<typeof createTargets>
   readonly relay: RelayNode
   readonly poison: PoisonWatch
+  readonly departure: Departure
   readonly registry: Registry
   readonly invariants: Invariants
 }
 
-const createServe = ({ settings, clock, headers, random, live, log }: GatewayWorld, { inForce, targets, relay, poison, registry, invariants }: ServeParts): GatewayServeOptions => ({
+const createServe = ({ settings, clock, headers, random, live, log }: GatewayWorld, { inForce, targets, relay, poison, departure, registry, invariants }: ServeParts): GatewayServeOptions => ({
   clock,
   headers,
   invariants,
   config: inForce,
   shares: ShareCursor.create(random),
+  departure,
   gate: StartGate.create({ clock, isOpen: () => inForce() !== undefined && targets.roster.hasListing }),
   choices: targets.chooser,
   sender: targets.sender,
@@ -161,11 +164,13 @@
   const relay = createPeers(world, self, targets, facts, poison)
   registerGatewayMetrics({ registry, clock, config, roster: targets.roster, board: targets.board, relay })
   const listing = ListingFollower.create({ store, roster: targets.roster, relayRank: () => relay.relayRank, clock, random, log: log.child('targets'), onRegained: config.restart })
-  const serve = createServe(world, { inForce: () => inForce, targets, relay, poison, registry, invariants })
+  const departure = Departure.create(clock)
+  const serve = createServe(world, { inForce: () => inForce, targets, relay, poison, departure, registry, invariants })
   return {
     handler: async (request, response) => { await serveGateway(serve, request, response) },
     registry,
     facts,
+    departure,
     isReady: () => inForce !== undefined && targets.roster.hasListing,
     tasks: [
       config.run.bind(config), listing.run.bind(listing), relay.run.bind(relay), targets.sender.run.bind(targets.sender),
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -1,5 +1,6 @@
 import { ok } from 'neverthrow'
-import { request } from 'undici'
+import { Client, request } from 'undici'
+import type { Dispatcher } from 'undici'
 import { SeededRandom, SystemClock, createLog } from '@lovagehoist/common'
 import type { Address, GatewaySettings } from '@lovagehoist/common'
 import { GatewayDaemon, LiveSettings } from '@lovagehoist/daemon/gateway'
@@ -48,6 +49,9 @@
 
 export const HOST_NAME = 'shop.example'
 const WAIT_LOOK_MS = 10
+const KEPT_MS = 60_000
+/** Time by which the caller closes before the time that answers announce. */
+const CLOSE_AHEAD_MS = 300
 const WAIT_LIMIT_MS = 20_000
 
 let nextBlock = 0
@@ -151,16 +155,23 @@
   }
 
   /** Sends a request as a caller does. */
-  async call (call: Call = {}): Promise<CallAnswer> {
+  async call (call: Call = {}, dispatcher?: Dispatcher): Promise<CallAnswer> {
     const { daemon = 0, path = '/p/x', method = 'GET', body, deadlineMs = 6_000, signal } = call
     const { host = '', port = 0 } = this.daemons[daemon]?.callers ?? {}
     const requestId = call.requestId ?? `req-${this.nextId++}`
     const headers = { host: HOST_NAME, [PLATFORM_HEADERS.requestId]: requestId, [PLATFORM_HEADERS.deadline]: String(deadlineMs) }
-    const answer = await request(`http://${host}:${port}${path}`, { method, headers, ...(body === undefined ? {} : { body }), ...(signal === undefined ? {} : { signal }) })
+    const answer = await request(`http://${host}:${port}${path}`, { method, headers, ...(body === undefined ? {} : { body }), ...(signal === undefined ? {} : { signal }), ...(dispatcher === undefined ? {} : { dispatcher }) })
     const text = await answer.body.text()
     return { status: answer.statusCode, body: text, header: name => answer.headers[name]?.toString() }
   }
 
+  /** Opens a connection that a caller keeps. */
+  connect (daemon: number): { readonly call: (call?: Call) => Promise<CallAnswer>, readonly close: () => Promise<void> } {
+    const { host = '', port = 0 } = this.daemons[daemon]?.callers ?? {}
+    const client = new Client(`http://${host}:${port}`, { pipelining: 1, keepAliveTimeout: KEPT_MS, keepAliveTimeoutThreshold: CLOSE_AHEAD_MS })
+    return { call: async call => await this.call({ ...call, daemon }, client), close: async () => { await client.destroy() } }
+  }
+
   /** Runs of all targets. */
   runs (): ReadonlyArray<{ readonly targetId: string, readonly requestId: string }> {
     return [...this.targets].flatMap(([targetId, { runs }]) => runs.map(({ requestId }) => ({ targetId, requestId })))
--- a/packages/standins/src/gateway/gatewayPath.spec.ts
+++ b/packages/standins/src/gateway/gatewayPath.spec.ts
@@ -2,6 +2,8 @@
 import { GatewayFleet } from './gatewayFleet.js'
 
 /** Sent more often than a limit of tries or a queue would hide a fault. */
+/** Time after the begin of leaving from which no request is taken, and some more. */
+const AFTER_TAKING_MS = 3_100
 const MANY = 30
 /** Ample for a failure to reach all daemons, and short against the time for which it is remembered. */
 const SPREAD_MS = 1_500
@@ -169,4 +171,21 @@
     expect((await Promise.all(calls)).map(({ status }) => status)).to.deep.equal([200, 200, 200, 200, 200])
     await drained
   })
+
+  it('takes no request so late while it leaves that it would have to cut it', async () => {
+    const target = await fleet.addTarget('t1', 's')
+    await fleet.addDaemon()
+    const kept = fleet.connect(0)
+    expect((await kept.call()).status).to.equal(200)
+    const drained = fleet.daemons[0]?.daemon.drain()
+    await fleet.clock.sleepMs(AFTER_TAKING_MS)
+    const before = target.runs.length
+    const late = await kept.call({ path: '/p/pay/late', method: 'POST', body: 'x' })
+    expect(late).to.include({ status: 503 })
+    expect(late.header('retry-after')).to.equal('0.05')
+    expect(late.header('connection')).to.equal('close')
+    expect(target.runs).to.have.length(before)
+    await kept.close()
+    await drained
+  })
 })
