--- a/packages/targets/src/connections/untilClose.spec.ts
+++ b/packages/targets/src/connections/untilClose.spec.ts
@@ -10,10 +10,10 @@
 const PART = 'HTTP/1.1 200 OK\r\n\r\nhalf'
 
 /** Sends a request to a target that answers without a length, and reads the body to its end. */
-const bodyOf = async (end: (socket: Socket) => void): Promise<string> => {
+const bodyOf = async (end: (socket: Socket) => void, part = PART): Promise<string> => {
   const server = createServer(socket => {
     socket.on('error', () => {})
-    socket.once('data', () => { socket.write(PART, () => { end(socket) }) })
+    socket.once('data', () => { socket.write(part, () => { end(socket) }) })
   }).listen(0, '127.0.0.1')
   await once(server, 'listening')
   const sender = ConnectionSender.create({ clock: ManualClock.create(), connectTimeoutMs: () => 1_000 })
@@ -42,4 +42,10 @@
   it('are broken when the reset comes together with the last bytes', async () => {
     expect(await bodyOf(socket => { socket.resetAndDestroy() })).to.be.oneOf(['broken', 'reset'])
   })
+
+  it('are no chunked ones that end before their last chunk, although the target announced the close', async () => {
+    const part = 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n'
+    expect(await bodyOf(socket => { socket.end() }, part)).to.equal('broken')
+    expect(await bodyOf(socket => { socket.end() }, `${part}0\r\n\r\n`)).to.equal('half')
+  })
 })
