Rank relays by the fitness that messages carry

Cause, found in the last read: a daemon ranked itself by its exact fitness and others by hundredths; with 0.333 of a core (0.666 and 0.67) the two relays of a zone would each have ranked themselves behind all others, so that nobody sent the zone's sums or read the listing first. Test: 'are the same to themselves and to the daemons that they tell'.

--- a/packages/peers/src/relay/relayFitness.spec.ts
+++ b/packages/peers/src/relay/relayFitness.spec.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from '@lovagehoist/common/testing'
 import type { InstanceRecord } from '@lovagehoist/common'
 import { fitnessOf } from './relayFitness.js'
+import { decodeMessage, encodeMessage } from './messages.js'
 import { RelayRoster } from './relayRoster.js'
 
 const record = (instanceId: string, relayFitness: number): InstanceRecord =>
@@ -21,4 +22,11 @@
     expect(fitnessOf({ cores: 0.25, linkMbps: 1_000 })).to.equal(0.5)
     expect(fitnessOf({ cores: 1, linkMbps: 10 })).to.equal(0.1)
   })
+
+  it('are the same to themselves and to the daemons that they tell', () => {
+    const relayFitness = fitnessOf({ cores: 0.333, linkMbps: 1_000 })
+    const from = record('a1', relayFitness)
+    const told = decodeMessage(encodeMessage({ type: 'zone', from, isFull: false, tallies: [], crashes: [] }))
+    expect(told?.from).to.deep.equal(from)
+  })
 })
--- a/packages/peers/src/relay/relayFitness.ts
+++ b/packages/peers/src/relay/relayFitness.ts
@@ -2,12 +2,13 @@
 const RELAY_CORES = 0.5
 /** Bandwidth that leaves most of the link to requests while all daemons of a zone get views. */
 const RELAY_MBPS = 100
+const HUNDREDTHS = 100
 
 /**
  * Tells how much of a relay's work a machine can carry.
  *
  * @param machine - Its processor share and link.
- * @returns From 0 to 1; 1 for all that have enough of both.
+ * @returns From 0 to 1; 1 for all that have enough of both. In hundredths, as messages carry it, so that all daemons rank alike.
  */
 export const fitnessOf = ({ cores, linkMbps }: { readonly cores: number, readonly linkMbps: number }): number =>
-  Math.min(1, cores / RELAY_CORES, linkMbps / RELAY_MBPS)
+  Math.round(Math.min(1, cores / RELAY_CORES, linkMbps / RELAY_MBPS) * HUNDREDTHS) / HUNDREDTHS
