--- a/packages/callers/src/accept/acceptRequest.ts
+++ b/packages/callers/src/accept/acceptRequest.ts
@@ -5,9 +5,10 @@
 import type { Clock, ConfigSource, EnvironmentDocument, HealthView, RouteConfig, ServiceConfig } from '@lovagehoist/common'
 import { identifyAccount } from '../accounts/identifyAccount.js'
 import type { Account } from '../accounts/identifyAccount.js'
-import type { Problem, ProblemKind } from '../answers/problem.js'
+import type { Problem } from '../answers/problem.js'
 import { outgoingHeaders, requestIdOf } from '../exchange/headers.js'
 import type { RouteTable } from '../routing/routeTable.js'
+import { callerSignal, hostOf, refuse, statedWaitMs } from './callerFacts.js'
 import type { Passage } from './passage.js'
 import { readBody } from './readBody.js'
 import type { BodyError } from './readBody.js'
@@ -37,10 +38,6 @@
 const HOST = 'host'
 const HTTP_VERSION = '1.1'
 const MAX_KEY_LENGTH = 255
-const DIGITS = /^\d{1,9}$/
-
-const refuse = (kind: ProblemKind, detail: string, retryAfterMs?: number): Problem =>
-  ({ kind, verdict: 'not-run', detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) })
 
 const BODY_PROBLEM: Readonly<Record<BodyError, Problem | undefined>> = {
   'too-large': refuse('request-too-large', 'the body is longer than the route allows'),
@@ -48,12 +45,8 @@
   'caller-gone': undefined
 }
 
-const timeoutOf = (document: EnvironmentDocument, route: RouteConfig, request: IncomingMessage): Result<number, Problem> => {
-  const wanted = request.headers[document.deadlineHeader.toLowerCase()]
-  if (wanted === undefined) return ok(route.timeoutMs)
-  if (typeof wanted !== 'string' || !DIGITS.test(wanted)) return err(refuse('malformed-request', `${document.deadlineHeader} must be a whole number of milliseconds`))
-  return ok(Math.min(Number(wanted), route.timeoutMs))
-}
+const timeoutOf = (document: EnvironmentDocument, route: RouteConfig, request: IncomingMessage): Result<number, Problem> =>
+  statedWaitMs(request, document.deadlineHeader).map(statedMs => Math.min(statedMs ?? Infinity, route.timeoutMs))
 
 const countHosts = ({ rawHeaders }: IncomingMessage): number => {
   let count = 0
@@ -71,7 +64,7 @@
   if (countHosts(request) !== 1) return err(refuse('malformed-request', 'the request must have exactly one Host field'))
   const path = parseRequestPath(request.url)
   if (path.isErr()) return err(refuse('malformed-request', path.error))
-  const host = (request.headers.host ?? '').replace(/:\d+$/, '').toLowerCase()
+  const host = hostOf(request)
   const route = routes.find(request.method ?? '', path.value.path, host)
   const service = route === undefined ? undefined : document.services[route.service]
   if (route === undefined || service === undefined) return err(refuse('unknown-route', 'the document names no such route'))
@@ -88,12 +81,6 @@
   return isUsable ? ok(key) : err(refuse('malformed-request', `${route.keyHeader} must have 1 to ${MAX_KEY_LENGTH} characters`))
 }
 
-const callerSignal = (response: ServerResponse): AbortSignal => {
-  const gone = new AbortController()
-  response.once('close', () => { if (!response.writableFinished) gone.abort() })
-  return gone.signal
-}
-
 /**
  * Accepts a request: checks it, identifies its route and account, and reads it whole.
  *
--- a/packages/callers/src/gateway/gatewayPassage.ts
+++ b/packages/callers/src/gateway/gatewayPassage.ts
@@ -2,6 +2,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewayRoute, RawHeaders } from '@lovagehoist/common'
+import { callerSignal, hostOf, refuse, statedWaitMs } from '../accept/callerFacts.js'
 import { readBody } from '../accept/readBody.js'
 import type { BodyError } from '../accept/readBody.js'
 import { parseRequestPath } from '../accept/requestPath.js'
@@ -53,37 +54,13 @@
 const LEAVING_RETRY_MS = 50
 /** Time taken for a caller's patience while no route is known that has a limit. */
 const UNSTATED_MS = 2_000
-const DIGITS = /^\d{1,9}$/
-const PORT = /:\d+$/
-
-const problem = (kind: Problem['kind'], detail: string, retryAfterMs?: number): Problem =>
-  ({ kind, verdict: 'not-run', detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) })
 
 const BODY_PROBLEM: Readonly<Record<BodyError, Problem | undefined>> = {
-  'too-large': problem('request-too-large', 'the body is longer than the configuration allows'),
-  'too-slow': problem('request-too-slow', 'the body did not arrive by the deadline'),
+  'too-large': refuse('request-too-large', 'the body is longer than the configuration allows'),
+  'too-slow': refuse('request-too-slow', 'the body did not arrive by the deadline'),
   'caller-gone': undefined
 }
 
-const callerSignal = (response: ServerResponse): AbortSignal => {
-  const gone = new AbortController()
-  response.once('close', () => { if (!response.writableFinished) gone.abort() })
-  return gone.signal
-}
-
-/** Time that the caller says it will wait; undefined when it says none, or nothing that can be read. */
-const statedMs = (request: IncomingMessage, headers: GatewayHeaders): number | undefined => {
-  const wanted = request.headers[headers.deadline]
-  return typeof wanted === 'string' && DIGITS.test(wanted) ? Number(wanted) : undefined
-}
-
-const waitMsOf = (request: IncomingMessage, headers: GatewayHeaders, route: GatewayRoute): Result<number, Problem> => {
-  if (request.headers[headers.deadline] === undefined) return ok(route.timeoutMs)
-  const wantedMs = statedMs(request, headers)
-  if (wantedMs === undefined) return err(problem('malformed-request', `${headers.deadline} must be a whole number of milliseconds`))
-  return ok(Math.min(wantedMs, route.timeoutMs))
-}
-
 /**
  * Names a request in logs and answers.
  *
@@ -107,19 +84,20 @@
 export const acceptGateway = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse): Promise<Result<GatewayPassage, Problem | undefined>> => {
   const receivedAtMs = options.clock.monotonicMs()
   const gone = callerSignal(response)
-  if (!options.departure.isTaking) return err(problem('leaving', 'this instance leaves and could not end the request', LEAVING_RETRY_MS))
-  await options.gate.pass(statedMs(request, options.headers) ?? UNSTATED_MS, gone)
+  if (!options.departure.isTaking) return err(refuse('leaving', 'this instance leaves and could not end the request', LEAVING_RETRY_MS))
+  const statedMs = statedWaitMs(request, options.headers.deadline)
+  await options.gate.pass(statedMs.unwrapOr(undefined) ?? UNSTATED_MS, gone)
   if (gone.aborted) return err(undefined)
   const inForce = options.config()
-  if (inForce === undefined) return err(problem('not-ready', 'no configuration is in force here yet', NOT_READY_RETRY_MS))
+  if (inForce === undefined) return err(refuse('not-ready', 'no configuration is in force here yet', NOT_READY_RETRY_MS))
   const { config, routes } = inForce
   const path = parseRequestPath(request.url)
-  if (path.isErr()) return err(problem('malformed-request', path.error))
-  const route = routes.find((request.headers.host ?? '').replace(PORT, '').toLowerCase(), path.value.path)
-  if (route === undefined) return err(problem('unknown-route', 'the configuration has no such route'))
-  const waitMs = waitMsOf(request, options.headers, route)
-  if (waitMs.isErr()) return err(waitMs.error)
-  const body = await readBody(request, { clock: options.clock, maxBytes: config.limits.maxBodyBytes, timeoutMs: waitMs.value })
+  if (path.isErr()) return err(refuse('malformed-request', path.error))
+  const route = routes.find(hostOf(request), path.value.path)
+  if (route === undefined) return err(refuse('unknown-route', 'the configuration has no such route'))
+  if (statedMs.isErr()) return err(statedMs.error)
+  const waitMs = Math.min(statedMs.value ?? Infinity, route.timeoutMs)
+  const body = await readBody(request, { clock: options.clock, maxBytes: config.limits.maxBodyBytes, timeoutMs: waitMs })
   if (body.isErr()) return err(BODY_PROBLEM[body.error])
   const service = options.shares.next(route)
   return ok({
@@ -135,7 +113,7 @@
     body: body.value,
     headers: endToEndHeaders(request, new Set([options.headers.deadline, options.headers.expectedTarget])),
     receivedAtMs,
-    answerByMs: receivedAtMs + waitMs.value,
+    answerByMs: receivedAtMs + waitMs,
     gone
   })
 }
--- a/packages/callers/src/gateway/poisonWatch.ts
+++ b/packages/callers/src/gateway/poisonWatch.ts
@@ -1,9 +1,6 @@
-import type { Clock } from '@lovagehoist/common'
+import type { Clock, CrashCounts } from '@lovagehoist/common'
 import { placementHash } from '@lovagehoist/common'
 
-/** How often requests with one fingerprint broke the connection of a target that ran them. */
-export type CrashCounts = ReadonlyArray<readonly [fingerprint: string, crashes: number]>
-
 /** Crashes after which a request is stopped. */
 const STOP_AFTER = 3
 /** Time for which crashes are remembered: such a request comes again within seconds. */
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -194,6 +194,9 @@
   readonly latencyMs: number
 }
 
+/** How often requests with one fingerprint broke the connection of a target that ran them. */
+export type CrashCounts = ReadonlyArray<readonly [fingerprint: string, crashes: number]>
+
 /** A value for a target. */
 export type ByTarget<T> = ReadonlyArray<readonly [targetId: string, value: T]>
 
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -1,3 +1,4 @@
+import { backoffMs } from '@lovagehoist/common'
 import type { Clock, ConfigReading, GatewayConfig, GatewayStore, Log, PlatformError, Random } from '@lovagehoist/common'
 
 /** What the follower needs. */
@@ -39,9 +40,6 @@
     return new GatewayConfigFollower(options)
   }
 
-  /** Configuration in force. */
-  readonly current = (): GatewayConfig | undefined => this.config
-
   /** Stored text of the configuration in force, for instances that can't reach the store. */
   readonly currentText = (): string | undefined => this.text
 
@@ -134,8 +132,7 @@
 
   private failed ({ kind, message }: PlatformError): number {
     if (this.failures++ === 0) this.options.log.warn('store lost for the configuration', { kind, detail: message, versionInForce: this.version })
-    const limitMs = Math.min(LAST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1))
-    return limitMs * (1 + this.options.random.next()) / 2
+    return backoffMs(this.options.random, this.failures, FIRST_RETRY_MS, LAST_RETRY_MS)
   }
 
   private regained (): void {
--- a/packages/peers/src/relay/crashLedger.ts
+++ b/packages/peers/src/relay/crashLedger.ts
@@ -1,7 +1,4 @@
-import type { Clock } from '@lovagehoist/common'
-
-/** Counts by fingerprint. */
-export type Counts = ReadonlyArray<readonly [fingerprint: string, count: number]>
+import type { Clock, CrashCounts } from '@lovagehoist/common'
 
 /** Time after which a silent source is forgotten. */
 const MEMORY_MS = 60_000
@@ -33,7 +30,7 @@
    * @param source - Daemon or zone.
    * @param counts - All its counts.
    */
-  take (source: string, counts: Counts): void {
+  take (source: string, counts: CrashCounts): void {
     if (counts.length > 0) this.sources.set(source, { counts: new Map(counts), atMs: this.clock.monotonicMs() })
   }
 
@@ -43,7 +40,7 @@
    * @param isIncluded - Which sources.
    * @returns The sums.
    */
-  sums (isIncluded: (source: string) => boolean = () => true): Counts {
+  sums (isIncluded: (source: string) => boolean = () => true): CrashCounts {
     const sums = new Map<string, number>()
     const limitMs = this.clock.monotonicMs() - MEMORY_MS
     for (const [name, { counts, atMs }] of this.sources) {
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -1,5 +1,4 @@
-import type { ByTarget, FleetReading, InstanceRecord, TargetTally } from '@lovagehoist/common'
-import type { Counts } from './crashLedger.js'
+import type { ByTarget, CrashCounts, FleetReading, InstanceRecord, TargetTally } from '@lovagehoist/common'
 
 /** What a daemon holds of the configuration and the list of targets. */
 export interface HeldFacts {
@@ -24,7 +23,7 @@
   readonly uptimeMs: number
   readonly tallies: ByTarget<TargetTally>
   /** Requests that broke connections of targets, by fingerprint. */
-  readonly crashes: Counts
+  readonly crashes: CrashCounts
 }
 
 /** The relay of a zone tells the relays of other zones the sums of its zone. */
@@ -33,7 +32,7 @@
   readonly from: InstanceRecord
   readonly isFull: boolean
   readonly tallies: ByTarget<TargetTally>
-  readonly crashes: Counts
+  readonly crashes: CrashCounts
 }
 
 /** A relay tells those that report to it what the fleet knows. */
@@ -43,7 +42,7 @@
   readonly facts: HeldFacts
   /** Readings that changed. */
   readonly readings: ByTarget<FleetReading>
-  readonly crashes: Counts
+  readonly crashes: CrashCounts
   /** Daemons heard lately; empty when they are left out. */
   readonly members: readonly InstanceRecord[]
 }
@@ -56,15 +55,15 @@
 const PERCENT = 100
 
 const packInstance = ({ instanceId, startId, host, availabilityZone, relayFitness }: InstanceRecord): readonly unknown[] =>
-  [instanceId, startId, host, availabilityZone, Math.round(relayFitness * PERCENT)]
+  [instanceId, startId, host, availabilityZone, relayFitness]
 
 const unpackInstance = (value: unknown): InstanceRecord => {
   if (!Array.isArray(value) || value.length !== 5) throw new TypeError('an instance has five parts')
   const texts = value.slice(0, 4) as readonly unknown[]
-  const fitness: unknown = value[4]
-  if (!texts.every(part => typeof part === 'string') || typeof fitness !== 'number') throw new TypeError('an instance is four texts and a number')
+  const relayFitness: unknown = value[4]
+  if (!texts.every(part => typeof part === 'string') || typeof relayFitness !== 'number') throw new TypeError('an instance is four texts and a number')
   const [instanceId = '', startId = '', host = '', availabilityZone = ''] = texts as readonly string[]
-  return { instanceId, startId, host, availabilityZone, relayFitness: fitness / PERCENT }
+  return { instanceId, startId, host, availabilityZone, relayFitness }
 }
 
 const packTally = ([id, tally]: ByTarget<TargetTally>[number]): Row =>
@@ -88,9 +87,9 @@
   return value as readonly Row[]
 }
 
-const packCrashes = (crashes: Counts): Params => crashes.length === 0 ? {} : { crashes }
+const packCrashes = (crashes: CrashCounts): Params => crashes.length === 0 ? {} : { crashes }
 
-const unpackCrashes = (value: unknown): Counts =>
+const unpackCrashes = (value: unknown): CrashCounts =>
   value === undefined ? [] : unpackRows(value).map(([fingerprint, count = 0]) => [fingerprint, count])
 
 const unpackFacts = (value: unknown): HeldFacts => {
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -1,6 +1,5 @@
-import type { ByTarget, CancelTimer, Clock, FleetReading, InstanceRecord, Log, TargetTally } from '@lovagehoist/common'
+import type { ByTarget, CancelTimer, Clock, CrashCounts, FleetReading, InstanceRecord, Log, TargetTally } from '@lovagehoist/common'
 import { CrashLedger } from './crashLedger.js'
-import type { Counts } from './crashLedger.js'
 import type { Datagrams } from './datagrams.js'
 import { decodeMessage, encodeMessage } from './messages.js'
 import type { FleetView, HeldFacts, RelayMessage, Report, ZoneSums } from './messages.js'
@@ -29,8 +28,8 @@
 
 /** Requests that break connections of targets, as this daemon and the fleet see them. */
 export interface CrashExchange {
-  readonly takeCrashes: () => Counts
-  readonly takeFleetCrashes: (counts: Counts) => void
+  readonly takeCrashes: () => CrashCounts
+  readonly takeFleetCrashes: (counts: CrashCounts) => void
 }
 
 /** What a relay node needs. */
@@ -151,8 +150,9 @@
   private tick (isUrgent = false): void {
     const nowMs = this.options.clock.monotonicMs()
     this.reportIfDue(nowMs)
-    if (this.reporters.size > 0 || this.relayRank >= 0) this.publishIfDue(nowMs, isUrgent)
-    if (this.relayRank === 0) this.sumIfDue(nowMs, isUrgent)
+    const rank = this.relayRank
+    if (this.reporters.size > 0 || rank >= 0) this.publishIfDue(nowMs, isUrgent)
+    if (rank === 0) this.sumIfDue(nowMs, isUrgent)
   }
 
   private reportIfDue (nowMs: number): void {
--- a/packages/peers/src/transport/httpTransport.ts
+++ b/packages/peers/src/transport/httpTransport.ts
@@ -3,7 +3,7 @@
 import { createServer as createTlsServer } from 'node:https'
 import type { Server as TlsServer } from 'node:https'
 import type { AddressInfo } from 'node:net'
-import { withinMs } from '@lovagehoist/common'
+import { untilListening, withinMs } from '@lovagehoist/common'
 import type { Clock, Log } from '@lovagehoist/common'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -101,10 +101,7 @@
     server.on('tlsClientError', (error: Error) => { this.refuse(error) })
     const app = polka({ server: server as Server })
     app.post(PATH, async (message: IncomingMessage, response: ServerResponse) => { await this.serve(message, response) })
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      app.listen(port, host, () => { resolve() })
-    })
+    await untilListening(server, onListening => { app.listen(port, host, onListening) })
     this.server = server
     return (server.address() as AddressInfo).port
   }
--- a/packages/standins/src/network/relay.ts
+++ b/packages/standins/src/network/relay.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { untilListening } from '@lovagehoist/common'
 import type { Clock } from '@lovagehoist/common'
 
 /** Fault of the link from one source address to the relayed listener. */
@@ -43,10 +44,7 @@
   static async create (clock: Clock, host: string): Promise<Relay> {
     const server = createServer({ allowHalfOpen: false })
     const relay = new Relay(server, clock)
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(0, host, () => { resolve() })
-    })
+    await untilListening(server, onListening => { server.listen(0, host, onListening) })
     return relay
   }
 
--- a/packages/standins/src/soak/gateway/gatewayFaults.ts
+++ b/packages/standins/src/soak/gateway/gatewayFaults.ts
@@ -1,9 +1,10 @@
 import type { AnswerManner } from '../../gateway/gatewayTarget.js'
 import type { StoreTrouble } from '../../gateway/rowStoreStandin.js'
-import type { LinkFault } from '../../network/relay.js'
+import type { LinkFault, Relay } from '../../network/relay.js'
 import type { EndFault, StartFault } from '../faultLoop.js'
 import { SERVICES } from './soakFleet.js'
 import type { SoakFleet, SoakInstance, SoakTarget } from './soakFleet.js'
+import type { Troubles } from './troubles.js'
 
 type Fault = StartFault<SoakFleet>
 
@@ -21,47 +22,38 @@
 
 const pickOne = <T>({ random }: SoakFleet, items: readonly T[]): T | undefined => items.length === 0 ? undefined : items[random.int(items.length)]
 
-const answering = (manner: AnswerManner, share: number): Fault => async fleet => {
-  const chosen = pickOne(fleet, fleet.targets)
-  if (chosen === undefined) return nothing
-  const calm = chosen.troubles.begin()
-  Object.assign(chosen.target, { manner, mannerShare: share })
+/** Puts something in trouble until the fault ends. */
+const trouble = (troubles: Troubles, set: () => void, restore: () => void): EndFault => {
+  const calm = troubles.begin()
+  set()
   return async () => {
-    Object.assign(chosen.target, { manner: 'well', mannerShare: 1 })
+    restore()
     calm()
   }
 }
 
-const targetLink = (fault: Partial<LinkFault>): Fault => async fleet => {
+const answering = (manner: AnswerManner, share: number): Fault => async fleet => {
   const chosen = pickOne(fleet, fleet.targets)
   if (chosen === undefined) return nothing
-  const calm = chosen.troubles.begin()
-  chosen.relay.set(LOOPBACK, fault)
-  return async () => {
-    chosen.relay.set(LOOPBACK, {})
-    calm()
-  }
+  const { target, troubles } = chosen
+  return trouble(troubles, () => { Object.assign(target, { manner, mannerShare: share }) }, () => { Object.assign(target, { manner: 'well', mannerShare: 1 }) })
+}
+
+const onLink = (relay: Relay, troubles: Troubles, fault: Partial<LinkFault>): EndFault =>
+  trouble(troubles, () => { relay.set(LOOPBACK, fault) }, () => { relay.set(LOOPBACK, {}) })
+
+const targetLink = (fault: Partial<LinkFault>): Fault => async fleet => {
+  const chosen = pickOne(fleet, fleet.targets)
+  return chosen === undefined ? nothing : onLink(chosen.relay, chosen.troubles, fault)
 }
 
 const storeLink = (fault: Partial<LinkFault>): Fault => async fleet => {
   const chosen = pickOne(fleet, fleet.instances)
-  if (chosen === undefined) return nothing
-  const calm = chosen.troubles.begin()
-  chosen.storeRelay.set(LOOPBACK, fault)
-  return async () => {
-    chosen.storeRelay.set(LOOPBACK, {})
-    calm()
-  }
+  return chosen === undefined ? nothing : onLink(chosen.storeRelay, chosen.troubles, fault)
 }
 
-const store = (trouble: StoreTrouble): Fault => async fleet => {
-  const calm = fleet.storeTroubles.begin()
-  fleet.store.setTrouble(trouble)
-  return async () => {
-    fleet.store.setTrouble('none')
-    calm()
-  }
-}
+const store = (kind: StoreTrouble): Fault => async ({ store: standin, storeTroubles }) =>
+  trouble(storeTroubles, () => { standin.setTrouble(kind) }, () => { standin.setTrouble('none') })
 
 /** Takes a target out of its service for good; undefined when too few would be left. */
 const takeTarget = (fleet: SoakFleet): SoakTarget | undefined => {
@@ -160,12 +152,7 @@
   daemonIsPaused: async fleet => {
     const chosen = pickOne(fleet, spared(fleet))
     if (chosen === undefined) return nothing
-    const calm = chosen.troubles.begin()
-    chosen.process.signal('SIGSTOP')
-    return async () => {
-      chosen.process.signal('SIGCONT')
-      calm()
-    }
+    return trouble(chosen.troubles, () => { chosen.process.signal('SIGSTOP') }, () => { chosen.process.signal('SIGCONT') })
   },
   daemonRereadsSettings: async fleet => {
     pickOne(fleet, spared(fleet))?.process.signal('SIGHUP')
--- a/packages/targets/src/roster/listingFollower.ts
+++ b/packages/targets/src/roster/listingFollower.ts
@@ -1,3 +1,4 @@
+import { backoffMs } from '@lovagehoist/common'
 import type { Clock, GatewayStore, Log, PlatformError, Random } from '@lovagehoist/common'
 import type { TargetRoster } from './targetRoster.js'
 
@@ -80,7 +81,6 @@
     const { clock, random, log, roster } = this.options
     const nowMs = clock.monotonicMs()
     if (this.failures++ === 0) log.warn('store lost for the listing of targets', { kind, detail: message, listingAgeMs: Math.round(nowMs - roster.confirmedAtMs) })
-    const pauseMs = Math.min(LAST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1))
-    this.notBeforeMs = nowMs + pauseMs * (1 + random.next()) / 2
+    this.notBeforeMs = nowMs + backoffMs(random, this.failures, FIRST_RETRY_MS, LAST_RETRY_MS)
   }
 }
