--- /dev/null
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -0,0 +1,191 @@
+import { SeededRandom, silentLog } from '@lovagehoist/common'
+import type { AttemptOutcome, ListedTarget, Random } from '@lovagehoist/common'
+import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
+import { FleetStatsAggregator } from '../load/fleetStatsAggregator.js'
+import { TargetStatsTracker } from '../load/targetStatsTracker.js'
+import { LowestCostSelector } from '../placing/lowestCostSelector.js'
+import { TargetRegistry } from '../registry/targetRegistry.js'
+
+/** One availability zone of a simulated fleet that serves one service. */
+export interface SimulatedZone {
+  readonly daemons: number
+  readonly targets: number
+  readonly requestsPerSecond: number
+}
+
+/** Load and faults of a simulation. */
+export interface SimulationOptions {
+  readonly seed: number
+  readonly zones: readonly SimulatedZone[]
+  readonly isIdempotent: boolean
+  readonly seconds: number
+  /** Probability that a healthy target answers a request with an error once the work is done. */
+  readonly errorShare: number
+  /** Whether a daemon is running, by its zone, its index there and the time. */
+  readonly isRunning?: (zone: number, daemon: number, atMs: number) => boolean
+}
+
+interface SimulatedDaemon {
+  readonly name: string
+  readonly zone: number
+  readonly index: number
+  readonly tracker: TargetStatsTracker
+  readonly selector: LowestCostSelector
+}
+
+interface SimulatedEvent {
+  readonly atMs: number
+  readonly run: () => void
+}
+
+const SERVICE = 's'
+const MIN_WORK_MS = 240
+const MAX_WORK_MS = 720
+const TIME_LIMIT_MS = 6_000
+/** Intervals of the exchange between daemons; urgent changes travel at once. */
+const ZONE_EXCHANGE_MS = 150
+const CROSS_ZONE_EXCHANGE_MS = 800
+const URGENT_DELAY_MS = 10
+
+/** Runs the selectors of a whole fleet against simulated targets in virtual time. */
+export class SimulatedFleet {
+  /** Times of the requests that each target received. */
+  readonly arrivals = new Map<string, number[]>()
+  failedCount = 0
+  requestCount = 0
+  private readonly clock = ManualClock.create()
+  private readonly random: Random
+  private readonly events: SimulatedEvent[] = []
+  private readonly daemons: readonly SimulatedDaemon[]
+  private readonly aggregators: readonly FleetStatsAggregator[]
+  private readonly urgentZones = new Set<number>()
+
+  private constructor (private readonly options: SimulationOptions) {
+    this.random = SeededRandom.create(options.seed)
+    const targets = options.zones.flatMap(({ targets }, zone) => Array.from({ length: targets }, (_, index) => this.createTarget(zone, index)))
+    const registry = TargetRegistry.create({ clock: this.clock, log: silentLog, onForget: () => {} })
+    registry.apply({ storeVersion: 1, targets, skipped: [] }, 0)
+    this.aggregators = options.zones.map(() => FleetStatsAggregator.create(this.clock))
+    this.daemons = options.zones.flatMap(({ daemons }, zone) => Array.from({ length: daemons }, (_, index) => this.createDaemon(registry, zone, index)))
+  }
+
+  /**
+   * Runs a simulation to its end.
+   *
+   * @param options - Load and faults.
+   * @returns The fleet with the requests that its targets received.
+   */
+  static run (options: SimulationOptions): SimulatedFleet {
+    const fleet = new SimulatedFleet(options)
+    fleet.runEvents()
+    return fleet
+  }
+
+  /**
+   * Returns the smallest share of targets that received a request within any window of the given length.
+   *
+   * @param fromMs - Start of the first window.
+   * @param toMs - End of the last window.
+   * @param windowMs - Length of a window.
+   */
+  lowestUsedShare (fromMs: number, toMs: number, windowMs: number): number {
+    let lowest = 1
+    for (let startMs = fromMs; startMs + windowMs <= toMs; startMs += 100) {
+      const used = [...this.arrivals.values()].filter(times => times.some(atMs => atMs >= startMs && atMs < startMs + windowMs))
+      lowest = Math.min(lowest, used.length / this.arrivals.size)
+    }
+    return lowest
+  }
+
+  private createTarget (zone: number, index: number): ListedTarget {
+    const id = `${zone}-${index}`
+    this.arrivals.set(id, [])
+    return { ...fakeTarget(id), service: SERVICE, availabilityZone: String(zone), coldForMs: 0 }
+  }
+
+  private createDaemon (registry: TargetRegistry, zone: number, index: number): SimulatedDaemon {
+    const connected = new Set<string>()
+    const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf)
+    const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), hasIdle: id => connected.has(id) || connected.add(id).size < 0 })
+    tracker.onChange(isUrgent => { if (isUrgent) this.exchangeSoon(zone) })
+    return { name: `${zone}-${index}`, zone, index, tracker, selector }
+  }
+
+  private runEvents (): void {
+    this.options.zones.forEach((_, zone) => { this.arrive(zone) })
+    this.repeat(ZONE_EXCHANGE_MS, () => { this.options.zones.forEach((_, zone) => { this.exchangeInZone(zone) }) })
+    this.repeat(CROSS_ZONE_EXCHANGE_MS, () => { this.exchangeBetweenZones() })
+    for (let event = this.takeNext(); event !== undefined && event.atMs < this.options.seconds * 1_000; event = this.takeNext()) {
+      this.clock.jumpMs(event.atMs - this.clock.monotonicMs())
+      event.run()
+    }
+  }
+
+  private takeNext (): SimulatedEvent | undefined {
+    const earliestMs = Math.min(...this.events.map(({ atMs }) => atMs))
+    return this.events.splice(this.events.findIndex(({ atMs }) => atMs === earliestMs), 1)[0]
+  }
+
+  private schedule (delayMs: number, run: () => void): void {
+    this.events.push({ atMs: this.clock.monotonicMs() + delayMs, run })
+  }
+
+  private repeat (intervalMs: number, run: () => void): void {
+    this.schedule(intervalMs, () => {
+      run()
+      this.repeat(intervalMs, run)
+    })
+  }
+
+  private runningDaemons (zone: number): readonly SimulatedDaemon[] {
+    const { isRunning = () => true } = this.options
+    return this.daemons.filter(daemon => daemon.zone === zone && isRunning(zone, daemon.index, this.clock.monotonicMs()))
+  }
+
+  private arrive (zone: number): void {
+    const { zones } = this.options
+    this.schedule(-Math.log(1 - this.random.next()) * 1_000 / (zones[zone]?.requestsPerSecond ?? 0), () => {
+      this.arrive(zone)
+      const running = this.runningDaemons(zone)
+      const daemon = running[this.random.int(Math.max(1, running.length))]
+      this.requestCount++
+      if (daemon !== undefined) this.send(daemon)
+    })
+  }
+
+  private send ({ selector }: SimulatedDaemon): void {
+    const { isIdempotent, errorShare } = this.options
+    const sentAtMs = this.clock.monotonicMs()
+    const choice = selector.choose({ service: SERVICE, isIdempotent, hasHigherPriorityTraffic: false, triedTargetIds: new Set(), deadlineAtMs: sentAtMs + TIME_LIMIT_MS })
+    if (choice.type !== 'chosen') return
+    this.arrivals.get(choice.target.id)?.push(sentAtMs)
+    const outcome: AttemptOutcome = this.random.next() < errorShare ? 'failed' : 'succeeded'
+    if (outcome === 'failed') this.failedCount++
+    this.schedule(MIN_WORK_MS + (MAX_WORK_MS - MIN_WORK_MS) * this.random.next(), () => { choice.attempt.end(outcome, this.clock.monotonicMs() - sentAtMs) })
+  }
+
+  private exchangeSoon (zone: number): void {
+    if (this.urgentZones.has(zone)) return
+    this.urgentZones.add(zone)
+    this.schedule(URGENT_DELAY_MS, () => {
+      this.urgentZones.delete(zone)
+      this.exchangeInZone(zone)
+    })
+  }
+
+  private exchangeInZone (zone: number): void {
+    const aggregator = this.aggregators[zone]
+    if (aggregator === undefined) return
+    const daemons = this.runningDaemons(zone)
+    for (const { name, tracker } of daemons) aggregator.applyDaemonReport(name, tracker.collectCounters(), true, this.clock.monotonicMs())
+    aggregator.sweep()
+    for (const { tracker } of daemons) tracker.applyFleetStats(aggregator.targetStats())
+  }
+
+  private exchangeBetweenZones (): void {
+    this.aggregators.forEach((from, zone) => {
+      if (this.runningDaemons(zone).length === 0) return
+      for (const to of this.aggregators) if (to !== from) to.applyZoneReport(String(zone), from.ownZoneCounters(), true)
+    })
+  }
+}
