--- a/packages/targets/src/placing/targetUse.load.spec.ts
+++ b/packages/targets/src/placing/targetUse.load.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { SimulatedFleet } from '../testing/simulatedFleet.js'
-import type { SimulatedZone, SimulationOptions } from '../testing/simulatedFleet.js'
+import type { DaemonPosition, SimulatedZone, SimulationOptions } from '../testing/simulatedFleet.js'
 
 const SEEDS = [1, 2, 3, 4, 5]
 const WINDOW_MS = 2_000
@@ -31,13 +31,13 @@
 
   it('keeps targets in use after the loss of most daemons', () => {
     const lostAtMs = 8_000
-    const isRunning = (zone: number, daemon: number, atMs: number): boolean => atMs < lostAtMs || daemon < 5
+    const isRunning = ({ index }: DaemonPosition, atMs: number): boolean => atMs < lostAtMs || index < 5
     expect(lowestUsedShare({ zones: PAYOUTS, isIdempotent: false, errorShare: 0.012, isRunning })).to.be.at.least(REQUIRED_USED_SHARE)
   })
 
   it('uses the targets of a zone that lost all its daemons', () => {
     const lostAtMs = 8_000
-    const isRunning = (zone: number, daemon: number, atMs: number): boolean => atMs < lostAtMs || zone !== 0
+    const isRunning = ({ zone }: DaemonPosition, atMs: number): boolean => atMs < lostAtMs || zone !== 0
     expect(lowestUsedShare({ zones: PAYOUTS, isIdempotent: false, errorShare: 0.012, isRunning }, lostAtMs + 1_000)).to.be.at.least(REQUIRED_USED_SHARE)
   })
 })
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -13,6 +13,12 @@
   readonly requestsPerSecond: number
 }
 
+/** Index of a daemon's zone, and of the daemon in its zone. */
+export interface DaemonPosition {
+  readonly zone: number
+  readonly index: number
+}
+
 /** Load and faults of a simulation. */
 export interface SimulationOptions {
   readonly seed: number
@@ -21,14 +27,13 @@
   readonly seconds: number
   /** Probability that a healthy target answers a request with an error once the work is done. */
   readonly errorShare: number
-  /** Whether a daemon is running, by its zone, its index there and the time. */
-  readonly isRunning?: (zone: number, daemon: number, atMs: number) => boolean
+  /** Whether a daemon is running at a time; all are by default. */
+  readonly isRunning?: (daemon: DaemonPosition, atMs: number) => boolean
 }
 
-interface SimulatedDaemon {
+interface SimulatedDaemon extends DaemonPosition {
   readonly name: string
-  readonly zone: number
-  readonly index: number
+  readonly connectedIds: Set<string>
   readonly tracker: TargetStatsTracker
   readonly selector: LowestCostSelector
 }
@@ -104,11 +109,11 @@
   }
 
   private createDaemon (registry: TargetRegistry, zone: number, index: number): SimulatedDaemon {
-    const connected = new Set<string>()
+    const connectedIds = new Set<string>()
     const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf)
-    const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), hasIdle: id => connected.has(id) || connected.add(id).size < 0 })
+    const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), hasIdle: id => connectedIds.has(id) })
     tracker.onChange(isUrgent => { if (isUrgent) this.exchangeSoon(zone) })
-    return { name: `${zone}-${index}`, zone, index, tracker, selector }
+    return { name: `${zone}-${index}`, zone, index, connectedIds, tracker, selector }
   }
 
   private runEvents (): void {
@@ -139,7 +144,7 @@
 
   private runningDaemons (zone: number): readonly SimulatedDaemon[] {
     const { isRunning = () => true } = this.options
-    return this.daemons.filter(daemon => daemon.zone === zone && isRunning(zone, daemon.index, this.clock.monotonicMs()))
+    return this.daemons.filter(daemon => daemon.zone === zone && isRunning(daemon, this.clock.monotonicMs()))
   }
 
   private arrive (zone: number): void {
@@ -153,11 +158,12 @@
     })
   }
 
-  private send ({ selector }: SimulatedDaemon): void {
+  private send ({ selector, connectedIds }: SimulatedDaemon): void {
     const { isIdempotent, errorShare } = this.options
     const sentAtMs = this.clock.monotonicMs()
     const choice = selector.choose({ service: SERVICE, isIdempotent, hasHigherPriorityTraffic: false, triedTargetIds: new Set(), deadlineAtMs: sentAtMs + TIME_LIMIT_MS })
     if (choice.type !== 'chosen') return
+    connectedIds.add(choice.target.id)
     this.arrivals.get(choice.target.id)?.push(sentAtMs)
     const outcome: AttemptOutcome = this.random.next() < errorShare ? 'failed' : 'succeeded'
     if (outcome === 'failed') this.failedCount++
