Probe targets by the time since the fleet last sent them a request

Callers saw (rule FLOOR): after the loss of daemons, requests fail, and targets that these daemons had used stay without requests; those of a zone that lost all its daemons get none from the other zones. Cause: idle time was the time since the statistics of a target last changed, and these change also while an estimate fades, without a request; an idle target got one request in eight, only after a second, and never from another zone. Now the statistics carry the time since the last request of any daemon. The first request to an idle target is told at once, to other zones too, so that not every daemon probes. Retries are no probes.

New cases: idle time (tracker, aggregator), urgent reports (aggregator, relay node), burst at an idle target. A row without an idle time, from a daemon of the earlier version, means a request just now, as before.

--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -195,6 +195,8 @@
   readonly refusalShare: number
   /** Root mean square of the recent latencies of succeeded requests; 0 when unknown. */
   readonly latencyMs: number
+  /** Time since the last request of any daemon was sent to the target. */
+  readonly idleMs: number
 }
 
 /** Number of connections to targets that broke while running requests with one fingerprint. */
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -73,10 +73,10 @@
   [id, { inProgress, succeeded, failed, failedLate, failedEarly, refused, latencySquares }]
 
 const encodeStats = ([id, targetStats]: PerTarget<FleetTargetStats>[number]): Row =>
-  [id, targetStats.inProgress, Math.round(targetStats.failingChance * PERCENT), Math.round(targetStats.refusalShare * PERCENT), Math.round(targetStats.latencyMs)]
+  [id, targetStats.inProgress, Math.round(targetStats.failingChance * PERCENT), Math.round(targetStats.refusalShare * PERCENT), Math.round(targetStats.latencyMs), Math.round(targetStats.idleMs)]
 
-const decodeStats = ([id, inProgress = 0, failing = 0, refusal = 0, latencyMs = 0]: Row): PerTarget<FleetTargetStats>[number] =>
-  [id, { inProgress, failingChance: failing / PERCENT, refusalShare: refusal / PERCENT, latencyMs }]
+const decodeStats = ([id, inProgress = 0, failing = 0, refusal = 0, latencyMs = 0, idleMs = 0]: Row): PerTarget<FleetTargetStats>[number] =>
+  [id, { inProgress, failingChance: failing / PERCENT, refusalShare: refusal / PERCENT, latencyMs, idleMs }]
 
 const decodeRows = (value: unknown): readonly Row[] => {
   if (!Array.isArray(value)) throw new TypeError('rows must be an array')
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -75,6 +75,8 @@
 /** With more targets, one repeat in this many is a full report. */
 const REPEATS_PER_FULL_REPORT = 10
 const MEMBERS_INTERVAL_MS = 1_000
+/** Later requests to a target are sent again once the time of the last one differs by this much. */
+const LAST_SENT_RESOLUTION_MS = 300
 /** Distinguishes zones from daemons among the sources of crash counts. */
 const ZONE_SOURCE_PREFIX = 'zone '
 /** Time after its last report for which a daemon is sent views. */
@@ -227,15 +229,15 @@
   /** Stats that differ from those last sent, after rounding; stats with requests in progress are also repeated periodically. */
   private changedStats (nowMs: number): PerTarget<FleetTargetStats> {
     const isRepeat = nowMs - this.lastSentMs.members >= MEMBERS_INTERVAL_MS
-    return this.options.fleetStats.targetStats().filter(([targetId, { inProgress, failingChance, refusalShare, latencyMs }]) => {
-      const rounded = `${inProgress} ${failingChance.toFixed(1)} ${refusalShare.toFixed(1)} ${Math.round(latencyMs / 50)}`
+    return this.options.fleetStats.targetStats().filter(([targetId, { inProgress, failingChance, refusalShare, latencyMs, idleMs }]) => {
+      const rounded = `${inProgress} ${failingChance.toFixed(1)} ${refusalShare.toFixed(1)} ${Math.round(latencyMs / 50)} ${Math.floor((nowMs - idleMs) / LAST_SENT_RESOLUTION_MS)}`
       const isChanged = this.sentStats.get(targetId) !== rounded
       this.sentStats.set(targetId, rounded)
       return isChanged || (isRepeat && inProgress > 0)
     })
   }
 
-  /** Sends the totals of this zone to other zones: new failures at once, other changes once per interval. */
+  /** Sends the totals of this zone to other zones: new failures and targets that are in use again at once, other changes once per interval. */
   private sendZoneTotalsIfDue (nowMs: number, isUrgent: boolean): void {
     const lastSent = this.lastSentMs
     const isDue = nowMs - lastSent.zone >= ZONE_TOTALS_INTERVAL_MS
@@ -244,7 +246,8 @@
     const counters = this.options.fleetStats.ownZoneCounters().filter(([targetId, targetCounters]) => {
       const previous = this.sentTotals.get(targetId)
       const hasFailed = targetCounters.failed + targetCounters.failedEarly > (previous === undefined ? 0 : previous.failed + previous.failedEarly)
-      const isSent = isFull || hasFailed || (isDue && JSON.stringify(previous) !== JSON.stringify(targetCounters))
+      const isInUseAgain = previous?.inProgress === 0 && targetCounters.inProgress > 0
+      const isSent = isFull || hasFailed || isInUseAgain || (isDue && JSON.stringify(previous) !== JSON.stringify(targetCounters))
       if (isSent) this.sentTotals.set(targetId, targetCounters)
       return isSent
     })
--- a/packages/targets/src/load/fleetStatsAggregator.spec.ts
+++ b/packages/targets/src/load/fleetStatsAggregator.spec.ts
@@ -67,6 +67,27 @@
     expect(aggregator.targetStats()[0]?.[1].inProgress).to.equal(3)
   })
 
+  it('measures idle time from the last request sent, not from the last change of the estimate', () => {
+    const clock = ManualClock.create()
+    const aggregator = FleetStatsAggregator.create(clock)
+    aggregator.applyDaemonReport('d1', [], true)
+    aggregator.applyDaemonReport('d1', [['t1', countersOf({ inProgress: 1 })]], false)
+    clock.jumpMs(500)
+    aggregator.applyDaemonReport('d1', [['t1', countersOf({ failed: 1 })]], false)
+    clock.jumpMs(700)
+    expect(aggregator.targetStats()[0]?.[1].idleMs).to.equal(1_200)
+  })
+
+  it('reports the first request to an idle target as urgent, so that other daemons do not probe it too', () => {
+    const clock = ManualClock.create()
+    const aggregator = FleetStatsAggregator.create(clock)
+    aggregator.applyDaemonReport('d1', [], true)
+    expect(aggregator.applyDaemonReport('d1', [['t1', countersOf({ inProgress: 1 })]], false)).to.equal(true)
+    expect(aggregator.applyDaemonReport('d1', [['t1', countersOf({ inProgress: 2 })]], false)).to.equal(false)
+    clock.jumpMs(1_500)
+    expect(aggregator.applyDaemonReport('d1', [['t1', countersOf({ inProgress: 3 })]], false)).to.equal(true)
+  })
+
   it('reports sums of its own zone only', () => {
     const aggregator = FleetStatsAggregator.create(ManualClock.create())
     aggregator.applyDaemonReport('d1', [], true)
--- a/packages/targets/src/load/fleetStatsAggregator.ts
+++ b/packages/targets/src/load/fleetStatsAggregator.ts
@@ -18,6 +18,8 @@
 const SOURCE_TIMEOUT_MS = 2_500
 /** Uptime up to which everything a process has counted is recent. */
 const RECENT_START_MS = 10_000
+/** Idle time after which a request to a target is reported at once, because all daemons are about to probe it. */
+export const REACTIVATION_IDLE_MS = 800
 const ZERO_COUNTERS: TargetCounters = { inProgress: 0, succeeded: 0, failed: 0, failedLate: 0, failedEarly: 0, refused: 0, latencySquares: 0 }
 const NO_REFUSALS: RefusalShare = { share: 0, atMs: 0 }
 
@@ -43,6 +45,10 @@
 
 const hasFailures = (deltas: PerTarget<TargetCounters>): boolean => deltas.some(([, { failed, failedEarly }]) => failed + failedEarly > 0)
 
+/** Requests sent since the previous report: those that ended and the increase of those in progress. */
+const sentSince = ({ inProgress, succeeded, failed, failedLate, failedEarly, refused }: TargetCounters): number =>
+  inProgress + succeeded + failed + failedLate + failedEarly + refused
+
 /** Aggregates the counters that daemons of the own zone and relays of other zones report for each target. */
 export class FleetStatsAggregator {
   /** Daemons of the own zone by start ID. */
@@ -54,6 +60,7 @@
   /** Means of squared latencies, so that fast requests don't hide the slow ones, which occupy the slots. */
   private readonly latencies = new Map<string, RecentMean>()
   private readonly refusals = new Map<string, RefusalShare>()
+  private readonly lastSentAtMs = new Map<string, number>()
   /** Totals of the own zone's outcomes since this aggregator was created. */
   private readonly totals = new Map<string, TargetCounters>()
 
@@ -79,15 +86,16 @@
    * @param counters - Counters that changed, or all counters.
    * @param isFull - Whether the report contains all counters.
    * @param uptimeMs - Uptime of the process; everything a recently started process has counted is recent.
-   * @returns Whether the report contains new failures.
+   * @returns Whether the report is urgent: it contains new failures, or requests to a target that got none for a while.
    */
   applyDaemonReport (startId: string, counters: PerTarget<TargetCounters>, isFull: boolean, uptimeMs = Infinity): boolean {
     const deltas = this.applyReport(this.daemons, startId, counters, isFull, uptimeMs)
+    const hasReactivated = this.recordSent(deltas)
     for (const [targetId, delta] of deltas) {
       this.totals.set(targetId, sum(this.totals.get(targetId) ?? ZERO_COUNTERS, delta))
       this.recordOutcomes(this.ownZoneEstimator, targetId, delta)
     }
-    return hasFailures(deltas)
+    return hasReactivated || hasFailures(deltas)
   }
 
   /**
@@ -100,6 +108,7 @@
    */
   applyZoneReport (zone: string, counters: PerTarget<TargetCounters>, isFull: boolean): boolean {
     const deltas = this.applyReport(this.zones, zone, counters, isFull)
+    this.recordSent(deltas)
     for (const [targetId, delta] of deltas) this.recordOutcomes(this.otherZonesEstimator, targetId, delta)
     return hasFailures(deltas)
   }
@@ -116,12 +125,13 @@
     const nowMs = this.clock.monotonicMs()
     const own = this.inProgressOf(this.daemons)
     const others = this.inProgressOf(this.zones)
-    const ids = new Set([...this.latencies.keys(), ...this.refusals.keys(), ...own.keys(), ...others.keys()])
+    const ids = new Set([...this.latencies.keys(), ...this.refusals.keys(), ...this.lastSentAtMs.keys(), ...own.keys(), ...others.keys()])
     return [...ids].map(targetId => [targetId, {
       inProgress: (own.get(targetId) ?? 0) + (others.get(targetId) ?? 0),
       failingChance: combineChances(this.ownZoneEstimator.failingChance(targetId), this.otherZonesEstimator.failingChance(targetId)),
       refusalShare: refusalShareAt(this.refusals.get(targetId) ?? NO_REFUSALS, nowMs),
-      latencyMs: Math.sqrt(this.latencies.get(targetId)?.mean ?? 0)
+      latencyMs: Math.sqrt(this.latencies.get(targetId)?.mean ?? 0),
+      idleMs: nowMs - (this.lastSentAtMs.get(targetId) ?? nowMs)
     }] as const)
   }
 
@@ -131,6 +141,7 @@
     this.otherZonesEstimator.forget(targetId)
     this.latencies.delete(targetId)
     this.refusals.delete(targetId)
+    this.lastSentAtMs.delete(targetId)
     this.totals.delete(targetId)
     for (const source of [...this.daemons.values(), ...this.zones.values()]) source.counters.delete(targetId)
   }
@@ -162,6 +173,15 @@
     return deltas
   }
 
+  /** Records which targets got requests; returns whether one of them had got none for a while. */
+  private recordSent (deltas: PerTarget<TargetCounters>): boolean {
+    const nowMs = this.clock.monotonicMs()
+    const used = deltas.filter(([, delta]) => sentSince(delta) > 0)
+    const hasReactivated = used.some(([targetId]) => nowMs - (this.lastSentAtMs.get(targetId) ?? -Infinity) > REACTIVATION_IDLE_MS)
+    for (const [targetId] of used) this.lastSentAtMs.set(targetId, nowMs)
+    return hasReactivated
+  }
+
   private recordOutcomes (estimator: FailureEstimator, targetId: string, { succeeded, failed, failedLate, failedEarly, refused, latencySquares }: TargetCounters): void {
     const ended = succeeded + failed + failedLate + failedEarly
     if (ended > 0) estimator.recordOutcomes(targetId, { succeeded, failed, failedLate, failedEarly })
--- a/packages/targets/src/load/targetStatsTracker.ts
+++ b/packages/targets/src/load/targetStatsTracker.ts
@@ -2,10 +2,11 @@
 import { FailureEstimator } from '../condition/failureEstimator.js'
 import { combineChances, decayToPrior } from '../condition/failureEstimate.js'
 import type { RequestOutcomeCounts } from '../condition/failureEstimate.js'
-import type { Candidate } from '../placing/placement.js'
+import type { Candidate } from '../placing/candidate.js'
 import type { RegisteredTarget } from '../registry/targetRegistry.js'
 import { NO_SAMPLES, addSamples } from './recentMean.js'
 import type { RecentMean } from './recentMean.js'
+import { REACTIVATION_IDLE_MS } from './fleetStatsAggregator.js'
 import { addOutcomes, refusalShareAt } from './refusalShare.js'
 import type { RefusalShare } from './refusalShare.js'
 
@@ -24,7 +25,7 @@
   refused: number
   latencySquares: number
   refusals: RefusalShare
-  lastUsedAtMs: number
+  lastSentAtMs: number
   changedAtMs: number
   /** Requests in progress at the last report to the fleet. */
   reportedInProgress: number
@@ -87,9 +88,10 @@
   startAttempt (targetId: string, service: string): ActiveAttempt {
     const own = this.ownStatsOf(targetId)
     const running: RunningAttempt = { service, startedAtMs: this.clock.monotonicMs(), isOverdue: false }
+    const isReactivated = running.startedAtMs - this.lastSentAtMs(targetId) > REACTIVATION_IDLE_MS
     own.running.add(running)
-    own.lastUsedAtMs = running.startedAtMs
-    this.markChanged(targetId, false)
+    own.lastSentAtMs = running.startedAtMs
+    this.markChanged(targetId, isReactivated)
     return {
       end: (outcome, latencyMs) => { if (own.running.delete(running)) this.endAttempt(targetId, running, outcome, latencyMs) }
     }
@@ -132,7 +134,7 @@
    * @param isConnected - Whether an idle connection to the target exists.
    * @returns The candidate.
    */
-  describeCandidate ({ target, warmAtMs }: RegisteredTarget, zone: string, isConnected: boolean): Candidate {
+  describeCandidate ({ target, warmAtMs, firstSeenAtMs }: RegisteredTarget, zone: string, isConnected: boolean): Candidate {
     const nowMs = this.clock.monotonicMs()
     const own = this.ownStats.get(target.id)
     const fleet = this.fleetStats.get(target.id)
@@ -144,7 +146,7 @@
       serviceTimeMs: this.serviceLatencyMs(target.service) * this.serviceTimeFactor(target.service, fleet, nowMs < warmAtMs),
       isOwnZone: target.availabilityZone === zone,
       isConnected,
-      idleMs: nowMs - Math.max(own?.lastUsedAtMs ?? -Infinity, fleet === undefined ? -Infinity : fleet.atMs),
+      idleMs: nowMs - Math.max(firstSeenAtMs, this.lastSentAtMs(target.id)),
       isNew: own === undefined && fleet === undefined
     }
   }
@@ -202,7 +204,6 @@
   private endAttempt (targetId: string, running: RunningAttempt, outcome: AttemptOutcome, latencyMs: number): void {
     const own = this.ownStatsOf(targetId)
     const nowMs = this.clock.monotonicMs()
-    own.lastUsedAtMs = nowMs
     this.markChanged(targetId, outcome === 'failed' || outcome === 'unreachable')
     if (outcome === 'unknown') return
     own.refusals = addOutcomes(own.refusals, { refused: outcome === 'refused' ? 1 : 0, accepted: outcome === 'refused' ? 0 : 1 }, nowMs)
@@ -225,6 +226,12 @@
     return latencyMs < EARLY_FAILURE_SHARE * this.serviceLatencyMs(service) ? 'failedEarly' : 'failedLate'
   }
 
+  /** Time at which any daemon last sent the target a request, as far as known here. */
+  private lastSentAtMs (targetId: string): number {
+    const fleet = this.fleetStats.get(targetId)
+    return Math.max(this.ownStats.get(targetId)?.lastSentAtMs ?? -Infinity, fleet === undefined ? -Infinity : fleet.atMs - fleet.idleMs)
+  }
+
   private inProgressElsewhere (own: OwnStats | undefined, fleet: TimedFleetStats | undefined, nowMs: number): number {
     if (fleet === undefined || nowMs - fleet.atMs > MAX_FLEET_STATS_AGE_MS) return 0
     return Math.max(0, fleet.inProgress - (own?.reportedInProgress ?? 0))
@@ -243,7 +250,7 @@
   private ownStatsOf (targetId: string): OwnStats {
     const known = this.ownStats.get(targetId)
     if (known !== undefined) return known
-    const own: OwnStats = { running: new Set(), ...NO_OUTCOMES, refused: 0, latencySquares: 0, refusals: { share: 0, atMs: 0 }, lastUsedAtMs: -Infinity, changedAtMs: -Infinity, reportedInProgress: 0 }
+    const own: OwnStats = { running: new Set(), ...NO_OUTCOMES, refused: 0, latencySquares: 0, refusals: { share: 0, atMs: 0 }, lastSentAtMs: -Infinity, changedAtMs: -Infinity, reportedInProgress: 0 }
     this.ownStats.set(targetId, own)
     return own
   }
--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -2,7 +2,7 @@
 import type { TargetStatsTracker } from '../load/targetStatsTracker.js'
 import type { TargetRegistry } from '../registry/targetRegistry.js'
 import { placeRequest } from './placement.js'
-import type { Candidate } from './placement.js'
+import type { Candidate, PlacementRequest } from './candidate.js'
 
 /** Dependencies of the selector. */
 export interface LowestCostSelectorOptions {
@@ -49,7 +49,7 @@
     const nowMs = clock.monotonicMs()
     const entries = registry.activeTargets(criteria.service).filter(({ target }) => !criteria.triedTargetIds.has(target.id))
     const candidates = entries.map(entry => statsTracker.describeCandidate(entry, availabilityZone, hasIdle(entry.target.id, criteria.isIdempotent)))
-    const placement = placeRequest(candidates, { remainingMs: criteria.deadlineAtMs - nowMs, hasHigherPriorityTraffic: criteria.hasHigherPriorityTraffic, isRecentlyStarted: nowMs - this.startedAtMs < RECENT_START_MS }, random)
+    const placement = placeRequest(candidates, this.describeRequest(criteria, nowMs), random)
     if (placement.type !== 'placed') return placement
     const index = candidates.findIndex(({ targetId }) => targetId === placement.targetId)
     const entry = entries[index]
@@ -58,6 +58,10 @@
     return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement.waitMs), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
   }
 
+  private describeRequest ({ triedTargetIds, deadlineAtMs, hasHigherPriorityTraffic }: ChoiceCriteria, nowMs: number): PlacementRequest {
+    return { remainingMs: deadlineAtMs - nowMs, isRetry: triedTargetIds.size > 0, hasHigherPriorityTraffic, isRecentlyStarted: nowMs - this.startedAtMs < RECENT_START_MS }
+  }
+
   private describeInputs ({ inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected }: Candidate, waitMs: number): ChoiceInputs {
     const listingAgeMs = Math.round(this.options.clock.monotonicMs() - this.options.registry.confirmedAtMs)
     return { inProgress, failingChance: roundToThousandths(failingChance), refusalShare: roundToThousandths(refusalShare), serviceTimeMs: Math.round(serviceTimeMs), isOwnZone, isConnected, waitMs: Math.round(waitMs), listingAgeMs }
--- a/packages/targets/src/placing/placement.load.spec.ts
+++ b/packages/targets/src/placing/placement.load.spec.ts
@@ -4,7 +4,7 @@
 import { FailureEstimator } from '../condition/failureEstimator.js'
 import { ManualClock, expectSnapshot } from '@lovagehoist/common/testing'
 import { placeRequest } from './placement.js'
-import type { Candidate } from './placement.js'
+import type { Candidate } from './candidate.js'
 
 /** Balancing policy that the simulated daemons use. */
 type Policy = 'random' | 'two-choices-own' | 'two-choices-fleet' | 'expected-time-own' | 'expected-time-fleet'
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -1,25 +1,7 @@
-import type { ChoiceInputs, Random } from '@lovagehoist/common'
+import type { Random } from '@lovagehoist/common'
 import { requestFailureChance } from '../condition/failureEstimate.js'
-
-/** Properties of a target that decide whether a request is sent there. */
-export interface Candidate extends Omit<ChoiceInputs, 'waitMs' | 'listingAgeMs'> {
-  readonly targetId: string
-  readonly slots: number
-  /** Time since any daemon known to this one last used the target. */
-  readonly idleMs: number
-  /** Whether no daemon known to this one has used the target yet. */
-  readonly isNew: boolean
-}
-
-/** Properties of the request that decide its placement. */
-export interface PlacementRequest {
-  /** Time left until the response is due. */
-  readonly remainingMs: number
-  /** Whether the request must leave reserved slots free for higher-priority requests at the same targets. */
-  readonly hasHigherPriorityTraffic: boolean
-  /** Whether this daemon started recently and does not know yet which targets others use. */
-  readonly isRecentlyStarted?: boolean
-}
+import type { Candidate, PlacementRequest } from './candidate.js'
+import { chooseProbe } from './probing.js'
 
 /** Target for a request, or the reason why there is none. */
 export type Placement =
@@ -35,19 +17,6 @@
 const CROSS_ZONE_COST_MS = 200
 /** A new connection costs work at the target and a round trip, and connections are limited, so daemons prefer targets they are connected to. */
 const CONNECT_COST_MS = 100
-/** Bonus that outweighs the cost of a target's unknown health, so that the target gets a probe request. */
-const PROBE_BONUS_MS = 1_500
-/** Share of requests that may be used as probes. All daemons see the same need for a probe, and one request is enough. */
-const PROBE_SHARE = 0.12
-/**
- * Idle time after which a target gets a probe, so that all healthy capacity is in use and known when daemons or targets are lost.
- * Targets of other zones are left to the daemons there, unless a large part of the service fails.
- */
-const PROBE_IDLE_MS = 1_000
-/** Failure probability above which a target is not probed. */
-const MAX_PROBE_FAILING_CHANCE = 0.4
-/** Mean failure probability, or mean refusal share, from which a large part of the service counts as failing. */
-const WIDESPREAD_FAILURE_SHARE = 0.2
 /** Share of the service time that is added to the cost of a full target, so that load spreads. */
 const FULL_TARGET_PENALTY_SHARE = 0.5
 /**
@@ -100,14 +69,6 @@
 
 const meanOf = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
 
-/** Whether a large part of the service fails or refuses requests. */
-const isFailureWidespread = (candidates: readonly Candidate[]): boolean =>
-  meanOf(candidates.map(({ failingChance }) => failingChance)) > WIDESPREAD_FAILURE_SHARE ||
-  meanOf(candidates.map(({ refusalShare }) => refusalShare)) > WIDESPREAD_FAILURE_SHARE
-
-const isDueForProbe = ({ isNew, idleMs, failingChance, isOwnZone }: Candidate, probesOtherZones: boolean): boolean =>
-  failingChance < MAX_PROBE_FAILING_CHANCE && (isNew || (idleMs > PROBE_IDLE_MS && (isOwnZone || probesOtherZones)))
-
 interface ScoredCandidate {
   readonly candidate: Candidate
   readonly waitMs: number
@@ -137,20 +98,17 @@
 export const placeRequest = (candidates: readonly Candidate[], request: PlacementRequest, random: Random): Placement => {
   if (candidates.length === 0) return { type: 'no-target' }
   const reserved = request.hasHigherPriorityTraffic ? RESERVED_SLOTS : 0
-  // After the loss of many daemons, a large part of a service fails for a moment; recently started daemons have not seen these failures.
-  const probesOtherZones = request.isRecentlyStarted === true || isFailureWidespread(candidates)
-  const isProbe = random.next() < PROBE_SHARE
   const scored = candidates.map((candidate): ScoredCandidate => {
     const waitMs = expectedWaitMs(candidate, reserved)
     const late = lateChance(candidate, waitMs, request.remainingMs)
-    const bonusMs = isProbe && isDueForProbe(candidate, probesOtherZones) ? PROBE_BONUS_MS : 0
-    return { candidate, waitMs, lateChance: late, costMs: costOf(candidate, waitMs) + late * FAILURE_COST_MS - bonusMs }
+    return { candidate, waitMs, lateChance: late, costMs: costOf(candidate, waitMs) + late * FAILURE_COST_MS }
   })
   const feasible = scored.filter(({ waitMs, lateChance }) => waitMs === 0 || lateChance < MAX_LATE_CHANCE)
   if (feasible.length === 0) return { type: 'too-late', waitMs: Math.min(...scored.map(({ waitMs }) => waitMs)) }
   const load = meanOf(feasible.map(({ candidate: { inProgress, slots } }) => Math.min(1, inProgress / slots)))
   const temperatureMs = MIN_TEMPERATURE_MS + LOAD_TEMPERATURE_MS * load * load
-  const chosen = drawCandidate(feasible, temperatureMs, random)
+  const probed = chooseProbe(candidates, request, candidate => expectedWaitMs(candidate, reserved) === 0, random)
+  const chosen = feasible.find(({ candidate }) => candidate === probed) ?? drawCandidate(feasible, temperatureMs, random)
   if (chosen === undefined) return { type: 'no-target' }
   return { type: 'placed', targetId: chosen.candidate.targetId, waitMs: chosen.waitMs, costMs: chosen.costMs }
 }
--- a/packages/targets/src/placing/targetUse.load.spec.ts
+++ b/packages/targets/src/placing/targetUse.load.spec.ts
@@ -10,6 +10,8 @@
 /** Smallest share of the healthy targets of a service that must get requests, as the platform's rules state. */
 const REQUIRED_USED_SHARE = 0.7
 
+const SLOTS = 6
+
 const PAYOUTS: readonly SimulatedZone[] = [
   { daemons: 12, targets: 6, requestsPerSecond: 24 },
   { daemons: 12, targets: 6, requestsPerSecond: 20 },
@@ -29,6 +31,10 @@
     expect(lowestUsedShare({ zones: REPORTS, isIdempotent: true, errorShare: 0.012 })).to.be.at.least(REQUIRED_USED_SHARE)
   })
 
+  it('sends no more requests to an idle target at once than it has slots', () => {
+    for (const zones of [PAYOUTS, REPORTS]) expect(SimulatedFleet.run({ zones, isIdempotent: false, errorShare: 0.04, seed: 1, seconds: SECONDS }).largestBurst(1_000, 100)).to.be.at.most(SLOTS)
+  })
+
   it('keeps targets in use after the loss of most daemons', () => {
     const lostAtMs = 8_000
     const isRunning = ({ index }: DaemonPosition, atMs: number): boolean => atMs < lostAtMs || index < 5
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -102,6 +102,19 @@
     return lowest
   }
 
+  /**
+   * Returns the largest number of requests that any target received together after it had been idle.
+   *
+   * @param idleMs - Time without a request before the first of them.
+   * @param withinMs - Time in which they are counted.
+   */
+  largestBurst (idleMs: number, withinMs: number): number {
+    const bursts = [...this.arrivals.values()].flatMap(times => times
+      .filter((atMs, index) => atMs - (times[index - 1] ?? atMs) >= idleMs)
+      .map(startMs => times.filter(atMs => atMs >= startMs && atMs < startMs + withinMs).length))
+    return Math.max(0, ...bursts)
+  }
+
   private createTarget (zone: number, index: number): ListedTarget {
     const id = `${zone}-${index}`
     this.arrivals.set(id, [])
@@ -119,7 +132,7 @@
   private runEvents (): void {
     this.options.zones.forEach((_, zone) => { this.arrive(zone) })
     this.repeat(ZONE_EXCHANGE_MS, () => { this.options.zones.forEach((_, zone) => { this.exchangeInZone(zone) }) })
-    this.repeat(CROSS_ZONE_EXCHANGE_MS, () => { this.exchangeBetweenZones() })
+    this.repeat(CROSS_ZONE_EXCHANGE_MS, () => { this.options.zones.forEach((_, zone) => { this.reportToOtherZones(zone) }) })
     for (let event = this.takeNext(); event !== undefined && event.atMs < this.options.seconds * 1_000; event = this.takeNext()) {
       this.clock.jumpMs(event.atMs - this.clock.monotonicMs())
       event.run()
@@ -176,6 +189,7 @@
     this.schedule(URGENT_DELAY_MS, () => {
       this.urgentZones.delete(zone)
       this.exchangeInZone(zone)
+      this.reportToOtherZones(zone)
     })
   }
 
@@ -188,10 +202,9 @@
     for (const { tracker } of daemons) tracker.applyFleetStats(aggregator.targetStats())
   }
 
-  private exchangeBetweenZones (): void {
-    this.aggregators.forEach((from, zone) => {
-      if (this.runningDaemons(zone).length === 0) return
-      for (const to of this.aggregators) if (to !== from) to.applyZoneReport(String(zone), from.ownZoneCounters(), true)
-    })
+  private reportToOtherZones (zone: number): void {
+    const from = this.aggregators[zone]
+    if (from === undefined || this.runningDaemons(zone).length === 0) return
+    for (const to of this.aggregators) if (to !== from) to.applyZoneReport(String(zone), from.ownZoneCounters(), true)
   }
 }
