Return targets of services without retryable requests from their trial

Callers saw: a target of a service that gets payments only never returned after an ejection (named as a limit in docs/design/return.md). Cause: a target in trial took idempotent requests only. Evidence: ratings.spec, the case failed before. Not measured on real daemons.

--- a/packages/targets/src/health/ratings.spec.ts
+++ b/packages/targets/src/health/ratings.spec.ts
@@ -13,7 +13,7 @@
   ({ targetId, fence: 0, long: { attempts, failures, slow: 0 }, short: { attempts: 0, failures: 0, slow: 0 } })
 
 const rate = (change: Partial<Parameters<typeof rateTargets>[0]>) =>
-  rateTargets({ view: NO_EJECTIONS, targets, capacity, counts: [], retained: new Set(), validUntilMs: 0, ...change }).byTarget
+  rateTargets({ view: NO_EJECTIONS, targets, capacity, counts: [], retained: new Set(), starvedTrials: new Set(), validUntilMs: 0, ...change }).byTarget
 
 describe('ratings of targets', () => {
   it('keep targets that the floor retains in use for requests that can not be retried', () => {
@@ -27,4 +27,10 @@
   it('keep readmitted targets in use for requests that can not be retried', () => {
     expect(rate({ view: { ...NO_EJECTIONS, readmitted: new Set(['t4']) } }).get('t4')).to.include({ reason: 'given-back', idempotentOnly: false })
   })
+
+  it('give a trial without any requests to requests that can not be retried', () => {
+    const view: EjectionView = { ...NO_EJECTIONS, statuses: new Map([['t1', 'trial']]) }
+    expect(rate({ view }).get('t1')).to.include({ status: 'trial', idempotentOnly: true })
+    expect(rate({ view, starvedTrials: new Set(['t1']) }).get('t1')).to.include({ status: 'trial', idempotentOnly: false })
+  })
 })
--- a/packages/targets/src/health/ratings.ts
+++ b/packages/targets/src/health/ratings.ts
@@ -33,6 +33,8 @@
   readonly counts: readonly TargetCounts[]
   /** Outliers whose ejection was refused because of the capacity floor. */
   readonly retained: ReadonlySet<string>
+  /** Targets in trial that get no requests, because the service has none that can be retried. */
+  readonly starvedTrials: ReadonlySet<string>
   readonly validUntilMs: number
 }
 
@@ -43,7 +45,7 @@
  * @returns The ratings of the targets that are not healthy; the targets never all have weight 0.
  */
 export const rateTargets = (inputs: RatingInputs): ServiceRatings => {
-  const { view, targets, capacity, counts, retained, validUntilMs } = inputs
+  const { view, targets, capacity, counts, retained, starvedTrials, validUntilMs } = inputs
   const byTarget = new Map<string, ReasonedRating>()
   const ejectedSlots = [...view.statuses.keys()].reduce((sum, targetId) => sum + countedSlots(capacity, targetId), 0)
   const avoidedTargets = chooseAvoidedTargets({ counts, capacity, ejectedSlots, retained, ejectedIds: new Set(view.statuses.keys()) })
@@ -55,7 +57,7 @@
   for (const [targetId, status] of view.statuses) {
     byTarget.set(targetId, status === 'ejected'
       ? { status, weight: 0, reason: status, idempotentOnly: false }
-      : { status, weight: TRIAL_WEIGHT, reason: status, idempotentOnly: true })
+      : { status, weight: TRIAL_WEIGHT, reason: status, idempotentOnly: !starvedTrials.has(targetId) })
   }
   return { byTarget, validUntilMs }
 }
--- a/packages/targets/src/health/sharedHealth.ts
+++ b/packages/targets/src/health/sharedHealth.ts
@@ -45,6 +45,8 @@
 const MAX_DUMPED = 200
 /** Time for which a target has a reduced weight after its ejection was refused because of the capacity floor. */
 const RETAINED_WEIGHT_DURATION_MS = 10_000
+/** Time for which a trial waits for requests that can be retried, before it gets others, too. */
+const TRIAL_PATIENCE_MS = 10_000
 const NO_CAPACITY: Capacity = { floorSlots: 0, slotsById: new Map(), totalSlots: 0 }
 
 /** Health of targets as agreed by the fleet, combined with this daemon's own evidence. */
@@ -193,6 +195,7 @@
       capacity: this.capacity(service),
       counts: this.localEvidence.counts(service),
       retained: this.retainedTargets(service, nowMs),
+      starvedTrials: this.starvedTrials(service),
       validUntilMs: Math.min(nowMs + RATINGS_MAX_AGE_MS, view.validUntilMs)
     })
     this.cachedRatings.set(service, ratings)
@@ -211,6 +214,14 @@
     return new Set(this.options.directory.targets(service).map(target => target.id).filter(id => this.retainedUntilMs.has(id)))
   }
 
+  /** Targets that have been in trial for a while without a request of this daemon. */
+  private starvedTrials (service: string): ReadonlySet<string> {
+    const attempted = new Set(this.localEvidence.counts(service).filter(({ long }) => long.attempts > 0).map(({ targetId }) => targetId))
+    const startedBeforeMs = this.options.clock.wallMs() - TRIAL_PATIENCE_MS
+    const trials = this.ejections.row(service).row.entries.filter(({ stage, changedAtMs }) => stage === 'trial' && changedAtMs < startedBeforeMs)
+    return new Set(trials.map(({ targetId }) => targetId).filter(targetId => !attempted.has(targetId)))
+  }
+
   /** Discards the counts at targets that a quarantined request crashed: the target was not at fault. */
   private discardCrashCounts (targetIds: readonly string[]): void {
     this.metrics.quarantines.inc()
