--- /dev/null
+++ b/packages/peers/src/relay/relayContracts.ts
@@ -0,0 +1,35 @@
+import type { PerTarget, CrashCounts, FleetTargetStats, TargetCounters } from '@lovagehoist/common'
+
+/** Per-target counters of the requests that this daemon sends. */
+export interface LocalCounters {
+  /** Registers the listener for changes; failures are urgent. */
+  readonly onChange: (listener: (isUrgent: boolean) => void) => void
+  /** Collects the counters that changed within the given time, or all of them, and marks them as reported. */
+  readonly collectCounters: (changedWithinMs?: number) => PerTarget<TargetCounters>
+  /** Number of targets with counters; does not mark anything as reported. */
+  readonly countTargets: () => number
+  /** Applies stats aggregated over the fleet. */
+  readonly applyFleetStats: (stats: PerTarget<FleetTargetStats>) => void
+}
+
+/** Merges the counters of all daemons and zones into totals by target. */
+export interface FleetStats {
+  /** Merges the counters of one daemon; returns whether they are urgent (new failures, or a target in use again) and are forwarded at once. */
+  readonly applyDaemonReport: (startId: string, counters: PerTarget<TargetCounters>, isFull: boolean, uptimeMs: number) => boolean
+  /** Merges the totals of another zone; returns whether they contain new failures. */
+  readonly applyZoneReport: (zone: string, counters: PerTarget<TargetCounters>, isFull: boolean) => boolean
+  /** Totals over the daemons of this zone. */
+  readonly ownZoneCounters: () => PerTarget<TargetCounters>
+  /** Stats of each target, computed from the reports of all daemons and zones. */
+  readonly targetStats: () => PerTarget<FleetTargetStats>
+  /** Drops the counters of daemons and zones that stopped reporting. */
+  readonly sweep: () => void
+}
+
+/** Exchanges crash counts: how many target connections broke, by the fingerprint of the request. */
+export interface CrashExchange {
+  /** Recent counts of this daemon. */
+  readonly crashCounts: () => CrashCounts
+  /** Applies counts aggregated over the fleet. */
+  readonly applyFleetCrashes: (counts: CrashCounts) => void
+}
