Show idle targets: a gauge by service, and idle time and probes in the line of a choice

Logs told which target was chosen, but not which targets nobody chose, nor why one was chosen against its cost; the incident's hypotheses had to be told apart by counting over the logs of all daemons. The gauge targets_unused and the fields idleMs and isProbe answer both on one daemon. The test of the line's fields names the two new ones.

--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -244,6 +244,10 @@
   readonly waitMs: number
   /** Age of the latest listing of targets. */
   readonly listingAgeMs: number
+  /** Time since any daemon last sent the target a request, or since it was first seen. */
+  readonly idleMs: number
+  /** Whether the target was chosen because it was idle, not because it was the best one. */
+  readonly isProbe: boolean
 }
 
 /** The chosen target, or the reason why there is none. */
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -17,6 +17,8 @@
 
 /** Failure probability from which the `targets` gauge counts a target as failing. */
 const MIN_FAILING_CHANCE = 0.4
+/** Time without a request after which the `targets_unused` gauge counts a target. */
+const UNUSED_IDLE_MS = 2_000
 const MS_PER_SECOND = 1_000
 
 /**
@@ -38,6 +40,12 @@
       metric.inc({ service: target.service, state: target.isLeaving ? 'leaving' : failingChance >= MIN_FAILING_CHANCE ? 'failing' : 'sound' })
     }
   })
+  gauge('targets_unused', 'Targets that may take requests and got none from any daemon for two seconds.', ['service'], metric => {
+    metric.reset()
+    for (const entry of targetRegistry.all()) {
+      if (!entry.target.isLeaving) metric.inc({ service: entry.target.service }, statsTracker.idleMs(entry) > UNUSED_IDLE_MS ? 1 : 0)
+    }
+  })
   gauge('requests_in_progress', 'Requests of the whole fleet in progress, as known here.', ['service'], metric => {
     metric.reset()
     for (const { target } of targetRegistry.all()) metric.inc({ service: target.service }, statsTracker.estimate(target.id).inProgress)
--- a/packages/standins/src/gateway/explain.spec.ts
+++ b/packages/standins/src/gateway/explain.spec.ts
@@ -45,7 +45,7 @@
     await fleet.addDaemon()
     expect((await fleet.call({ requestId: 'late-1', method: 'POST', body: 'x' })).status).to.equal(504)
     const timeline = collectRequestTimeline(`  12.5 gate-0 ${fleet.logText.replaceAll('\n', '\n  12.5 gate-0 ')}\nnot a line`, 'late-1')
-    expect(timeline.lines[0]?.fields).to.have.keys('requestId', 'service', 'targetId', 'inProgress', 'failingChance', 'refusalShare', 'serviceTimeMs', 'isOwnZone', 'isConnected', 'waitMs', 'listingAgeMs', 'leftMs')
+    expect(timeline.lines[0]?.fields).to.have.keys('requestId', 'service', 'targetId', 'inProgress', 'failingChance', 'refusalShare', 'serviceTimeMs', 'isOwnZone', 'isConnected', 'waitMs', 'listingAgeMs', 'idleMs', 'isProbe', 'leftMs')
     expect(timeline.ending).to.equal('the gateway answered 504 (deadline, may-have-run): no answer in time')
   })
 })
--- a/packages/targets/src/load/targetStatsTracker.ts
+++ b/packages/targets/src/load/targetStatsTracker.ts
@@ -134,7 +134,8 @@
    * @param isConnected - Whether an idle connection to the target exists.
    * @returns The candidate.
    */
-  describeCandidate ({ target, warmAtMs, firstSeenAtMs }: RegisteredTarget, zone: string, isConnected: boolean): Candidate {
+  describeCandidate (entry: RegisteredTarget, zone: string, isConnected: boolean): Candidate {
+    const { target, warmAtMs } = entry
     const nowMs = this.clock.monotonicMs()
     const own = this.ownStats.get(target.id)
     const fleet = this.fleetStats.get(target.id)
@@ -146,7 +147,7 @@
       serviceTimeMs: this.serviceLatencyMs(target.service) * this.serviceTimeFactor(target.service, fleet, nowMs < warmAtMs),
       isOwnZone: target.availabilityZone === zone,
       isConnected,
-      idleMs: nowMs - Math.max(firstSeenAtMs, this.lastSentAtMs(target.id)),
+      idleMs: this.idleMs(entry),
       isNew: own === undefined && fleet === undefined
     }
   }
@@ -167,6 +168,16 @@
     }
   }
 
+  /**
+   * Returns how long a target has been without a request.
+   *
+   * @param entry - Registered target.
+   * @returns Time since any daemon last sent it a request, as far as known here, or since it was first seen.
+   */
+  idleMs ({ target, firstSeenAtMs }: RegisteredTarget): number {
+    return this.clock.monotonicMs() - Math.max(firstSeenAtMs, this.lastSentAtMs(target.id))
+  }
+
   /**
    * Returns the counters to report and records their requests in progress as reported.
    *
--- a/packages/targets/src/placing/candidate.ts
+++ b/packages/targets/src/placing/candidate.ts
@@ -1,11 +1,9 @@
 import type { ChoiceInputs } from '@lovagehoist/common'
 
 /** Properties of a target that decide whether a request is sent there. */
-export interface Candidate extends Omit<ChoiceInputs, 'waitMs' | 'listingAgeMs'> {
+export interface Candidate extends Omit<ChoiceInputs, 'waitMs' | 'listingAgeMs' | 'isProbe'> {
   readonly targetId: string
   readonly slots: number
-  /** Time since any daemon known to this one last used the target. */
-  readonly idleMs: number
   /** Whether no daemon known to this one has used the target yet. */
   readonly isNew: boolean
 }
--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -2,8 +2,11 @@
 import type { TargetStatsTracker } from '../load/targetStatsTracker.js'
 import type { TargetRegistry } from '../registry/targetRegistry.js'
 import { placeRequest } from './placement.js'
+import type { Placement } from './placement.js'
 import type { Candidate, PlacementRequest } from './candidate.js'
 
+type PlacedRequest = Extract<Placement, { readonly type: 'placed' }>
+
 /** Dependencies of the selector. */
 export interface LowestCostSelectorOptions {
   readonly registry: TargetRegistry
@@ -59,15 +62,15 @@
     const entry = entries[index]
     const candidate = candidates[index]
     if (entry === undefined || candidate === undefined) return { type: 'no-target' }
-    return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement.waitMs), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
+    return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
   }
 
   private describeRequest ({ isIdempotent, triedTargetIds, deadlineAtMs, hasHigherPriorityTraffic }: ChoiceCriteria, nowMs: number): PlacementRequest {
     return { remainingMs: deadlineAtMs - nowMs, isIdempotent, isRetry: triedTargetIds.size > 0, minUsedShare: Math.min(1, this.options.floorShare() + USED_SHARE_MARGIN), hasHigherPriorityTraffic, isRecentlyStarted: nowMs - this.startedAtMs < RECENT_START_MS }
   }
 
-  private describeInputs ({ inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected }: Candidate, waitMs: number): ChoiceInputs {
+  private describeInputs ({ inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected, idleMs }: Candidate, { waitMs, isProbe }: PlacedRequest): ChoiceInputs {
     const listingAgeMs = Math.round(this.options.clock.monotonicMs() - this.options.registry.confirmedAtMs)
-    return { inProgress, failingChance: roundToThousandths(failingChance), refusalShare: roundToThousandths(refusalShare), serviceTimeMs: Math.round(serviceTimeMs), isOwnZone, isConnected, waitMs: Math.round(waitMs), listingAgeMs }
+    return { inProgress, failingChance: roundToThousandths(failingChance), refusalShare: roundToThousandths(refusalShare), serviceTimeMs: Math.round(serviceTimeMs), isOwnZone, isConnected, waitMs: Math.round(waitMs), listingAgeMs, idleMs: Math.round(idleMs), isProbe }
   }
 }
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -5,7 +5,7 @@
 
 /** Target for a request, or the reason why there is none. */
 export type Placement =
-  | { readonly type: 'placed', readonly targetId: string, readonly waitMs: number, readonly costMs: number }
+  | { readonly type: 'placed', readonly targetId: string, readonly waitMs: number, readonly costMs: number, readonly isProbe: boolean }
   | { readonly type: 'too-late', readonly waitMs: number }
   | { readonly type: 'no-target' }
 
@@ -110,5 +110,5 @@
   const probed = chooseProbe(candidates, request, candidate => expectedWaitMs(candidate, reserved) === 0, random)
   const chosen = feasible.find(({ candidate }) => candidate === probed) ?? drawCandidate(feasible, temperatureMs, random)
   if (chosen === undefined) return { type: 'no-target' }
-  return { type: 'placed', targetId: chosen.candidate.targetId, waitMs: chosen.waitMs, costMs: chosen.costMs }
+  return { type: 'placed', targetId: chosen.candidate.targetId, waitMs: chosen.waitMs, costMs: chosen.costMs, isProbe: chosen.candidate === probed }
 }
