--- a/packages/targets/src/placing/targetUse.load.spec.ts
+++ b/packages/targets/src/placing/targetUse.load.spec.ts
@@ -47,6 +47,17 @@
     expect(lowestUsedShare({ zones: PAYOUTS, isIdempotent: false, errorShare: 0.012, isRunning })).to.be.at.least(REQUIRED_USED_SHARE)
   })
 
+  it('keeps targets in use while all daemons restart', () => {
+    expect(lowestUsedShare({ zones: PAYOUTS, isIdempotent: false, errorShare: 0.012, restartAtMs: 8_000 })).to.be.at.least(REQUIRED_USED_SHARE)
+    expect(lowestUsedShare({ zones: REPORTS, isIdempotent: false, errorShare: 0.012, restartAtMs: 8_000 })).to.be.at.least(REQUIRED_USED_SHARE)
+  })
+
+  it('uses the targets of zones whose callers moved to another zone', () => {
+    const movedAtMs = 8_000
+    const servingZone = (callerZone: number, atMs: number): number => atMs < movedAtMs ? callerZone : 0
+    expect(lowestUsedShare({ zones: PAYOUTS, isIdempotent: false, errorShare: 0.012, servingZone }, movedAtMs + 1_000)).to.be.at.least(REQUIRED_USED_SHARE)
+  })
+
   it('uses the targets of a zone that lost all its daemons', () => {
     const lostAtMs = 8_000
     const isRunning = ({ zone }: DaemonPosition, atMs: number): boolean => atMs < lostAtMs || zone !== 0
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -29,6 +29,10 @@
   readonly errorShare: number
   /** Whether a daemon is running at a time; all are by default. */
   readonly isRunning?: (daemon: DaemonPosition, atMs: number) => boolean
+  /** Zone in which the callers of a zone are served at a time; their own by default. */
+  readonly servingZone?: (callerZone: number, atMs: number) => number
+  /** Time at which all daemons restart and lose what they know. */
+  readonly restartAtMs?: number
   /** Whether a target fails most requests at once, by its id and the time; none does by default. */
   readonly isFailing?: (targetId: string, atMs: number) => boolean
 }
@@ -66,17 +70,17 @@
   private readonly clock = ManualClock.create()
   private readonly random: Random
   private readonly events: SimulatedEvent[] = []
-  private readonly daemons: readonly SimulatedDaemon[]
-  private readonly aggregators: readonly FleetStatsAggregator[]
+  private readonly registry: TargetRegistry
+  private daemons: readonly SimulatedDaemon[] = []
+  private aggregators: readonly FleetStatsAggregator[] = []
   private readonly urgentZones = new Set<number>()
 
   private constructor (private readonly options: SimulationOptions) {
     this.random = SeededRandom.create(options.seed)
     const targets = options.zones.flatMap(({ targets }, zone) => Array.from({ length: targets }, (_, index) => this.createTarget(zone, index)))
-    const registry = TargetRegistry.create({ clock: this.clock, log: silentLog, onForget: () => {} })
-    registry.apply({ storeVersion: 1, targets, skipped: [] }, 0)
-    this.aggregators = options.zones.map(() => FleetStatsAggregator.create(this.clock))
-    this.daemons = options.zones.flatMap(({ daemons }, zone) => Array.from({ length: daemons }, (_, index) => this.createDaemon(registry, zone, index)))
+    this.registry = TargetRegistry.create({ clock: this.clock, log: silentLog, onForget: () => {} })
+    this.registry.apply({ storeVersion: 1, targets, skipped: [] }, 0)
+    this.startDaemons()
   }
 
   /**
@@ -126,7 +130,14 @@
     return { ...fakeTarget(id), service: SERVICE, availabilityZone: String(zone), coldForMs: 0 }
   }
 
-  private createDaemon (registry: TargetRegistry, zone: number, index: number): SimulatedDaemon {
+  private startDaemons (): void {
+    const { zones } = this.options
+    this.aggregators = zones.map(() => FleetStatsAggregator.create(this.clock))
+    this.daemons = zones.flatMap(({ daemons }, zone) => Array.from({ length: daemons }, (_, index) => this.createDaemon(zone, index)))
+  }
+
+  private createDaemon (zone: number, index: number): SimulatedDaemon {
+    const { registry } = this
     const connectedIds = new Set<string>()
     const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf)
     const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
@@ -136,6 +147,7 @@
 
   private runEvents (): void {
     this.options.zones.forEach((_, zone) => { this.arrive(zone) })
+    if (this.options.restartAtMs !== undefined) this.schedule(this.options.restartAtMs, () => { this.startDaemons() })
     this.repeat(ZONE_EXCHANGE_MS, () => { this.options.zones.forEach((_, zone) => { this.exchangeInZone(zone) }) })
     this.repeat(CROSS_ZONE_EXCHANGE_MS, () => { this.options.zones.forEach((_, zone) => { this.reportToOtherZones(zone) }) })
     for (let event = this.takeNext(); event !== undefined && event.atMs < this.options.seconds * 1_000; event = this.takeNext()) {
@@ -166,10 +178,10 @@
   }
 
   private arrive (zone: number): void {
-    const { zones } = this.options
+    const { zones, servingZone = () => zone } = this.options
     this.schedule(-Math.log(1 - this.random.next()) * 1_000 / (zones[zone]?.requestsPerSecond ?? 0), () => {
       this.arrive(zone)
-      const running = this.runningDaemons(zone)
+      const running = this.runningDaemons(servingZone(zone, this.clock.monotonicMs()))
       const daemon = running[this.random.int(Math.max(1, running.length))]
       this.requestCount++
       if (daemon !== undefined) this.send(daemon)
