Make the test of targets in use again fail without the code that it guards

It now sends totals shortly before, so that only an urgent row can arrive within 15 ms. The assertion is the same; no other code changes.

--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -147,10 +147,11 @@
   it('tells other zones within 15 milliseconds that a target is in use again', async () => {
     start()
     const a1 = daemon('a1')
-    a1.counters = [['t1', targetCounters({ inProgress: 0 })]]
     await clock.advanceMs(2_050)
+    a1.counters = [['t1', targetCounters({ succeeded: 1 })]]
+    await clock.advanceMs(200)
     const before = daemon('b1').zones.length
-    a1.counters = [['t1', targetCounters({ inProgress: 1 })]]
+    a1.counters = [['t1', targetCounters({ succeeded: 1, inProgress: 1 })]]
     a1.notify(true)
     await clock.advanceMs(15)
     expect(daemon('b1').zones.slice(before)).to.include('a start-a1')
