Log and count the limits that targets name in their answers

The lines and the gauge lovagehoist_targets_limited show it; nothing decides by them yet. Only answers that prove to come from the target count (signature, or not-run mark).

--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -23,6 +23,8 @@
   readonly clock: Clock
   readonly headers: GatewayHeaders
   readonly sender: TargetSender
+  /** Called with the head of each answer that is known to come from the target, and the time at which the request was sent. */
+  readonly onTargetAnswer?: (targetId: string, headers: RawHeaders, sentAtMs: number) => void
 }
 
 /** Responses up to this size are buffered completely, so that a truncated one can be retried or reported as a failure. */
@@ -67,6 +69,10 @@
   return undefined
 }
 
+/** Whether an answer shows that it comes from the target itself, not from another one at its address or something in between. */
+const isProvenAnswer = (headerNames: GatewayHeaders, { status, headers }: TargetResponse): boolean =>
+  status !== MISDIRECTED_REQUEST && (findHeader(headers, headerNames.signature) !== undefined || findHeader(headers, headerNames.notRun) !== undefined)
+
 const classifyStatus = (headerNames: GatewayHeaders, { status, headers }: TargetResponse): Pick<GatewayAttemptResult, 'outcome' | 'verdict'> => {
   if (status === MISDIRECTED_REQUEST) return { outcome: 'wrong-target', verdict: 'not-run' }
   if (findHeader(headers, headerNames.notRun) !== undefined) return { outcome: 'shed', verdict: 'not-run' }
@@ -131,6 +137,7 @@
     findResponseMismatch: responseValidator(headers, accepted.requestId),
     allowsCloseDelimitedBody: true
   }, abortSignal)
+  if (sendResult.type === 'answer' && isProvenAnswer(headers, sendResult)) options.onTargetAnswer?.(target.id, sendResult.headers, startedAtMs)
   const result = sendResult.type === 'failure' ? failedAttempt(target, sendResult) : await completedAttempt(options, accepted, target, sendResult)
   activeAttempt.end(REPORTED_OUTCOME[result.outcome], clock.monotonicMs() - startedAtMs)
   return result
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -130,6 +130,8 @@
   readonly notRun: string
   /** In a response: proof that it comes from a target. */
   readonly signature: string
+  /** In a response: requests per second that the target takes from the whole fleet. */
+  readonly limit: string
 }
 
 /** Limits on shutdown time and retries that the deployment sets. */
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -5,7 +5,7 @@
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
-import { ConnectionSender, FleetStatsAggregator, ListingPoller, TargetStatsTracker, LowestCostSelector, TargetRegistry } from '@lovagehoist/targets'
+import { ConnectionSender, FleetStatsAggregator, ListingPoller, TargetLimits, TargetStatsTracker, LowestCostSelector, TargetRegistry, parseLimit } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import type { LiveSettings } from './liveSettings.js'
@@ -57,15 +57,17 @@
 const createTargetComponents = ({ settings, liveSettings, clock, random, log }: GatewayDependencies, registry: Registry, invariants: Invariants) => {
   const statsTracker: TargetStatsTracker = TargetStatsTracker.create(clock, targetId => targetRegistry.serviceOf(targetId))
   const fleetStats = FleetStatsAggregator.create(clock)
+  const targetLimits = TargetLimits.create(clock, log.child('limits'))
   const sender = ConnectionSender.create({ clock, connectTimeoutMs: () => CONNECT_TIMEOUT_MS, registry, invariants })
   const onForget = (targetId: string): void => {
     statsTracker.forget(targetId)
     fleetStats.forget(targetId)
+    targetLimits.forget(targetId)
     sender.closeIdleConnections(targetId, -1)
   }
   const targetRegistry: TargetRegistry = TargetRegistry.create({ clock, log: log.child('targets'), onForget })
   const selector = LowestCostSelector.create({ registry: targetRegistry, statsTracker, clock, random, availabilityZone: settings.availabilityZone, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
-  return { statsTracker, fleetStats, sender, targetRegistry, selector }
+  return { statsTracker, fleetStats, targetLimits, sender, targetRegistry, selector }
 }
 
 const createRelayNode = (dependencies: GatewayDependencies, self: InstanceRecord, targets: ReturnType<typeof createTargetComponents>, documentSync: PeerDocumentSync, poisonDetector: PoisonRequestDetector): RelayNode => {
@@ -141,6 +143,7 @@
   readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing }),
   targetSelector: targets.selector,
   sender: targets.sender,
+  onTargetAnswer: (targetId, answerHeaders, sentAtMs) => { targets.targetLimits.recordAnswer(targetId, parseLimit(answerHeaders, headers.limit), sentAtMs) },
   retryBudget: WindowedRetryBudget.create({ clock, limits: () => liveSettings.current().bounds, isFirstStart: settings.isFirstStart, fleetSize: () => relay.peers.size }),
   poisonDetector,
   metrics: createRequestMetrics(registry),
@@ -164,7 +167,7 @@
   const self = createInstanceRecord(dependencies)
   const poisonDetector = PoisonRequestDetector.create(clock)
   const relay = createRelayNode(dependencies, self, targets, documentSync, poisonDetector)
-  registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, relay })
+  registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.targetLimits, relay })
   const listingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, relayRank: () => relay.relayRank, clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
   const drainWindow = DrainWindow.create(clock)
   const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants })
--- a/packages/daemon/src/gateway/gatewayMetrics.spec.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { createRegistry, silentLog } from '@lovagehoist/common'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
-import { TargetRegistry, TargetStatsTracker } from '@lovagehoist/targets'
+import { TargetLimits, TargetRegistry, TargetStatsTracker } from '@lovagehoist/targets'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import type { GatewayMetricsOptions } from './gatewayMetrics.js'
 
@@ -12,7 +12,8 @@
     const targetRegistry = TargetRegistry.create({ clock, log: silentLog, onForget: () => {} })
     const statsTracker = TargetStatsTracker.create(clock, targetRegistry.serviceOf)
     const others = { config: { version: 1, refusedCount: 0 }, relay: { relayRank: 0, unreadableCount: 0, peers: { size: 1 } } } as unknown as Pick<GatewayMetricsOptions, 'config' | 'relay'>
-    registerGatewayMetrics({ registry, clock, targetRegistry, statsTracker, ...others })
+    const targetLimits = TargetLimits.create(clock, silentLog)
+    registerGatewayMetrics({ registry, clock, targetRegistry, statsTracker, targetLimits, ...others })
     const targets = ['used', 'unused', 'leaving'].map(id => ({ ...fakeTarget(id), coldForMs: 0, isLeaving: id === 'leaving' }))
     targetRegistry.apply({ storeVersion: 1, targets, skipped: [] }, 0)
     clock.jumpMs(2_500)
@@ -20,5 +21,7 @@
     expect(await registry.metrics()).to.match(/^lovagehoist_targets_unused\{service="burnbook"\} 1$/m)
     clock.jumpMs(2_500)
     expect(await registry.metrics()).to.match(/^lovagehoist_targets_unused\{service="burnbook"\} 2$/m)
+    targetLimits.recordAnswer('used', { type: 'limited', perSecond: 1.5 }, clock.monotonicMs())
+    expect(await registry.metrics()).to.match(/^lovagehoist_targets_limited\{service="burnbook"\} 1$/m)
   })
 })
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
 import type { RelayNode } from '@lovagehoist/peers'
-import type { TargetStatsTracker, TargetRegistry } from '@lovagehoist/targets'
+import type { TargetLimits, TargetStatsTracker, TargetRegistry } from '@lovagehoist/targets'
 
 /** Components whose state the gauges show. */
 export interface GatewayMetricsOptions {
@@ -12,6 +12,7 @@
   readonly config: GatewayConfigFollower
   readonly targetRegistry: TargetRegistry
   readonly statsTracker: TargetStatsTracker
+  readonly targetLimits: TargetLimits
   readonly relay: RelayNode
 }
 
@@ -26,7 +27,7 @@
  *
  * @param options - Registry and the components to read.
  */
-export const registerGatewayMetrics = ({ registry, clock, config, targetRegistry, statsTracker, relay }: GatewayMetricsOptions): void => {
+export const registerGatewayMetrics = ({ registry, clock, config, targetRegistry, statsTracker, targetLimits, relay }: GatewayMetricsOptions): void => {
   const gauge = <Label extends string>(name: string, help: string, labelNames: readonly Label[], collect: (gauge: Gauge<Label>) => void): void => {
     const created: Gauge<Label> = new Gauge({ name: `lovagehoist_${name}`, help, labelNames: [...labelNames], registers: [registry], collect: () => { collect(created) } })
   }
@@ -46,6 +47,10 @@
       if (!entry.target.isLeaving) metric.inc({ service: entry.target.service }, statsTracker.idleMs(entry) > UNUSED_IDLE_MS ? 1 : 0)
     }
   })
+  gauge('targets_limited', 'Targets that name a limit of requests per second in their answers.', ['service'], metric => {
+    metric.reset()
+    for (const { target } of targetRegistry.all()) metric.inc({ service: target.service }, targetLimits.limitOf(target.id) === undefined ? 0 : 1)
+  })
   gauge('requests_in_progress', 'Requests of the whole fleet in progress, as known here.', ['service'], metric => {
     metric.reset()
     for (const { target } of targetRegistry.all()) metric.inc({ service: target.service }, statsTracker.estimate(target.id).inProgress)
--- a/packages/standins/src/gateway/gatewayPath.spec.ts
+++ b/packages/standins/src/gateway/gatewayPath.spec.ts
@@ -188,4 +188,21 @@
     await connection.close()
     await drained
   })
+
+  it('logs when a target names a limit and when it names none any more', async () => {
+    const target = await fleet.addTarget('t1', 's')
+    await fleet.addDaemon()
+    target.limitPerSecond = 2.5
+    await fleet.call()
+    target.limitPerSecond = undefined
+    await fleet.waitUntil(async () => {
+      await fleet.call()
+      return fleet.logLines.some(({ message }) => message === 'target limit lifted')
+    })
+    const lines = fleet.logLines.filter(({ part }) => part === 'limits')
+    expect(lines.map(({ message, targetId, perSecond, previousPerSecond }) => ({ message, targetId, perSecond, previousPerSecond }))).to.deep.equal([
+      { message: 'target limit named', targetId: 't1', perSecond: 2.5, previousPerSecond: undefined },
+      { message: 'target limit lifted', targetId: 't1', perSecond: undefined, previousPerSecond: 2.5 }
+    ])
+  })
 })
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -37,6 +37,8 @@
   /** Number of requests received, including refused ones. */
   receivedRequests = 0
   workMs = 2
+  /** Limit named in answers, in requests per second; none when undefined. */
+  limitPerSecond: number | undefined
   readonly runs: TargetRun[] = []
 
   private constructor (readonly id: string, private readonly server: Server, private readonly clock: Clock) {
@@ -87,6 +89,7 @@
       return
     }
     this.receivedRequests++
+    if (this.limitPerSecond !== undefined) response.setHeader(PLATFORM_HEADERS.limit, String(this.limitPerSecond))
     const responseMode = this.receivedRequests * this.responseModeShare % 1 + this.responseModeShare >= 1 ? this.responseMode : 'well'
     if (responseMode === 'refuse') {
       response.writeHead(STATUS_OVERLOADED, { [PLATFORM_HEADERS.notRun]: '1' }).end()
