--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -31,10 +31,14 @@
   readonly isRunning?: (daemon: DaemonPosition, atMs: number) => boolean
   /** Zone in which the callers of a zone are served at a time; their own by default. */
   readonly servingZone?: (callerZone: number, atMs: number) => number
-  /** Time at which all daemons restart and lose what they know. */
+  /** Time at which daemons restart and lose what they know. */
   readonly restartAtMs?: number
+  /** Whether a daemon restarts at that time; all do by default. */
+  readonly isRestarting?: (daemon: DaemonPosition) => boolean
   /** Whether a target fails most requests at once, by its id and the time; none does by default. */
   readonly isFailing?: (targetId: string, atMs: number) => boolean
+  /** Limit that a target names in its answers, in requests per second, by its id and the time; none does by default. */
+  readonly limitOf?: (targetId: string, atMs: number) => number | undefined
 }
 
 interface SimulatedDaemon extends DaemonPosition {
@@ -60,11 +64,17 @@
 /** Share of the requests that a failing target fails, and the time that it takes. */
 const FAILING_SHARE = 0.75
 const FAST_FAILURE_MS = 10
+/** Window over which the platform's rules count requests to a limited target, and how far these may exceed the limit. */
+const LIMIT_WINDOW_MS = 4_000
+const LIMIT_TOLERANCE = 1.5
+const LIMIT_SLACK = 5
 
 /** Runs the selectors of a whole fleet against simulated targets in virtual time. */
 export class SimulatedFleet {
   /** Times of the requests that each target received. */
   readonly arrivals = new Map<string, number[]>()
+  /** Times of the requests that got a successful answer. */
+  readonly servedAtMs: number[] = []
   failedCount = 0
   requestCount = 0
   private readonly clock = ManualClock.create()
@@ -124,6 +134,23 @@
     return Math.max(0, ...bursts)
   }
 
+  /**
+   * Returns the largest share of its allowance that a limited target received in any 4 s.
+   *
+   * @param perSecond - Limit that all limited targets name.
+   * @param fromMs - Start of the first window.
+   * @param toMs - End of the last window.
+   * @param targetIds - Targets that name the limit all the while.
+   * @returns Requests over the allowance; above 1 breaks the rule.
+   */
+  worstWindowShare (perSecond: number, fromMs: number, toMs: number, targetIds: readonly string[]): number {
+    const counts = targetIds.flatMap(id => {
+      const times = (this.arrivals.get(id) ?? []).filter(atMs => atMs >= fromMs && atMs < toMs)
+      return times.map(startMs => times.filter(atMs => atMs >= startMs && atMs < startMs + LIMIT_WINDOW_MS).length)
+    })
+    return Math.max(0, ...counts) / (LIMIT_TOLERANCE * LIMIT_WINDOW_MS / 1_000 * perSecond + LIMIT_SLACK)
+  }
+
   private createTarget (zone: number, index: number): ListedTarget {
     const id = `${zone}-${index}`
     this.arrivals.set(id, [])
@@ -133,21 +160,27 @@
   private startDaemons (): void {
     const { zones } = this.options
     this.aggregators = zones.map(() => FleetStatsAggregator.create(this.clock))
-    this.daemons = zones.flatMap(({ daemons }, zone) => Array.from({ length: daemons }, (_, index) => this.createDaemon(zone, index)))
+    this.daemons = zones.flatMap(({ daemons }, zone) => Array.from({ length: daemons }, (_, index) => this.createDaemon(zone, index, 0)))
+  }
+
+  private restartDaemons (): void {
+    const { isRestarting = () => true } = this.options
+    this.aggregators = this.aggregators.map((aggregator, zone) => isRestarting({ zone, index: 0 }) ? FleetStatsAggregator.create(this.clock) : aggregator)
+    this.daemons = this.daemons.map(daemon => isRestarting(daemon) ? this.createDaemon(daemon.zone, daemon.index, 1) : daemon)
   }
 
-  private createDaemon (zone: number, index: number): SimulatedDaemon {
+  private createDaemon (zone: number, index: number, restarts: number): SimulatedDaemon {
     const { registry } = this
     const connectedIds = new Set<string>()
     const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf)
     const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
     tracker.onChange(isUrgent => { if (isUrgent) this.exchangeSoon(zone) })
-    return { name: `${zone}-${index}`, zone, index, connectedIds, tracker, selector }
+    return { name: `${zone}-${index}-${restarts}`, zone, index, connectedIds, tracker, selector }
   }
 
   private runEvents (): void {
     this.options.zones.forEach((_, zone) => { this.arrive(zone) })
-    if (this.options.restartAtMs !== undefined) this.schedule(this.options.restartAtMs, () => { this.startDaemons() })
+    if (this.options.restartAtMs !== undefined) this.schedule(this.options.restartAtMs, () => { this.restartDaemons() })
     this.repeat(ZONE_EXCHANGE_MS, () => { this.options.zones.forEach((_, zone) => { this.exchangeInZone(zone) }) })
     this.repeat(CROSS_ZONE_EXCHANGE_MS, () => { this.options.zones.forEach((_, zone) => { this.reportToOtherZones(zone) }) })
     for (let event = this.takeNext(); event !== undefined && event.atMs < this.options.seconds * 1_000; event = this.takeNext()) {
@@ -198,6 +231,7 @@
     const isFastFailure = isFailing(choice.target.id, sentAtMs) && this.random.next() < FAILING_SHARE
     const outcome: AttemptOutcome = isFastFailure || this.random.next() < errorShare ? 'failed' : 'succeeded'
     if (outcome === 'failed') this.failedCount++
+    else this.servedAtMs.push(sentAtMs)
     const workMs = isFastFailure ? FAST_FAILURE_MS : MIN_WORK_MS + (MAX_WORK_MS - MIN_WORK_MS) * this.random.next()
     this.schedule(workMs, () => { choice.attempt.end(outcome, this.clock.monotonicMs() - sentAtMs) })
   }
