Keep the requests of the whole fleet within the limits that targets name

Cause: no daemon read the limit. Class: a bound on the whole fleet that each daemon would have to keep by itself; one request from each of 36 daemons breaks it already.

Now each request to a limited target needs a permit, first tries, retries, probes and trials alike. A limit spreads urgently, like failures; of several answers the one counts whose request was sent last. The first relay of a zone issues the zone's share of the limit, by demand, to its daemons, by theirs. Permits are used once or returned, and unused ones are at most one a zone and what arises in 1.5 s. So a target gets at most 4 s + 1.5 s of its limit and one request a zone in any 4 s, below 1.5 x 4 x limit + 5 for up to five zones; what is lost (relay, daemon, datagram) is room, not the bound. A new issuer begins with nothing. Where all targets are limited, requests without a permit are refused at once as not run, urgent ones get permits first, and `Retry-After` is spread over the time in which room arises.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -65,6 +65,7 @@
 const replyWithoutTarget = (history: AttemptHistory, choice: Exclude<TargetChoice, { readonly type: 'chosen' }>): Reply => {
   if (history.lastAttempt !== undefined) return finalReply(history)
   if (choice.type === 'no-target') return problemReply('no-target', history.verdict, 'no target of the service may take work', MIN_RETRY_AFTER_MS)
+  if (choice.type === 'limited') return problemReply('overload', history.verdict, 'all targets of the service limit their requests', choice.retryDelayMs)
   return problemReply('overload', history.verdict, 'the request could not be finished in time', retryAfterMs(choice.waitMs))
 }
 
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -256,6 +256,8 @@
 export type TargetChoice =
   | { readonly type: 'chosen', readonly target: ListedTarget, readonly inputs: ChoiceInputs, readonly attempt: ActiveAttempt }
   | { readonly type: 'too-late', readonly waitMs: number }
+  /** All targets name a limit and none may take another request now; `retryDelayMs` is the delay after which the caller may return. */
+  | { readonly type: 'limited', readonly retryDelayMs: number }
   | { readonly type: 'no-target' }
 
 /** Chooses a target for each request and tracks the requests in progress at each target. */
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -5,7 +5,7 @@
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
-import { ConnectionSender, FleetStatsAggregator, ListingPoller, TargetLimits, TargetStatsTracker, LowestCostSelector, TargetRegistry, parseLimit } from '@lovagehoist/targets'
+import { ConnectionSender, FleetLimits, FleetStatsAggregator, ListingPoller, TargetStatsTracker, LowestCostSelector, TargetRegistry } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import type { LiveSettings } from './liveSettings.js'
@@ -54,26 +54,26 @@
 /** Time between two reads of the settings file, which may change without a signal. */
 const SETTINGS_POLL_MS = 15_000
 
-const createTargetComponents = ({ settings, liveSettings, clock, random, log }: GatewayDependencies, registry: Registry, invariants: Invariants) => {
+const createTargetComponents = ({ liveSettings, clock, random, log, headers }: GatewayDependencies, { startId, availabilityZone }: InstanceRecord, registry: Registry, invariants: Invariants) => {
   const statsTracker: TargetStatsTracker = TargetStatsTracker.create(clock, targetId => targetRegistry.serviceOf(targetId))
   const fleetStats = FleetStatsAggregator.create(clock)
-  const targetLimits = TargetLimits.create(clock, log.child('limits'))
+  const limits = FleetLimits.create({ clock, random, log: log.child('limits'), startId, availabilityZone, headerName: headers.limit, serviceOf: targetId => targetRegistry.serviceOf(targetId) })
   const sender = ConnectionSender.create({ clock, connectTimeoutMs: () => CONNECT_TIMEOUT_MS, registry, invariants })
   const onForget = (targetId: string): void => {
     statsTracker.forget(targetId)
     fleetStats.forget(targetId)
-    targetLimits.forget(targetId)
+    limits.forget(targetId)
     sender.closeIdleConnections(targetId, -1)
   }
   const targetRegistry: TargetRegistry = TargetRegistry.create({ clock, log: log.child('targets'), onForget })
-  const selector = LowestCostSelector.create({ registry: targetRegistry, statsTracker, clock, random, availabilityZone: settings.availabilityZone, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
-  return { statsTracker, fleetStats, targetLimits, sender, targetRegistry, selector }
+  const selector = LowestCostSelector.create({ registry: targetRegistry, statsTracker, clock, random, availabilityZone, limits, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
+  return { statsTracker, fleetStats, limits, sender, targetRegistry, selector }
 }
 
 const createRelayNode = (dependencies: GatewayDependencies, self: InstanceRecord, targets: ReturnType<typeof createTargetComponents>, documentSync: PeerDocumentSync, poisonDetector: PoisonRequestDetector): RelayNode => {
   const { liveSettings, clock, log, datagrams } = dependencies
-  const { statsTracker, fleetStats } = targets
-  return RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, crashes: poisonDetector, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
+  const { statsTracker, fleetStats, limits } = targets
+  return RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, crashes: poisonDetector, limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
 }
 
 const createOverdueTask = (clock: Clock, statsTracker: TargetStatsTracker) => async (signal: AbortSignal): Promise<void> => {
@@ -143,7 +143,7 @@
   readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing }),
   targetSelector: targets.selector,
   sender: targets.sender,
-  onTargetAnswer: (targetId, answerHeaders, sentAtMs) => { targets.targetLimits.recordAnswer(targetId, parseLimit(answerHeaders, headers.limit), sentAtMs) },
+  onTargetAnswer: targets.limits.recordAnswer,
   retryBudget: WindowedRetryBudget.create({ clock, limits: () => liveSettings.current().bounds, isFirstStart: settings.isFirstStart, fleetSize: () => relay.peers.size }),
   poisonDetector,
   metrics: createRequestMetrics(registry),
@@ -162,12 +162,12 @@
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let activeConfig: ActiveConfig | undefined
   const config = GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), onConfig: next => { activeConfig = { config: next, routes: RouteIndex.create(next) } } })
-  const targets = createTargetComponents(dependencies, registry, invariants)
-  const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry })
   const self = createInstanceRecord(dependencies)
+  const targets = createTargetComponents(dependencies, self, registry, invariants)
+  const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry })
   const poisonDetector = PoisonRequestDetector.create(clock)
   const relay = createRelayNode(dependencies, self, targets, documentSync, poisonDetector)
-  registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.targetLimits, relay })
+  registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, relay })
   const listingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, relayRank: () => relay.relayRank, clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
   const drainWindow = DrainWindow.create(clock)
   const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants })
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -1,4 +1,7 @@
-import type { PerTarget, CrashCounts, FleetTargetStats, InstanceRecord, TargetCounters } from '@lovagehoist/common'
+import type { PerTarget, CrashCounts, FleetTargetStats, InstanceRecord, LimitReport, LimitView, TargetCounters, ZoneLimits } from '@lovagehoist/common'
+import { decodeLimitReport, decodeLimitView, decodeZoneLimits, encodeLimitReport, encodeLimitView, encodeZoneLimits } from './limitMessages.js'
+import { decodeRows } from './rows.js'
+import type { Row } from './rows.js'
 
 /** Versions of the configuration and of the target listing that a daemon holds. */
 export interface HeldVersions {
@@ -24,6 +27,7 @@
   readonly counters: PerTarget<TargetCounters>
   /** Number of broken target connections by the fingerprint of the request that broke them. */
   readonly crashes: CrashCounts
+  readonly limits: LimitReport
 }
 
 /** Sent by the first relay of a zone to the relays of other zones: the zone's totals by target. */
@@ -33,6 +37,7 @@
   readonly isFull: boolean
   readonly counters: PerTarget<TargetCounters>
   readonly crashes: CrashCounts
+  readonly limits: ZoneLimits
 }
 
 /** Sent by a relay to the daemons that report to it: stats aggregated over the fleet. */
@@ -43,6 +48,7 @@
   /** Stats that changed since the last view. */
   readonly stats: PerTarget<FleetTargetStats>
   readonly crashes: CrashCounts
+  readonly limits: LimitView
   /** Daemons heard from recently; empty in views that leave them out. */
   readonly members: readonly InstanceRecord[]
 }
@@ -50,8 +56,6 @@
 /** Any message of the relay protocol. */
 export type RelayMessage = Report | ZoneTotals | RelayView
 
-type Row = readonly [string, ...number[]]
-
 const PERCENT = 100
 
 const encodeInstance = ({ instanceId, startId, host, availabilityZone, relayFitness }: InstanceRecord): readonly unknown[] =>
@@ -78,15 +82,6 @@
 const decodeStats = ([id, inProgress = 0, failing = 0, refusal = 0, latencyMs = 0, idleMs = 0]: Row): PerTarget<FleetTargetStats>[number] =>
   [id, { inProgress, failingChance: failing / PERCENT, refusalShare: refusal / PERCENT, latencyMs, idleMs }]
 
-const decodeRows = (value: unknown): readonly Row[] => {
-  if (!Array.isArray(value)) throw new TypeError('rows must be an array')
-  for (const row of value as readonly unknown[]) {
-    const isRow = Array.isArray(row) && typeof row[0] === 'string' && row.slice(1).every(part => typeof part === 'number' && Number.isFinite(part))
-    if (!isRow) throw new TypeError('a row must be a string followed by finite numbers')
-  }
-  return value as readonly Row[]
-}
-
 const encodeCrashes = (crashes: CrashCounts): Params => crashes.length === 0 ? {} : { crashes }
 
 const decodeCrashes = (value: unknown): CrashCounts =>
@@ -110,13 +105,15 @@
   readonly facts?: unknown
   readonly members?: unknown
   readonly crashes?: unknown
+  readonly limits?: unknown
 }
 
 const encoders: { readonly [Type in RelayMessage['type']]: (message: Extract<RelayMessage, { readonly type: Type }>) => Params } = {
-  report: ({ from, isFull, isLeaving, uptimeMs, counters, crashes }) => ({ ...encodeCrashes(crashes), from: encodeInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: counters.map(encodeCounters) }),
-  zone: ({ from, isFull, counters, crashes }) => ({ ...encodeCrashes(crashes), from: encodeInstance(from), full: isFull, rows: counters.map(encodeCounters) }),
-  view: ({ from, heldVersions, stats, members, crashes }) => ({
+  report: ({ from, isFull, isLeaving, uptimeMs, counters, crashes, limits }) => ({ ...encodeCrashes(crashes), ...encodeLimitReport(limits), from: encodeInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: counters.map(encodeCounters) }),
+  zone: ({ from, isFull, counters, crashes, limits }) => ({ ...encodeCrashes(crashes), ...encodeZoneLimits(limits), from: encodeInstance(from), full: isFull, rows: counters.map(encodeCounters) }),
+  view: ({ from, heldVersions, stats, members, crashes, limits }) => ({
     ...encodeCrashes(crashes),
+    ...encodeLimitView(limits),
     from: encodeInstance(from),
     facts: [heldVersions.configVersion, heldVersions.listingDigest, heldVersions.listingVersion, Math.round(heldVersions.listingAgeMs)],
     rows: stats.map(encodeStats),
@@ -125,15 +122,16 @@
 }
 
 const decoders: Readonly<Record<RelayMessage['type'], (params: Params) => RelayMessage>> = {
-  report: ({ from, full, leaving, uptime, rows, crashes }) => ({ type: 'report', from: decodeInstance(from), isFull: full === true, isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), crashes: decodeCrashes(crashes) }),
-  zone: ({ from, full, rows, crashes }) => ({ type: 'zone', from: decodeInstance(from), isFull: full === true, counters: decodeRows(rows).map(decodeCounters), crashes: decodeCrashes(crashes) }),
-  view: ({ from, facts, rows, members, crashes }) => ({
+  report: ({ from, full, leaving, uptime, rows, crashes, limits }) => ({ type: 'report', from: decodeInstance(from), isFull: full === true, isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), crashes: decodeCrashes(crashes), limits: decodeLimitReport(limits) }),
+  zone: ({ from, full, rows, crashes, limits }) => ({ type: 'zone', from: decodeInstance(from), isFull: full === true, counters: decodeRows(rows).map(decodeCounters), crashes: decodeCrashes(crashes), limits: decodeZoneLimits(limits) }),
+  view: ({ from, facts, rows, members, crashes, limits }) => ({
     type: 'view',
     from: decodeInstance(from),
     heldVersions: decodeHeldVersions(facts),
     stats: decodeRows(rows).map(decodeStats),
     members: Array.isArray(members) ? members.map(decodeInstance) : [],
-    crashes: decodeCrashes(crashes)
+    crashes: decodeCrashes(crashes),
+    limits: decodeLimitView(limits)
   })
 }
 
--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -69,6 +69,11 @@
     if (peer !== undefined && (peer.unansweredSinceMs === undefined || nowMs - peer.unansweredSinceMs > ANSWER_TIMEOUT_MS + EXCLUSION_MS)) peer.unansweredSinceMs = nowMs
   }
 
+  /** Whether a message from a daemon arrived within the given time. */
+  hasHeardWithin (instanceId: string, durationMs: number): boolean {
+    return this.clock.monotonicMs() - (this.peers.get(instanceId)?.heardAtMs ?? -Infinity) <= durationMs
+  }
+
   /** Removes a daemon that left. */
   remove (instanceId: string): void {
     this.peers.delete(instanceId)
--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { ManualClock } from '@lovagehoist/common/testing'
-import type { PerTarget, FleetTargetStats, InstanceRecord, TargetCounters } from '@lovagehoist/common'
+import type { PerTarget, FleetTargetStats, InstanceRecord, IssuerRole, TargetCounters } from '@lovagehoist/common'
 import { silentLog } from '@lovagehoist/common'
 import type { Datagrams } from './datagrams.js'
 import { decodeMessage } from './messages.js'
@@ -34,6 +34,7 @@
   readonly views: Array<PerTarget<FleetTargetStats>> = []
   readonly reports: Array<{ readonly startId: string, readonly counters: PerTarget<TargetCounters>, readonly isFull: boolean }> = []
   readonly zones: string[] = []
+  readonly roles: IssuerRole[] = []
   /** How often all counters were collected, which marks them as reported. */
   fullCollections = 0
   notify: (isUrgent: boolean) => void = () => {}
@@ -63,6 +64,18 @@
         sweep: () => {}
       },
       crashes: { crashCounts: () => [], applyFleetCrashes: () => {} },
+      limits: {
+        onChange: () => {},
+        report: () => ({ limits: [], demand: [], settled: [] }),
+        applyReport: () => false,
+        zoneLimits: () => ({ limits: [], demand: [] }),
+        applyZoneLimits: () => false,
+        view: role => {
+          this.roles.push(role)
+          return { limits: [], permits: [] }
+        },
+        applyView: () => {}
+      },
       heldVersions: () => ({ configVersion: 0, listingDigest: '', listingVersion: -1, listingAgeMs: 0 }),
       onPeerVersions: () => {}
     })
@@ -127,6 +140,19 @@
     expect(daemon('a3').relay.peers.relays('a').map(({ instanceId }) => instanceId)).to.deep.equal(['a2', 'a3'])
   })
 
+  it('makes one relay of a zone the issuer of permits, and the next one once it has fallen silent', async () => {
+    start()
+    await clock.advanceMs(2_000)
+    const issuers = (): readonly string[] => daemons.filter(({ roles }) => roles.at(-1)?.isIssuer === true).map(({ self }) => self.instanceId)
+    expect(issuers()).to.deep.equal(['a1', 'b1'])
+    network.isLost = (_bytes, from, to) => from === '10.0.0.1' || to === '10.0.0.1'
+    await clock.advanceMs(1_500)
+    expect(issuers()).to.include('a2')
+    const before = daemon('a2').roles.length
+    await clock.advanceMs(10_000)
+    expect(daemon('a2').roles.slice(before).every(({ isIssuer }) => isIssuer)).to.equal(true)
+  })
+
   it('sends zone totals from the first relay of each zone to the other zones', async () => {
     start()
     await clock.advanceMs(2_000)
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -1,4 +1,4 @@
-import type { PerTarget, CancelTimer, Clock, FleetTargetStats, InstanceRecord, Log, TargetCounters } from '@lovagehoist/common'
+import type { PerTarget, CancelTimer, Clock, FleetTargetStats, InstanceRecord, LimitExchange, Log, TargetCounters, ZoneLimits } from '@lovagehoist/common'
 import { CrashAggregator } from './crashAggregator.js'
 import type { Datagrams } from './datagrams.js'
 import { decodeMessage, encodeMessage } from './messages.js'
@@ -17,6 +17,7 @@
   readonly localCounters: LocalCounters
   readonly fleetStats: FleetStats
   readonly crashes: CrashExchange
+  readonly limits: LimitExchange
   readonly heldVersions: () => HeldVersions
   /** Called with the versions that a relay holds, for each view received from it. */
   readonly onPeerVersions: (versions: HeldVersions, from: InstanceRecord) => void
@@ -46,6 +47,8 @@
 const LAST_SENT_RESOLUTION_MS = 300
 /** Distinguishes zones from daemons among the sources of crash counts. */
 const ZONE_SOURCE_PREFIX = 'zone '
+/** Silence of an earlier relay after which the next one issues permits. */
+const ISSUER_SILENCE_MS = 800
 /** Time after its last report for which a daemon is sent views. */
 const REPORTER_TTL_MS = 1_500
 
@@ -79,6 +82,7 @@
     this.peers = PeerTable.create(options.self, options.clock)
     options.datagrams.onDatagram(bytes => { this.receive(bytes) })
     options.localCounters.onChange(isUrgent => { this.onCountersChanged(isUrgent) })
+    options.limits.onChange(() => { this.onCountersChanged(true) })
   }
 
   /**
@@ -114,7 +118,7 @@
     }
     this.cancelUrgent?.()
     this.isLeaving = true
-    this.sendReport(this.options.localCounters.collectCounters(), true)
+    this.sendReport(this.options.localCounters.collectCounters(), true, false)
   }
 
   private onCountersChanged (isUrgent: boolean): void {
@@ -146,7 +150,7 @@
     this.hasChanges = false
     lastSent.report = nowMs
     if (isFull || isRepeat) lastSent.repeat = nowMs
-    this.sendReport(this.options.localCounters.collectCounters(isFull ? undefined : changedWithinMs), isFull)
+    this.sendReport(this.options.localCounters.collectCounters(isFull ? undefined : changedWithinMs), isFull, isNewRelay)
   }
 
   /** Whether the next repeat is a full report, so that a relay that missed the first one gets another. */
@@ -155,14 +159,16 @@
     return this.options.localCounters.countTargets() <= ALWAYS_FULL_MAX_TARGETS || this.repeatCount % REPEATS_PER_FULL_REPORT === 0
   }
 
-  private sendReport (counters: PerTarget<TargetCounters>, isFull: boolean): void {
+  private sendReport (counters: PerTarget<TargetCounters>, isFull: boolean, isForNewRelay: boolean): void {
     const { self, fleetStats, datagrams, bootstrapHosts, clock } = this.options
     const uptimeMs = clock.monotonicMs() - this.startedAtMs
     const crashes = this.options.crashes.crashCounts()
+    const limits = this.options.limits.report(isForNewRelay)
     fleetStats.applyDaemonReport(self.startId, counters, isFull, uptimeMs)
     this.crashes.update(self.startId, crashes)
+    this.options.limits.applyReport(self.startId, limits)
     const relays = this.peers.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
-    const bytes = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, crashes })
+    const bytes = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, crashes, limits })
     for (const { instanceId, host } of relays) {
       this.peers.recordRequest(instanceId)
       datagrams.send(host, bytes)
@@ -174,7 +180,7 @@
     const lastSent = this.lastSentMs
     if (!isUrgent && nowMs - lastSent.view < VIEW_INTERVAL_MS) return
     const stats = this.changedStats(nowMs)
-    if (stats.length === 0 && nowMs - lastSent.view < IDLE_VIEW_INTERVAL_MS) return
+    if (!isUrgent && stats.length === 0 && nowMs - lastSent.view < IDLE_VIEW_INTERVAL_MS) return
     lastSent.view = nowMs
     this.options.localCounters.applyFleetStats(stats)
     this.options.crashes.applyFleetCrashes(this.crashes.totals())
@@ -185,14 +191,22 @@
   private sendView (nowMs: number, stats: PerTarget<FleetTargetStats>): void {
     const { self, datagrams, heldVersions } = this.options
     for (const [startId, { heardAtMs }] of this.reporters) if (nowMs - heardAtMs > REPORTER_TTL_MS) this.reporters.delete(startId)
-    if (this.reporters.size === 0) return
     const withMembers = nowMs - this.lastSentMs.members >= MEMBERS_INTERVAL_MS
+    const limits = this.options.limits.view({ isIssuer: this.isIssuer(), isRepeat: withMembers, reporters: [self.startId, ...this.reporters.keys()], zones: this.peers.zones() })
+    if (this.reporters.size === 0) return
     if (withMembers) this.lastSentMs.members = nowMs
-    const view: RelayView = { type: 'view', from: self, heldVersions: heldVersions(), stats, members: withMembers ? this.peers.members() : [], crashes: this.crashes.totals() }
+    const view: RelayView = { type: 'view', from: self, heldVersions: heldVersions(), stats, members: withMembers ? this.peers.members() : [], crashes: this.crashes.totals(), limits }
     const bytes = encodeMessage(view)
     for (const { host } of this.reporters.values()) datagrams.send(host, bytes)
   }
 
+  /** Whether this daemon issues the permits of its zone: it is the first relay, or those before it have fallen silent. */
+  private isIssuer (): boolean {
+    const rank = this.relayRank
+    const before = this.peers.relays(this.options.self.availabilityZone).slice(0, Math.max(0, rank))
+    return rank >= 0 && !before.some(({ instanceId }) => this.peers.hasHeardWithin(instanceId, ISSUER_SILENCE_MS))
+  }
+
   /** Stats that differ from those last sent, after rounding; stats with requests in progress are also repeated periodically. */
   private changedStats (nowMs: number): PerTarget<FleetTargetStats> {
     const isRepeat = nowMs - this.lastSentMs.members >= MEMBERS_INTERVAL_MS
@@ -218,16 +232,17 @@
       if (isSent) this.sentTotals.set(targetId, targetCounters)
       return isSent
     })
-    if (counters.length === 0 && !isFull) return
+    const limits = this.options.limits.zoneLimits(isFull)
+    if (counters.length === 0 && limits.limits.length === 0 && !isFull) return
     if (isDue) lastSent.zone = nowMs
     if (isFull) lastSent.zoneRepeat = nowMs
-    this.sendZoneTotals(counters, isFull)
+    this.sendZoneTotals(counters, isFull, limits)
   }
 
-  private sendZoneTotals (counters: PerTarget<TargetCounters>, isFull: boolean): void {
+  private sendZoneTotals (counters: PerTarget<TargetCounters>, isFull: boolean, limits: ZoneLimits): void {
     const { self, datagrams } = this.options
     const crashes = this.crashes.totals(source => !source.startsWith(ZONE_SOURCE_PREFIX))
-    const bytes = encodeMessage({ type: 'zone', from: self, isFull, counters, crashes })
+    const bytes = encodeMessage({ type: 'zone', from: self, isFull, counters, crashes, limits })
     for (const zone of this.peers.zones()) {
       if (zone === self.availabilityZone) continue
       for (const { host } of this.peers.relays(zone)) datagrams.send(host, bytes)
@@ -252,7 +267,7 @@
     view: message => { this.handleView(message) }
   }
 
-  private handleReport ({ from, isFull, isLeaving, uptimeMs, counters, crashes }: Report): void {
+  private handleReport ({ from, isFull, isLeaving, uptimeMs, counters, crashes, limits }: Report): void {
     this.crashes.update(from.startId, crashes)
     if (isLeaving) {
       this.reporters.delete(from.startId)
@@ -261,18 +276,21 @@
       return
     }
     this.reporters.set(from.startId, { host: from.host, heardAtMs: this.options.clock.monotonicMs() })
-    if (this.options.fleetStats.applyDaemonReport(from.startId, counters, isFull, uptimeMs)) this.onCountersChanged(true)
+    const hasUrgentLimits = this.options.limits.applyReport(from.startId, limits)
+    if (this.options.fleetStats.applyDaemonReport(from.startId, counters, isFull, uptimeMs) || hasUrgentLimits) this.onCountersChanged(true)
   }
 
-  private handleZoneTotals ({ from, isFull, counters, crashes }: ZoneTotals): void {
+  private handleZoneTotals ({ from, isFull, counters, crashes, limits }: ZoneTotals): void {
     this.crashes.update(`${ZONE_SOURCE_PREFIX}${from.availabilityZone}`, crashes)
-    if (this.options.fleetStats.applyZoneReport(`${from.availabilityZone} ${from.startId}`, counters, isFull)) this.onCountersChanged(true)
+    const hasUrgentLimits = this.options.limits.applyZoneLimits(from.availabilityZone, limits)
+    if (this.options.fleetStats.applyZoneReport(`${from.availabilityZone} ${from.startId}`, counters, isFull) || hasUrgentLimits) this.onCountersChanged(true)
   }
 
-  private handleView ({ from, heldVersions, stats, members, crashes }: RelayView): void {
+  private handleView ({ from, heldVersions, stats, members, crashes, limits }: RelayView): void {
     this.options.crashes.applyFleetCrashes(crashes)
     this.peers.addKnown(members)
     this.options.localCounters.applyFleetStats(stats)
+    this.options.limits.applyView(limits)
     this.options.onPeerVersions(heldVersions, from)
   }
 }
--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -1,4 +1,5 @@
 import type { TargetChoice, ChoiceInputs, ChoiceCriteria, Clock, Random, TargetSelector } from '@lovagehoist/common'
+import type { FleetLimits } from '../limits/fleetLimits.js'
 import type { TargetStatsTracker } from '../load/targetStatsTracker.js'
 import type { TargetRegistry } from '../registry/targetRegistry.js'
 import { placeRequest } from './placement.js'
@@ -16,6 +17,8 @@
   readonly availabilityZone: string
   /** Share of a service's healthy targets that the deployment requires to be in use. */
   readonly floorShare: () => number
+  /** Permits for targets that name a limit. */
+  readonly limits: Pick<FleetLimits, 'allows' | 'recordDemand' | 'recordSent' | 'recordRefused'>
   /** Whether an idle connection to a target exists that suits the request. */
   readonly hasIdle: (targetId: string, isIdempotent: boolean) => boolean
 }
@@ -52,9 +55,12 @@
    * @returns The target with its active attempt, or the reason why there is none.
    */
   readonly choose = (criteria: ChoiceCriteria): TargetChoice => {
-    const { registry, statsTracker, clock, random, availabilityZone, hasIdle } = this.options
+    const { registry, statsTracker, clock, random, availabilityZone, hasIdle, limits } = this.options
     const nowMs = clock.monotonicMs()
-    const entries = registry.activeTargets(criteria.service).filter(({ target }) => !criteria.triedTargetIds.has(target.id))
+    if (criteria.triedTargetIds.size === 0) limits.recordDemand(criteria.service)
+    const untried = registry.activeTargets(criteria.service).filter(({ target }) => !criteria.triedTargetIds.has(target.id))
+    const entries = untried.filter(({ target }) => limits.allows(target.id, criteria.hasHigherPriorityTraffic))
+    if (entries.length === 0 && untried.length > 0) return { type: 'limited', retryDelayMs: limits.recordRefused(criteria.service) }
     const candidates = entries.map(entry => statsTracker.describeCandidate(entry, availabilityZone, hasIdle(entry.target.id, criteria.isIdempotent)))
     const placement = placeRequest(candidates, this.describeRequest(criteria, nowMs), random)
     if (placement.type !== 'placed') return placement
@@ -62,6 +68,7 @@
     const entry = entries[index]
     const candidate = candidates[index]
     if (entry === undefined || candidate === undefined) return { type: 'no-target' }
+    limits.recordSent(entry.target.id)
     return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
   }
 
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -1,6 +1,7 @@
 import { SeededRandom, silentLog } from '@lovagehoist/common'
 import type { AttemptOutcome, ListedTarget, Random } from '@lovagehoist/common'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
+import { FleetLimits } from '../limits/fleetLimits.js'
 import { FleetStatsAggregator } from '../load/fleetStatsAggregator.js'
 import { TargetStatsTracker } from '../load/targetStatsTracker.js'
 import { LowestCostSelector } from '../placing/lowestCostSelector.js'
@@ -45,6 +46,7 @@
   readonly name: string
   readonly connectedIds: Set<string>
   readonly tracker: TargetStatsTracker
+  readonly limits: FleetLimits
   readonly selector: LowestCostSelector
 }
 
@@ -61,6 +63,8 @@
 const ZONE_EXCHANGE_MS = 150
 const CROSS_ZONE_EXCHANGE_MS = 800
 const URGENT_DELAY_MS = 10
+const RELAYS_PER_ZONE = 2
+const LIMIT_HEADER = 'server-limit'
 /** Share of the requests that a failing target fails, and the time that it takes. */
 const FAILING_SHARE = 0.75
 const FAST_FAILURE_MS = 10
@@ -173,9 +177,12 @@
     const { registry } = this
     const connectedIds = new Set<string>()
     const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf)
-    const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
+    const name = `${zone}-${index}-${restarts}`
+    const limits = FleetLimits.create({ clock: this.clock, random: this.random, log: silentLog, startId: name, availabilityZone: String(zone), headerName: LIMIT_HEADER, serviceOf: registry.serviceOf })
+    const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), limits, floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
     tracker.onChange(isUrgent => { if (isUrgent) this.exchangeSoon(zone) })
-    return { name: `${zone}-${index}-${restarts}`, zone, index, connectedIds, tracker, selector }
+    limits.onChange(() => { this.exchangeSoon(zone) })
+    return { name, zone, index, connectedIds, tracker, limits, selector }
   }
 
   private runEvents (): void {
@@ -221,7 +228,7 @@
     })
   }
 
-  private send ({ selector, connectedIds }: SimulatedDaemon): void {
+  private send ({ selector, connectedIds, limits }: SimulatedDaemon): void {
     const { isIdempotent, errorShare, isFailing = () => false } = this.options
     const sentAtMs = this.clock.monotonicMs()
     const choice = selector.choose({ service: SERVICE, isIdempotent, hasHigherPriorityTraffic: false, triedTargetIds: new Set(), deadlineAtMs: sentAtMs + TIME_LIMIT_MS })
@@ -233,7 +240,11 @@
     if (outcome === 'failed') this.failedCount++
     else this.servedAtMs.push(sentAtMs)
     const workMs = isFastFailure ? FAST_FAILURE_MS : MIN_WORK_MS + (MAX_WORK_MS - MIN_WORK_MS) * this.random.next()
-    this.schedule(workMs, () => { choice.attempt.end(outcome, this.clock.monotonicMs() - sentAtMs) })
+    this.schedule(workMs, () => {
+      const limit = this.options.limitOf?.(choice.target.id, this.clock.monotonicMs())
+      limits.recordAnswer(choice.target.id, limit === undefined ? [] : [LIMIT_HEADER, String(limit)], sentAtMs)
+      choice.attempt.end(outcome, this.clock.monotonicMs() - sentAtMs)
+    })
   }
 
   private exchangeSoon (zone: number): void {
@@ -253,11 +264,26 @@
     for (const { name, tracker } of daemons) aggregator.applyDaemonReport(name, tracker.collectCounters(), true, this.clock.monotonicMs())
     aggregator.sweep()
     for (const { tracker } of daemons) tracker.applyFleetStats(aggregator.targetStats())
+    this.exchangeLimits(daemons)
+  }
+
+  /** Exchanges limits as relays do: the first running daemon of a zone issues its permits, the second one holds the same reports. */
+  private exchangeLimits (daemons: readonly SimulatedDaemon[]): void {
+    const reporters = daemons.map(({ name }) => name)
+    const reports = daemons.map(({ name, limits }) => ({ name, report: limits.report(false) }))
+    daemons.slice(0, RELAYS_PER_ZONE).forEach((relay, rank) => {
+      for (const { name, report } of reports) relay.limits.applyReport(name, report)
+      const view = relay.limits.view({ isIssuer: rank === 0, isRepeat: this.clock.monotonicMs() % 1_000 < ZONE_EXCHANGE_MS, reporters, zones: this.options.zones.map((_, zone) => String(zone)) })
+      for (const daemon of daemons) if (daemon !== relay) daemon.limits.applyView(view)
+    })
   }
 
   private reportToOtherZones (zone: number): void {
     const from = this.aggregators[zone]
     if (from === undefined || this.runningDaemons(zone).length === 0) return
     for (const to of this.aggregators) if (to !== from) to.applyZoneReport(String(zone), from.ownZoneCounters(), true)
+    const limits = this.runningDaemons(zone)[0]?.limits.zoneLimits(false)
+    const otherZones = this.options.zones.map((_, other) => other).filter(other => other !== zone)
+    for (const relay of otherZones.flatMap(other => this.runningDaemons(other).slice(0, RELAYS_PER_ZONE))) if (limits !== undefined) relay.limits.applyZoneLimits(String(zone), limits)
   }
 }
