--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -3,6 +3,7 @@
 import { drain } from './drain.js'
 import { gateway } from './gateway.js'
 import { gray } from './gray.js'
+import { limit } from './limit.js'
 import { outage } from './outage.js'
 import { overhead } from './overhead.js'
 import { poison } from './poison.js'
@@ -15,6 +16,7 @@
   [overhead.name]: overhead,
   [gray.name]: gray,
   [rush.name]: rush,
+  [limit.name]: limit,
   [outage.name]: outage,
   [promoteScenario.name]: promoteScenario,
   [drain.name]: drain,
