Keep the process alive when a paused response without keep-alive ends early

Callers saw: the daemon's process ended, with all its connections, when a target streamed a body without length, or with `Connection: close`, faster than its caller read and the body was given up (deadline, caller left). Cause: the HTTP client takes the close of such a connection for the end of the body and asserts that its parser isn't paused. Our own destruction of the socket carried no error, so it went that way; a reset (ECONNRESET) takes the same way in the client's error listener. Now connections are destroyed with an error, and a reset keeps its message but loses the code on which the client acts. Test: "do not end the process when the reader discards the body while data wait to be read", an uncaught ERR_ASSERTION before. The case of the reset passed before, too.

--- a/packages/targets/src/connections/closeDelimited.spec.ts
+++ b/packages/targets/src/connections/closeDelimited.spec.ts
@@ -1,7 +1,9 @@
 import { once } from 'node:events'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import type { Readable } from 'node:stream'
 import { expect } from 'chai'
+import { SystemClock } from '@lovagehoist/common'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
 import type { TargetRequest } from '@lovagehoist/common'
 import { ConnectionSender } from './connectionSender.js'
@@ -48,4 +50,32 @@
     expect(await bodyOf(socket => { socket.end() }, part)).to.equal('broken')
     expect(await bodyOf(socket => { socket.end() }, `${part}0\r\n\r\n`)).to.equal('half')
   })
+
+  for (const [name, endUnread] of Object.entries({
+    'the target resets the connection': (_body: Readable, socket: Socket): void => { socket.resetAndDestroy() },
+    'the reader discards the body': (body: Readable): void => { body.destroy() }
+  })) {
+    it(`do not end the process when ${name} while data wait to be read`, async () => {
+      const sockets: Socket[] = []
+      const server = createServer(socket => {
+        sockets.push(socket.on('error', () => {}))
+        socket.once('data', () => { socket.write(`HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(1_000_000)}`) })
+      }).listen(0, '127.0.0.1')
+      await once(server, 'listening')
+      const clock = ManualClock.create()
+      const sender = ConnectionSender.create({ clock, connectTimeoutMs: () => 1_000 })
+      const result = await sender.send(fakeTarget('t1', { port: (server.address() as AddressInfo).port }), REQUEST, new AbortController().signal)
+      if (result.type === 'failure') throw new Error(result.message)
+      await SystemClock.create().sleepMs(100)
+      const [socket] = sockets
+      if (socket === undefined) throw new Error('no connection')
+      result.body.on('error', () => {})
+      endUnread(result.body, socket)
+      expect(await result.body.toArray().catch(() => 'broken')).to.equal('broken')
+      await SystemClock.create().sleepMs(100)
+      sender.close()
+      for (const open of sockets) open.destroy()
+      server.close()
+    })
+  }
 })
--- a/packages/targets/src/connections/connection.ts
+++ b/packages/targets/src/connections/connection.ts
@@ -25,6 +25,7 @@
 const KEEP_ALIVE_MS = 60_000
 const MAX_RESPONSE_HEAD_BYTES = 65_536
 
+const RESET_CODE = 'ERR_CONNECTION_RESET'
 const CONNECTION_CLOSED = Object.assign(new Error('the connection is closed'), { code: 'ERR_CONNECTION_USED_UP' })
 
 const openSocket = async ({ target, clock, connectTimeoutMs, signal }: OpenOptions): Promise<Result<Socket, OpenError>> =>
@@ -58,8 +59,11 @@
   private constructor (private readonly socket: Socket, private readonly clock: Clock, origin: string) {
     this.openedAtMs = clock.monotonicMs()
     this.lastCompletedMs = this.openedAtMs
-    // Runs before the HTTP client's own listener, which treats a reset as the end of a response without a length.
-    socket.on('error', () => { this.hasFailed = true })
+    // Runs before the HTTP client's own listener, which treats an ECONNRESET as the end of a response without a length, and throws if the response is paused.
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.hasFailed = true
+      if (error.code === 'ECONNRESET') error.code = RESET_CODE
+    })
     // If data and a reset are read at once, Node.js reports an orderly end, because libuv treats the hang-up as the end of the stream. A connection
     // that was reset has no peer address any more; this is the first query of the address, so it comes from the operating system, not a cache.
     socket.once('end', () => { if (socket.remoteAddress === undefined) this.hasFailed = true })
@@ -122,7 +126,8 @@
   destroy (): void {
     if (this.isDestroyed) return
     this.isDestroyed = true
-    this.socket.destroy()
+    // Without an error, the HTTP client finishes a paused response on close and throws.
+    this.socket.destroy(CONNECTION_CLOSED)
     this.client.destroy(CONNECTION_CLOSED).catch(() => {})
   }
 
