Reset the caller's connection when a response is cut short

Cause: the connection was destroyed, which the kernel announces like any orderly close. Only a reset shows that more was due.

--- a/packages/callers/src/responses/deliver.ts
+++ b/packages/callers/src/responses/deliver.ts
@@ -18,8 +18,11 @@
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 
-/** Destroys the caller's connection, so that a truncated response can't be mistaken for a complete one. */
-const destroyConnection = (response: ServerResponse): void => { response.destroy() }
+/** Resets the caller's connection, so that a truncated response can't be mistaken for a complete one, not even one that ends with its connection. */
+const resetConnection = (response: ServerResponse): void => {
+  response.socket?.resetAndDestroy()
+  response.destroy()
+}
 
 /** Whether the end of a response body is marked only by the close of its connection. */
 const isUntilClose = ({ headers, status }: BufferedResponse, method: string): boolean =>
@@ -62,7 +65,7 @@
     await pipeline(rest, response, { end: false })
     return 'answer'
   } catch {
-    destroyConnection(response)
+    resetConnection(response)
     return isCallerGone ? 'caller-gone' : 'broken'
   }
 }
@@ -79,7 +82,7 @@
   let sentBytes = targetResponse.buffered.length
   if (targetResponse.rest === undefined) {
     if (!checkLength(options, targetResponse, sentBytes)) {
-      destroyConnection(response)
+      resetConnection(response)
       return 'broken'
     }
     writeHead(options, targetResponse)
@@ -94,7 +97,7 @@
   const delivery = await streamRest(rest, response)
   if (delivery !== 'answer') return delivery
   if (!checkLength(options, targetResponse, sentBytes)) {
-    destroyConnection(response)
+    resetConnection(response)
     return 'broken'
   }
   addTrailers(response, targetResponse)
