--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -6,6 +6,7 @@
 import { RelayNode, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
 import { ConnectionSender, FleetLimits, FleetStatsAggregator, ListingPoller, TargetStatsTracker, LowestCostSelector, TargetRegistry } from '@lovagehoist/targets'
+import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import type { LiveSettings } from './liveSettings.js'
@@ -24,6 +25,8 @@
   readonly store: GatewayStore
   readonly headers: GatewayHeaders
   readonly datagrams: Datagrams
+  /** Starts to connect a socket to a target; a TCP connection by default. */
+  readonly openTargetSocket?: OpenSocket
 }
 
 /** The components of a gateway daemon, before it listens. */
@@ -54,11 +57,11 @@
 /** Time between two reads of the settings file, which may change without a signal. */
 const SETTINGS_POLL_MS = 15_000
 
-const createTargetComponents = ({ liveSettings, clock, random, log, headers }: GatewayDependencies, { startId, availabilityZone }: InstanceRecord, registry: Registry, invariants: Invariants) => {
+const createTargetComponents = ({ liveSettings, clock, random, log, headers, openTargetSocket }: GatewayDependencies, { startId, availabilityZone }: InstanceRecord, registry: Registry, invariants: Invariants) => {
   const statsTracker: TargetStatsTracker = TargetStatsTracker.create(clock, targetId => targetRegistry.serviceOf(targetId))
   const fleetStats = FleetStatsAggregator.create(clock)
   const limits = FleetLimits.create({ clock, random, log: log.child('limits'), startId, availabilityZone, headerName: headers.limit, serviceOf: targetId => targetRegistry.serviceOf(targetId) })
-  const sender = ConnectionSender.create({ clock, connectTimeoutMs: () => CONNECT_TIMEOUT_MS, registry, invariants })
+  const sender = ConnectionSender.create({ clock, connectTimeoutMs: () => CONNECT_TIMEOUT_MS, ...(openTargetSocket === undefined ? {} : { openSocket: openTargetSocket }), registry, invariants })
   const onForget = (targetId: string): void => {
     statsTracker.forget(targetId)
     fleetStats.forget(targetId)
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -6,6 +6,7 @@
 import { GatewayDaemon, LiveSettings } from '@lovagehoist/daemon/gateway'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore } from '@lovagehoist/platform'
+import { DaemonLinks } from './daemonLinks.js'
 import { GatewayTarget } from './gatewayTarget.js'
 import { RowStoreStandin } from './rowStoreStandin.js'
 
@@ -44,6 +45,7 @@
 interface RunningDaemon {
   readonly daemon: GatewayDaemon
   readonly callerAddress: Address
+  readonly links: DaemonLinks
   readonly readinessAddress: Address
 }
 
@@ -69,6 +71,8 @@
   readonly targets = new Map<string, GatewayTarget>()
   readonly daemons: RunningDaemon[] = []
   readonly logLines: LogLine[] = []
+  /** Whether daemons that are added from now on reach the targets that exist then through links that can be cut. */
+  hasCuttableLinks = false
   /** Log output of all daemons, unparsed. */
   logText = ''
   private readonly ports = allocatePorts(process.pid)
@@ -139,10 +143,11 @@
     const log = createLog({ level: 'info', format: 'json', clock: this.clock, write, fields: { instance: settings.instanceId } })
     const random = SeededRandom.create(100 + this.daemons.length)
     const datagrams = await openDatagrams(settings.peers, log)
+    const links = await DaemonLinks.create(this.clock, this.hasCuttableLinks ? [...this.targets.values()].map(({ port }) => port) : [])
     const daemon = await GatewayDaemon.create(
-      { settings, liveSettings: LiveSettings.create(settings, async () => ok(settings), log), uptimeMs: this.clock.monotonicMs, clock: this.clock, random, log, store: RowStore.create(settings.store, this.clock), headers: PLATFORM_HEADERS, datagrams },
+      { settings, liveSettings: LiveSettings.create(settings, async () => ok(settings), log), uptimeMs: this.clock.monotonicMs, clock: this.clock, random, log, store: RowStore.create(settings.store, this.clock), headers: PLATFORM_HEADERS, datagrams, openTargetSocket: links.openSocket },
       { readinessPath: READINESS_PATH })
-    this.daemons.push({ daemon, callerAddress: callers, readinessAddress: readiness })
+    this.daemons.push({ daemon, links, callerAddress: callers, readinessAddress: readiness })
     if (shouldAwaitReady) await this.waitUntil(async () => await this.readinessStatus(this.daemons.length - 1) === 200)
   }
 
@@ -191,7 +196,10 @@
 
   /** Stops the daemons, the targets and the store. */
   async close (): Promise<void> {
-    await Promise.all(this.daemons.map(async ({ daemon }) => { await daemon.stop() }))
+    await Promise.all(this.daemons.map(async ({ daemon, links }) => {
+      await daemon.stop()
+      await links.close()
+    }))
     await Promise.all([...this.targets.values()].map(async target => { await target.close() }))
     await this.store.close()
   }
--- a/packages/targets/src/connections/connection.ts
+++ b/packages/targets/src/connections/connection.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net'
-import type { Socket } from 'node:net'
+import type { NetConnectOpts, Socket } from 'node:net'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { Client } from 'undici'
@@ -19,8 +19,13 @@
   /** Connect timeout. */
   readonly connectTimeoutMs: number
   readonly signal?: AbortSignal
+  /** Opens the socket; tests replace it to cut a daemon off. */
+  readonly openSocket?: OpenSocket
 }
 
+/** Starts to connect a socket. */
+export type OpenSocket = (options: NetConnectOpts) => Socket
+
 /** Idle time after which the HTTP client closes a connection by itself, unless the target states a shorter one. */
 const KEEP_ALIVE_MS = 60_000
 const MAX_RESPONSE_HEAD_BYTES = 65_536
@@ -28,9 +33,9 @@
 const RESET_CODE = 'ERR_CONNECTION_RESET'
 const CONNECTION_CLOSED = Object.assign(new Error('the connection is closed'), { code: 'ERR_CONNECTION_USED_UP' })
 
-const openSocket = async ({ target, clock, connectTimeoutMs, signal }: OpenOptions): Promise<Result<Socket, OpenError>> =>
+const connectSocket = async ({ target, clock, connectTimeoutMs, signal, openSocket = connect }: OpenOptions): Promise<Result<Socket, OpenError>> =>
   await new Promise(resolve => {
-    const socket = connect({ host: target.host, port: target.port, noDelay: true, keepAlive: true })
+    const socket = openSocket({ host: target.host, port: target.port, noDelay: true, keepAlive: true })
     const finish = (result: Result<Socket, OpenError>): void => {
       cancelTimer()
       signal?.removeEventListener('abort', cancel)
@@ -87,7 +92,7 @@
    */
   static async open (options: OpenOptions): Promise<Result<Connection, OpenError>> {
     const { host, port } = options.target
-    const socket = await openSocket(options)
+    const socket = await connectSocket(options)
     return socket.map(opened => new Connection(opened, options.clock, `http://${host.includes(':') ? `[${host}]` : host}:${port}`))
   }
 
--- a/packages/targets/src/connections/connectionPool.ts
+++ b/packages/targets/src/connections/connectionPool.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'neverthrow'
 import type { Clock, Target } from '@lovagehoist/common'
 import { Connection } from './connection.js'
-import type { OpenError } from './connection.js'
+import type { OpenError, OpenOptions, OpenSocket } from './connection.js'
 
 /** An exchange on a reused connection that waits for its response head. */
 interface PendingHead {
@@ -38,7 +38,7 @@
   private readonly busy = new Set<Connection>()
   private readonly pendingHeads = new Set<PendingHead>()
 
-  private constructor (private readonly target: Target, private readonly clock: Clock, private readonly connectTimeoutMs: number) {}
+  private constructor (private readonly target: Target, private readonly clock: Clock, private readonly connectTimeoutMs: number, private readonly openSocket: OpenSocket | undefined) {}
 
   /**
    * Creates a pool without connections.
@@ -46,10 +46,11 @@
    * @param target - Target that the connections lead to.
    * @param clock - Source of time.
    * @param connectTimeoutMs - Connect timeout.
+   * @param openSocket - Starts to connect a socket; a TCP connection by default.
    * @returns The pool.
    */
-  static create (target: Target, clock: Clock, connectTimeoutMs: number): ConnectionPool {
-    return new ConnectionPool(target, clock, connectTimeoutMs)
+  static create (target: Target, clock: Clock, connectTimeoutMs: number, openSocket?: OpenSocket): ConnectionPool {
+    return new ConnectionPool(target, clock, connectTimeoutMs, openSocket)
   }
 
   /** Number of connections, idle and in use. */
@@ -83,8 +84,7 @@
    * @returns The connection, or the reason why it could not be opened.
    */
   async open (signal: AbortSignal): Promise<Result<Connection, OpenError>> {
-    const { target, clock, connectTimeoutMs } = this
-    const opened = await Connection.open({ target, clock, connectTimeoutMs, signal })
+    const opened = await Connection.open({ ...this.openOptions(), signal })
     opened.map(connection => this.busy.add(connection))
     return opened
   }
@@ -105,8 +105,7 @@
     this.sweep()
     const missing = Math.min(wanted, MAX_IDLE_CONNECTIONS) - this.size
     const opening = Array.from({ length: Math.max(0, missing) }, async () => {
-      const { target, clock, connectTimeoutMs } = this
-      const opened = await Connection.open({ target, clock, connectTimeoutMs })
+      const opened = await Connection.open(this.openOptions())
       opened.map(connection => this.idle.push(connection))
     })
     await Promise.all(opening)
@@ -147,6 +146,11 @@
     }
   }
 
+  private openOptions (): OpenOptions {
+    const { target, clock, connectTimeoutMs, openSocket } = this
+    return { target, clock, connectTimeoutMs, ...(openSocket === undefined ? {} : { openSocket }) }
+  }
+
   private findIdle (isIdempotent: boolean): number {
     const nowMs = this.clock.monotonicMs()
     const openedAfterMs = this.suspectOpenedBeforeMs(nowMs)
--- a/packages/targets/src/connections/connectionSender.ts
+++ b/packages/targets/src/connections/connectionSender.ts
@@ -1,7 +1,7 @@
 import { Counter, Gauge } from 'prom-client'
 import type { Registry } from 'prom-client'
 import type { Clock, Invariants, OutcomeKind, Target, TargetResponse, TargetFailure, TargetRequest, TargetSender } from '@lovagehoist/common'
-import type { Connection } from './connection.js'
+import type { Connection, OpenSocket } from './connection.js'
 import { ConnectionPool } from './connectionPool.js'
 import { Exchange } from './exchange.js'
 import type { ExchangeFailure } from './exchange.js'
@@ -11,6 +11,8 @@
   readonly clock: Clock
   /** Connect timeout for the targets of a service. */
   readonly connectTimeoutMs: (service: string) => number
+  /** Starts to connect a socket; a TCP connection by default. */
+  readonly openSocket?: OpenSocket
   readonly registry?: Registry
   readonly invariants?: Invariants
 }
@@ -129,7 +131,7 @@
   private poolOf (target: Target): ConnectionPool {
     const known = this.pools.get(target.id)
     if (known !== undefined) return known
-    const pool = ConnectionPool.create(target, this.options.clock, this.options.connectTimeoutMs(target.service))
+    const pool = ConnectionPool.create(target, this.options.clock, this.options.connectTimeoutMs(target.service), this.options.openSocket)
     this.pools.set(target.id, pool)
     return pool
   }
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,5 +1,6 @@
 export * from './directory/targetDirectory.js'
 export * from './directory/peerTargetFallback.js'
+export type { OpenSocket } from './connections/connection.js'
 export * from './connections/connectionSender.js'
 export * from './pick/leastLoadedPicker.js'
 export * from './health/consecutiveFailureHealth.js'
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -38,6 +38,8 @@
   readonly isRestarting?: (daemon: DaemonPosition) => boolean
   /** Whether a target fails most requests at once, by its id and the time; none does by default. */
   readonly isFailing?: (targetId: string, atMs: number) => boolean
+  /** Whether a daemon can open connections to targets at a time; all can by default. */
+  readonly isCut?: (daemon: DaemonPosition, atMs: number) => boolean
   /** Limit that a target names in its answers, in requests per second, by its id and the time; none does by default. */
   readonly limitOf?: (targetId: string, atMs: number) => number | undefined
 }
@@ -68,6 +70,7 @@
 /** Share of the requests that a failing target fails, and the time that it takes. */
 const FAILING_SHARE = 0.75
 const FAST_FAILURE_MS = 10
+const MAX_TRIED_TARGETS = 5
 /** Window over which the platform's rules count requests to a limited target, and how far these may exceed the limit. */
 const LIMIT_WINDOW_MS = 4_000
 const LIMIT_TOLERANCE = 1.5
@@ -79,6 +82,8 @@
   readonly arrivals = new Map<string, number[]>()
   /** Times of the requests that got a successful answer. */
   readonly servedAtMs: number[] = []
+  /** Failing chances of the targets that daemons chose which can reach them. */
+  readonly chosenFailingChances: Array<{ readonly atMs: number, readonly failingChance: number }> = []
   failedCount = 0
   requestCount = 0
   private readonly clock = ManualClock.create()
@@ -228,11 +233,20 @@
     })
   }
 
-  private send ({ selector, connectedIds, limits }: SimulatedDaemon): void {
+  private send (daemon: SimulatedDaemon, triedTargetIds: ReadonlySet<string> = new Set()): void {
+    const { selector, connectedIds, limits } = daemon
     const { isIdempotent, errorShare, isFailing = () => false } = this.options
     const sentAtMs = this.clock.monotonicMs()
-    const choice = selector.choose({ service: SERVICE, isIdempotent, hasHigherPriorityTraffic: false, triedTargetIds: new Set(), deadlineAtMs: sentAtMs + TIME_LIMIT_MS })
+    const choice = selector.choose({ service: SERVICE, isIdempotent, hasHigherPriorityTraffic: false, triedTargetIds, deadlineAtMs: sentAtMs + TIME_LIMIT_MS })
     if (choice.type !== 'chosen') return
+    if (this.options.isCut?.(daemon, sentAtMs) === true) {
+      this.schedule(FAST_FAILURE_MS, () => {
+        choice.attempt.end('unreachable', FAST_FAILURE_MS)
+        if (triedTargetIds.size + 1 < MAX_TRIED_TARGETS) this.send(daemon, new Set([...triedTargetIds, choice.target.id]))
+      })
+      return
+    }
+    this.chosenFailingChances.push({ atMs: sentAtMs, failingChance: choice.inputs.failingChance })
     connectedIds.add(choice.target.id)
     this.arrivals.get(choice.target.id)?.push(sentAtMs)
     const isFastFailure = isFailing(choice.target.id, sentAtMs) && this.random.next() < FAILING_SHARE
