Hold failures to reach targets back as evidence until the daemon knows that its own path is open

Cause: a refused connect, a reset or an overdue request counted against its target at once and was told to the fleet, whoever's fault it was. Class: evidence of a fault between two parties that is put down to one of them unchecked.

Now each such failure makes the daemon open a connection to another target first, to three of different services and zones if need be; while that takes, and while none can be opened, the failure is no evidence, neither against targets nor against requests that seem to crash them. Answers of targets count at once, as before.

--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -40,7 +40,7 @@
   slow: 'succeeded',
   'caller-fault': 'succeeded',
   refused: 'unreachable',
-  reset: 'failed',
+  reset: 'disconnected',
   // A route may allow less time than the work takes; overdue requests are counted separately while they wait.
   timeout: 'unknown',
   'broken-answer': 'failed',
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -19,6 +19,8 @@
   readonly targetSelector: TargetSelector
   readonly retryBudget: WindowedRetryBudget
   readonly poisonDetector: PoisonRequestDetector
+  /** Confirms failures of connections before they count against the request. */
+  readonly path: { readonly afterConfirmation: (action: () => void) => void }
   readonly metrics: RequestMetrics
   readonly invariants: Invariants
   readonly log: Log
@@ -108,7 +110,7 @@
     const result = await sendGatewayAttempt(options, accepted, choice.target, choice.attempt)
     options.metrics.countAttempt(service, result.outcome === 'wrong-target' ? 'refused' : result.outcome)
     options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, latencyMs: Math.round(result.latencyMs), detail: result.detail })
-    if (result.outcome === 'reset') options.poisonDetector.recordCrash(descriptionOf(accepted))
+    if (result.outcome === 'reset') options.path.afterConfirmation(() => { options.poisonDetector.recordCrash(descriptionOf(accepted)) })
     history = addAttempt(history, result)
     if (!mayRetry(options, accepted, history, result)) return finalReply(history)
     options.metrics.countRetry(service)
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -210,7 +210,7 @@
 export type PerTarget<T> = ReadonlyArray<readonly [targetId: string, value: T]>
 
 /** Outcome of an attempt at a target, as evidence of the target's health. */
-export type AttemptOutcome = 'succeeded' | 'failed' | 'unreachable' | 'refused' | 'unknown'
+export type AttemptOutcome = 'succeeded' | 'failed' | 'disconnected' | 'unreachable' | 'refused' | 'unknown'
 
 /** An attempt in progress at a target. */
 export interface ActiveAttempt {
--- a/packages/targets/src/connections/connectionPool.ts
+++ b/packages/targets/src/connections/connectionPool.ts
@@ -53,6 +53,11 @@
     return new ConnectionPool(target, clock, connectTimeoutMs, openSocket)
   }
 
+  /** ID of the target. */
+  get targetId (): string {
+    return this.target.id
+  }
+
   /** Number of connections, idle and in use. */
   get size (): number {
     return this.idle.length + this.busy.size
@@ -104,11 +109,14 @@
   async openUpTo (wanted: number): Promise<void> {
     this.sweep()
     const missing = Math.min(wanted, MAX_IDLE_CONNECTIONS) - this.size
-    const opening = Array.from({ length: Math.max(0, missing) }, async () => {
-      const opened = await Connection.open(this.openOptions())
-      opened.map(connection => this.idle.push(connection))
-    })
-    await Promise.all(opening)
+    await Promise.all(Array.from({ length: Math.max(0, missing) }, async () => await this.openIdle()))
+  }
+
+  /** Opens an idle connection; returns whether that succeeded. */
+  async openIdle (): Promise<boolean> {
+    const opened = await Connection.open(this.openOptions())
+    opened.map(connection => this.idle.push(connection))
+    return opened.isOk()
   }
 
   /** Closes idle connections opened longer ago than the given time, and prevents the reuse of those in use. */
--- a/packages/targets/src/connections/connectionSender.ts
+++ b/packages/targets/src/connections/connectionSender.ts
@@ -13,6 +13,10 @@
   readonly connectTimeoutMs: (service: string) => number
   /** Starts to connect a socket; a TCP connection by default. */
   readonly openSocket?: OpenSocket
+  /** Called with whether a connection for a request was opened. */
+  readonly onConnect?: (targetId: string, isOpened: boolean) => void
+  /** Called when the head of an answer has arrived. */
+  readonly onAnswer?: () => void
   readonly registry?: Registry
   readonly invariants?: Invariants
 }
@@ -81,6 +85,13 @@
     await this.poolOf(target).openUpTo(connections)
   }
 
+  /** Opens a connection for later use; returns whether that succeeded. */
+  readonly openIdle = async (target: Target): Promise<boolean> => {
+    const isOpened = await this.poolOf(target).openIdle()
+    if (isOpened) this.openedCounter?.inc()
+    return isOpened
+  }
+
   readonly closeIdleConnections = (targetId: string, olderThanMs: number): void => {
     this.pools.get(targetId)?.closeOlderThan(olderThanMs)
   }
@@ -104,6 +115,7 @@
     const startedAtMs = clock.monotonicMs()
     const opened = await pool.open(signal)
     const spentMs = clock.monotonicMs() - startedAtMs
+    if (opened.isOk() || opened.error.outcome === 'refused') this.options.onConnect?.(pool.targetId, opened.isOk())
     if (opened.isErr()) {
       return { type: 'failure', verdict: 'not-run', ...opened.error, isFreshConnection: true, latencyMs: spentMs }
     }
@@ -116,7 +128,10 @@
     const sentBefore = connection.sentBytes
     const onEnd = (isComplete: boolean): void => { pool.release(connection, isComplete) }
     const result = await Exchange.create({ connection, request, clock, monitor: pool.monitor(connection), onEnd }).run(signal)
-    if (result.type === 'answer') return result
+    if (result.type === 'answer') {
+      this.options.onAnswer?.()
+      return result
+    }
     const hasSentNothing = connection.sentBytes === sentBefore
     invariants?.check('not-run', result.verdict !== 'not-run' || hasSentNothing, { sentBytes: connection.sentBytes - sentBefore })
     this.closeOlderAfterTimeout(pool, result.outcome, result)
--- a/packages/targets/src/load/targetStatsTracker.ts
+++ b/packages/targets/src/load/targetStatsTracker.ts
@@ -4,6 +4,7 @@
 import type { RequestOutcomeCounts } from '../condition/failureEstimate.js'
 import type { Candidate } from '../placing/candidate.js'
 import type { RegisteredTarget } from '../registry/targetRegistry.js'
+import type { PathMonitor } from '../reachability/pathMonitor.js'
 import { NO_SAMPLES, addSamples } from './recentMean.js'
 import type { RecentMean } from './recentMean.js'
 import { REACTIVATION_IDLE_MS } from './fleetStatsAggregator.js'
@@ -50,6 +51,11 @@
 /** Age from which the statistics of the fleet no longer count for requests in progress. */
 const MAX_FLEET_STATS_AGE_MS = 1_500
 
+/** Tells whether failures to reach targets are evidence against them. */
+export type PathEvidence = Pick<PathMonitor, 'recordDisconnect' | 'recordWaiting' | 'afterConfirmation'>
+
+const TRUSTED_PATH: PathEvidence = { recordDisconnect: () => {}, recordWaiting: () => {}, afterConfirmation: action => { action() } }
+
 /** Load and failure estimates of targets, from this daemon's own requests and the statistics of the fleet. */
 export class TargetStatsTracker {
   private readonly ownStats = new Map<string, OwnStats>()
@@ -58,7 +64,7 @@
   private readonly estimator: FailureEstimator
   private notify: (isUrgent: boolean) => void = () => {}
 
-  private constructor (private readonly clock: Clock, private readonly serviceOf: (targetId: string) => string | undefined) {
+  private constructor (private readonly clock: Clock, private readonly serviceOf: (targetId: string) => string | undefined, private readonly path: PathEvidence) {
     this.estimator = FailureEstimator.create(clock)
   }
 
@@ -67,10 +73,11 @@
    *
    * @param clock - Source of time.
    * @param serviceOf - Looks up the service of a listed target.
+   * @param path - Confirms failures to reach targets before they count; all count by default.
    * @returns The tracker.
    */
-  static create (clock: Clock, serviceOf: (targetId: string) => string | undefined): TargetStatsTracker {
-    return new TargetStatsTracker(clock, serviceOf)
+  static create (clock: Clock, serviceOf: (targetId: string) => string | undefined, path: PathEvidence = TRUSTED_PATH): TargetStatsTracker {
+    return new TargetStatsTracker(clock, serviceOf, path)
   }
 
   /** Sets the listener for changed counters; failures are urgent. */
@@ -114,14 +121,14 @@
   /** Counts each overdue request as a failure of its target, once. */
   markOverdue (): void {
     const nowMs = this.clock.monotonicMs()
+    const waits = [...this.ownStats.values()].flatMap(({ running }) => [...running].map(({ service, startedAtMs }) => nowMs - startedAtMs - this.serviceLatencyMs(service)))
+    this.path.recordWaiting(Math.max(0, ...waits))
     for (const [targetId, own] of this.ownStats) {
       for (const running of own.running) {
         const limitMs = Math.max(MIN_OVERDUE_MS, OVERDUE_RATIO * this.serviceLatencyMs(running.service))
         if (running.isOverdue || nowMs - running.startedAtMs < limitMs) continue
         running.isOverdue = true
-        own.failed++
-        this.estimator.recordOutcomes(targetId, { ...NO_OUTCOMES, failed: 1 })
-        this.markChanged(targetId, true)
+        this.path.afterConfirmation(() => { this.recordFailure(targetId, 'failed') })
       }
     }
   }
@@ -215,14 +222,23 @@
   private endAttempt (targetId: string, running: RunningAttempt, outcome: AttemptOutcome, latencyMs: number): void {
     const own = this.ownStatsOf(targetId)
     const nowMs = this.clock.monotonicMs()
-    this.markChanged(targetId, outcome === 'failed' || outcome === 'unreachable')
+    this.markChanged(targetId, outcome === 'failed')
     if (outcome === 'unknown') return
     own.refusals = addOutcomes(own.refusals, { refused: outcome === 'refused' ? 1 : 0, accepted: outcome === 'refused' ? 0 : 1 }, nowMs)
     if (outcome === 'refused') {
       own.refused++
       return
     }
-    if (!running.isOverdue) this.recordOutcome(targetId, own, this.classifyOutcome(running.service, outcome, latencyMs), latencyMs)
+    if (running.isOverdue) return
+    const kind = this.classifyOutcome(running.service, outcome, latencyMs)
+    if (outcome === 'disconnected') this.path.recordDisconnect()
+    if (outcome === 'disconnected' || outcome === 'unreachable') this.path.afterConfirmation(() => { this.recordFailure(targetId, kind) })
+    else this.recordOutcome(targetId, own, kind, latencyMs)
+  }
+
+  private recordFailure (targetId: string, kind: keyof RequestOutcomeCounts): void {
+    this.recordOutcome(targetId, this.ownStatsOf(targetId), kind, 0)
+    this.markChanged(targetId, true)
   }
 
   private recordOutcome (targetId: string, own: OwnStats, kind: keyof RequestOutcomeCounts, latencyMs: number): void {
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -1,10 +1,11 @@
 import { SeededRandom, silentLog } from '@lovagehoist/common'
-import type { AttemptOutcome, ListedTarget, Random } from '@lovagehoist/common'
+import type { AttemptOutcome, CancelTimer, ListedTarget, Random } from '@lovagehoist/common'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
 import { FleetLimits } from '../limits/fleetLimits.js'
 import { FleetStatsAggregator } from '../load/fleetStatsAggregator.js'
 import { TargetStatsTracker } from '../load/targetStatsTracker.js'
 import { LowestCostSelector } from '../placing/lowestCostSelector.js'
+import { PathMonitor } from '../reachability/pathMonitor.js'
 import { TargetRegistry } from '../registry/targetRegistry.js'
 
 /** One availability zone of a simulated fleet that serves one service. */
@@ -47,6 +48,7 @@
 interface SimulatedDaemon extends DaemonPosition {
   readonly name: string
   readonly connectedIds: Set<string>
+  readonly path: PathMonitor
   readonly tracker: TargetStatsTracker
   readonly limits: FleetLimits
   readonly selector: LowestCostSelector
@@ -70,6 +72,7 @@
 /** Share of the requests that a failing target fails, and the time that it takes. */
 const FAILING_SHARE = 0.75
 const FAST_FAILURE_MS = 10
+const CONNECT_MS = 3
 const MAX_TRIED_TARGETS = 5
 /** Window over which the platform's rules count requests to a limited target, and how far these may exceed the limit. */
 const LIMIT_WINDOW_MS = 4_000
@@ -181,13 +184,30 @@
   private createDaemon (zone: number, index: number, restarts: number): SimulatedDaemon {
     const { registry } = this
     const connectedIds = new Set<string>()
-    const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf)
+    const path = this.createPath(zone, index)
+    const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf, path)
     const name = `${zone}-${index}-${restarts}`
     const limits = FleetLimits.create({ clock: this.clock, random: this.random, log: silentLog, startId: name, availabilityZone: String(zone), headerName: LIMIT_HEADER, serviceOf: registry.serviceOf })
     const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), limits, floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
     tracker.onChange(isUrgent => { if (isUrgent) this.exchangeSoon(zone) })
     limits.onChange(() => { this.exchangeSoon(zone) })
-    return { name, zone, index, connectedIds, tracker, limits, selector }
+    return { name, zone, index, connectedIds, path, tracker, limits, selector }
+  }
+
+  private createPath (zone: number, index: number): PathMonitor {
+    const { clock, random, registry } = this
+    const after = (durationMs: number, run: () => void): CancelTimer => {
+      let isCancelled = false
+      this.schedule(durationMs, () => { if (!isCancelled) run() })
+      return () => { isCancelled = true }
+    }
+    return PathMonitor.create({
+      clock: { monotonicMs: clock.monotonicMs, wallMs: clock.wallMs, sleepMs: clock.sleepMs, after },
+      random,
+      log: silentLog,
+      targets: () => registry.all().map(({ target }) => target),
+      checkConnect: (_target, onDone) => { this.schedule(CONNECT_MS, () => { onDone(this.options.isCut?.({ zone, index }, clock.monotonicMs()) !== true) }) }
+    })
   }
 
   private runEvents (): void {
@@ -241,6 +261,7 @@
     if (choice.type !== 'chosen') return
     if (this.options.isCut?.(daemon, sentAtMs) === true) {
       this.schedule(FAST_FAILURE_MS, () => {
+        daemon.path.recordConnect(choice.target.id, false)
         choice.attempt.end('unreachable', FAST_FAILURE_MS)
         if (triedTargetIds.size + 1 < MAX_TRIED_TARGETS) this.send(daemon, new Set([...triedTargetIds, choice.target.id]))
       })
