Serve callers through another daemon while this one reaches no target

Cause: a daemon sends to targets itself or not at all. Without links it tried up to five targets, 400 ms each where connections hang, and refused. Class: capacity that a daemon can reach through others, and does not use.

Now a daemon that knows that it is cut off forwards requests to another daemon, drawn at random from all zones, on the port between daemons. The second daemon serves them like its callers' and never forwards on; it refuses as not run with an older configuration, while stopping, and when it is cut off itself. A request that may have run is forwarded again only if it is idempotent. Time left, attempts left, cancellation, streaming and truncation cross the hop. Open connections that live on are still used. Two checks in a row end the cut, and own connections come back over 2 s.

The port between daemons is now served by the server for callers, so that a stopping daemon finishes what it has taken.

--- a/packages/callers/src/gateway/acceptGatewayRequest.ts
+++ b/packages/callers/src/gateway/acceptGatewayRequest.ts
@@ -12,10 +12,14 @@
 import type { RouteIndex } from './routeIndex.js'
 import type { TrafficSplitter } from './trafficSplitter.js'
 import type { ReadinessGate } from './readinessGate.js'
+import { FORWARDING_HEADER, decodeForwarding } from './forwarding.js'
+import type { Forwarding } from './forwarding.js'
 
 /** A request that matched a route and whose body has been read completely. */
 export interface AcceptedGatewayRequest {
   readonly response: ServerResponse
+  /** Set for a request that another daemon forwarded. */
+  readonly forwarding: Forwarding | undefined
   readonly requestId: string
   readonly route: GatewayRoute
   /** Service selected by the route's weighted traffic split. */
@@ -46,6 +50,8 @@
   /** Delays requests until the daemon has finished starting. */
   readonly readinessGate: ReadinessGate
   readonly drainWindow: DrainWindow
+  /** Whether the requests come from other daemons, which received them from callers. */
+  readonly isForPeers: boolean
 }
 
 /** A daemon that has just started loads its configuration within this time. */
@@ -73,6 +79,26 @@
   return typeof given === 'string' ? given : ''
 }
 
+/** Requests of other daemons are refused from the start of a drain on: others can take them. */
+const isLeaving = ({ isForPeers, drainWindow }: GatewayAcceptOptions): boolean => isForPeers ? drainWindow.isDraining : !drainWindow.isAccepting
+
+/** Counts the targets to which the first daemon has already sent the request. */
+const limitAttempts = (route: GatewayRoute, forwarded: Forwarding | undefined): GatewayRoute =>
+  forwarded === undefined ? route : { ...route, maxAttempts: Math.min(route.maxAttempts, forwarded.attempts) }
+
+/** Keeps the service that the first daemon selected, unless the configuration in force here does not allow it any more. */
+const selectService = ({ trafficSplitter }: GatewayAcceptOptions, route: GatewayRoute, forwarded: Forwarding | undefined): string => {
+  const isKept = forwarded !== undefined && route.weightedServices.some(({ service }) => service === forwarded.service)
+  return isKept ? forwarded.service : trafficSplitter.nextService(route)
+}
+
+/** The problem with a configuration that is missing, or older than that of the daemon which forwarded the request. */
+const findConfigProblem = (config: GatewayConfig | undefined, forwarded: Forwarding | undefined): Problem | undefined => {
+  if (config === undefined) return notRunProblem('not-ready', 'no configuration is in force here yet', NOT_READY_RETRY_AFTER_MS)
+  const isOlder = forwarded !== undefined && config.version < forwarded.configVersion
+  return isOlder ? notRunProblem('not-ready', 'a newer configuration than that of this instance is in force', NOT_READY_RETRY_AFTER_MS) : undefined
+}
+
 /**
  * Accepts a request: matches its route, selects a service and reads the whole body.
  *
@@ -84,12 +110,15 @@
 export const acceptGatewayRequest = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse): Promise<Result<AcceptedGatewayRequest, Problem | undefined>> => {
   const receivedAtMs = options.clock.monotonicMs()
   const disconnectSignal = disconnectSignalOf(response)
-  if (!options.drainWindow.isAccepting) return err(notRunProblem('leaving', 'this instance leaves and could not end the request', SHUTDOWN_RETRY_AFTER_MS))
+  if (isLeaving(options)) return err(notRunProblem('leaving', 'this instance leaves and could not end the request', SHUTDOWN_RETRY_AFTER_MS))
+  const forwarding = options.isForPeers ? decodeForwarding(request.headers[FORWARDING_HEADER]) : ok(undefined)
+  if (forwarding.isErr()) return err(notRunProblem('malformed-request', forwarding.error))
   const requestedTimeoutMs = parseTimeoutMs(request, options.headers.deadline)
   await options.readinessGate.waitUntilReady(requestedTimeoutMs.unwrapOr(undefined) ?? DEFAULT_TIMEOUT_MS, disconnectSignal)
   if (disconnectSignal.aborted) return err(undefined)
   const activeConfig = options.config()
-  if (activeConfig === undefined) return err(notRunProblem('not-ready', 'no configuration is in force here yet', NOT_READY_RETRY_AFTER_MS))
+  const configProblem = findConfigProblem(activeConfig?.config, forwarding.value)
+  if (activeConfig === undefined || configProblem !== undefined) return err(configProblem)
   const { config, routes } = activeConfig
   const path = parseRequestPath(request.url)
   if (path.isErr()) return err(notRunProblem('malformed-request', path.error))
@@ -99,19 +128,20 @@
   const timeoutMs = Math.min(requestedTimeoutMs.value ?? Infinity, route.timeoutMs)
   const body = await readBody(request, { clock: options.clock, maxBytes: config.limits.maxBodyBytes, timeoutMs })
   if (body.isErr()) return err(PROBLEM_OF_BODY_ERROR[body.error])
-  const service = options.trafficSplitter.nextService(route)
+  const service = selectService(options, route, forwarding.value)
   return ok({
     response,
+    forwarding: forwarding.value,
     requestId: gatewayRequestId(request, options.headers),
-    route,
+    route: limitAttempts(route, forwarding.value),
     service,
     configVersion: config.version,
     hasHigherPriorityTraffic: routes.isOutranked(service, route.priority),
-    callerAddress: request.socket.remoteAddress ?? '',
+    callerAddress: forwarding.value?.callerAddress ?? request.socket.remoteAddress ?? '',
     method: request.method ?? 'GET',
     path: path.value.full,
     body: body.value,
-    headers: endToEndHeaders(request, new Set([options.headers.deadline, options.headers.expectedTarget])),
+    headers: endToEndHeaders(request, new Set([options.headers.deadline, options.headers.expectedTarget, FORWARDING_HEADER])),
     receivedAtMs,
     deadlineAtMs: receivedAtMs + timeoutMs,
     disconnectSignal
--- a/packages/callers/src/gateway/drainWindow.ts
+++ b/packages/callers/src/gateway/drainWindow.ts
@@ -30,6 +30,11 @@
     this.acceptUntilMs = this.clock.monotonicMs() + Math.min(ACCEPT_MS, MAX_ACCEPT_SHARE * graceMs)
   }
 
+  /** Whether the process is shutting down. */
+  get isDraining (): boolean {
+    return this.acceptUntilMs !== Infinity
+  }
+
   /** Whether a request that arrives now is accepted. */
   get isAccepting (): boolean {
     return this.clock.monotonicMs() <= this.acceptUntilMs
--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -1,5 +1,4 @@
-import type { Readable } from 'node:stream'
-import type { CancelTimer, Clock, GatewayHeaders, ListedTarget, ActiveAttempt, OutcomeKind, RawHeaders, RunVerdict, TargetResponse, TargetFailure, TargetSender, AttemptOutcome } from '@lovagehoist/common'
+import type { Clock, GatewayHeaders, ListedTarget, ActiveAttempt, OutcomeKind, RawHeaders, RunVerdict, TargetResponse, TargetFailure, TargetSender, AttemptOutcome } from '@lovagehoist/common'
 import { findHeader } from '../exchange/headers.js'
 import { bufferResponse } from '../exchange/bufferResponse.js'
 import type { BufferedResponse } from '../exchange/bufferResponse.js'
@@ -89,27 +88,35 @@
   latencyMs: failure.latencyMs
 })
 
-/** Destroys a response body that has not ended by the request's deadline. */
-const enforceDeadline = ({ clock }: GatewayAttemptOptions, { deadlineAtMs }: AcceptedGatewayRequest, body: Readable): CancelTimer => {
-  const cancel = clock.after(Math.max(0, deadlineAtMs - clock.monotonicMs()), () => { body.destroy() })
-  body.once('close', cancel)
-  return cancel
+/**
+ * Buffers the beginning of a response; its body is destroyed if it has not ended by the request's deadline.
+ *
+ * @param clock - Source of time.
+ * @param accepted - Request with its deadline.
+ * @param response - Response whose head has been received.
+ * @returns The buffered response; undefined if the body failed or the deadline passed while it was being buffered.
+ */
+export const bufferUntilDeadline = async (clock: Clock, { deadlineAtMs }: AcceptedGatewayRequest, response: TargetResponse): Promise<BufferedResponse | undefined> => {
+  const cancel = clock.after(Math.max(0, deadlineAtMs - clock.monotonicMs()), () => { response.body.destroy() })
+  response.body.once('close', cancel)
+  try {
+    const buffered = await bufferResponse(response, MAX_BUFFERED_BYTES)
+    if (buffered.rest === undefined) cancel()
+    return buffered
+  } catch {
+    return undefined
+  }
 }
 
 const completedAttempt = async (options: GatewayAttemptOptions, accepted: AcceptedGatewayRequest, target: ListedTarget, response: TargetResponse): Promise<GatewayAttemptResult> => {
   const classified = classifyStatus(options.headers, response)
   const attempt = { target, ...classified, isSent: true, latencyMs: response.latencyMs, detail: `status ${response.status}` }
-  const cancelTimer = enforceDeadline(options, accepted, response.body)
-  try {
-    const buffered = await bufferResponse(response, MAX_BUFFERED_BYTES)
-    if (buffered.rest === undefined) cancelTimer()
-    return { ...attempt, response: classified.verdict === 'ran' ? buffered : undefined }
-  } catch {
-    const isCancelled = accepted.disconnectSignal.aborted
-    const isOverdue = options.clock.monotonicMs() >= accepted.deadlineAtMs
-    const outcome = isCancelled ? 'cancelled' : isOverdue ? 'timeout' : 'broken-answer'
-    return { ...attempt, outcome, verdict: classified.verdict, response: undefined, detail: 'the answer broke off' }
-  }
+  const buffered = await bufferUntilDeadline(options.clock, accepted, response)
+  if (buffered !== undefined) return { ...attempt, response: classified.verdict === 'ran' ? buffered : undefined }
+  const isCancelled = accepted.disconnectSignal.aborted
+  const isOverdue = options.clock.monotonicMs() >= accepted.deadlineAtMs
+  const outcome = isCancelled ? 'cancelled' : isOverdue ? 'timeout' : 'broken-answer'
+  return { ...attempt, outcome, response: undefined, detail: 'the answer broke off' }
 }
 
 /**
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -8,19 +8,34 @@
 import type { RequestMetrics } from '../metrics/requestMetrics.js'
 import { acceptGatewayRequest, gatewayRequestId } from './acceptGatewayRequest.js'
 import type { GatewayAcceptOptions, AcceptedGatewayRequest } from './acceptGatewayRequest.js'
+import type { PeerForwarder } from './peerForwarder.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
 import type { WindowedRetryBudget } from './windowedRetryBudget.js'
 import { RETRY_POLICIES } from './retryPolicies.js'
 import { sendGatewayAttempt } from './gatewayAttempt.js'
 import type { GatewayAttemptOptions, GatewayAttemptResult } from './gatewayAttempt.js'
 
+/** Tells whether this daemon reaches targets itself. */
+export interface OwnPath {
+  readonly state: 'open' | 'cut' | 'recovering'
+  /** Whether open connections still carry answers, although new ones can't be opened. */
+  readonly areConnectionsAlive: boolean
+  /** Decides whether the next request is sent on this daemon's own path. */
+  readonly usesOwnPath: () => boolean
+  /** Resolves once a check of the path that is in progress has ended. */
+  readonly untilChecked: () => Promise<void>
+  /** Confirms failures of connections before they count against the request. */
+  readonly afterConfirmation: (action: () => void) => void
+}
+
 /** Dependencies for serving a request. */
 export interface GatewayServeOptions extends GatewayAcceptOptions, GatewayAttemptOptions {
   readonly targetSelector: TargetSelector
   readonly retryBudget: WindowedRetryBudget
   readonly poisonDetector: PoisonRequestDetector
-  /** Confirms failures of connections before they count against the request. */
-  readonly path: { readonly afterConfirmation: (action: () => void) => void }
+  /** Whether this daemon reaches targets. */
+  readonly path: OwnPath
+  readonly forwarder: PeerForwarder
   readonly metrics: RequestMetrics
   readonly invariants: Invariants
   readonly log: Log
@@ -101,10 +116,15 @@
     options.log.warn('request stopped: equal ones broke the connections of several targets', { requestId, service })
     return problemReply('quarantined', 'not-run', 'requests like this one took targets down', POISON_RETRY_AFTER_MS)
   }
+  if (accepted.forwarding !== undefined && options.path.state === 'cut') return problemReply('isolated', 'not-run', 'this instance reaches no target', MIN_RETRY_AFTER_MS)
   options.retryBudget.recordRequest(service)
   for (;;) {
-    const choice = options.targetSelector.choose({ service, isIdempotent: route.isIdempotent, hasHigherPriorityTraffic, triedTargetIds: history.triedTargetIds, deadlineAtMs })
-    if (choice.type !== 'chosen') return replyWithoutTarget(history, choice)
+    const isOwnPathUsed = accepted.forwarding !== undefined || options.path.usesOwnPath() || !options.forwarder.hasPeers
+    const needsConnection = !isOwnPathUsed && options.path.areConnectionsAlive
+    const choice: TargetChoice = isOwnPathUsed || needsConnection
+      ? options.targetSelector.choose({ service, isIdempotent: route.isIdempotent, hasHigherPriorityTraffic, needsConnection, triedTargetIds: history.triedTargetIds, deadlineAtMs })
+      : { type: 'no-target' }
+    if (choice.type !== 'chosen') return isOwnPathUsed ? replyWithoutTarget(history, choice) : await replyThroughPeer(options, accepted, history)
     options.invariants.check('at-most-once', route.isIdempotent || history.verdict === 'not-run', { requestId })
     options.log.info('target chosen', { requestId, service, targetId: choice.target.id, ...choice.inputs, leftMs: Math.round(deadlineAtMs - options.clock.monotonicMs()) })
     const result = await sendGatewayAttempt(options, accepted, choice.target, choice.attempt)
@@ -113,10 +133,20 @@
     if (result.outcome === 'reset') options.path.afterConfirmation(() => { options.poisonDetector.recordCrash(descriptionOf(accepted)) })
     history = addAttempt(history, result)
     if (!mayRetry(options, accepted, history, result)) return finalReply(history)
+    await options.path.untilChecked()
     options.metrics.countRetry(service)
   }
 }
 
+/** Serves a request through another daemon while this one reaches no target. */
+const replyThroughPeer = async ({ forwarder, retryBudget }: GatewayServeOptions, accepted: AcceptedGatewayRequest, history: AttemptHistory): Promise<Reply> => {
+  const result = await forwarder.forward(accepted, Math.max(1, accepted.route.maxAttempts - history.sentCount), () => retryBudget.tryAcquire(accepted.service))
+  if (result.type === 'answer') return result
+  if (history.verdict !== 'not-run') return finalReply(history)
+  if (result.type === 'problem') return result
+  return problemReply('isolated', 'not-run', `this instance reaches no target, and ${result.detail}`, MIN_RETRY_AFTER_MS)
+}
+
 const respondWithProblem = (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, service: string, problem: Problem): void => {
   const requestId = gatewayRequestId(request, options.headers)
   options.metrics.countRequest(service, problem.verdict, problem.kind)
--- a/packages/callers/src/responses/problem.ts
+++ b/packages/callers/src/responses/problem.ts
@@ -16,6 +16,7 @@
   | 'request-too-slow'
   | 'overload'
   | 'no-target'
+  | 'isolated'
   | 'deadline'
   | 'target-failed'
   | 'quarantined'
@@ -36,6 +37,7 @@
   'request-too-slow': 408,
   overload: 503,
   'no-target': 503,
+  isolated: 503,
   deadline: 504,
   'target-failed': 502,
   quarantined: 503,
@@ -45,6 +47,9 @@
   'key-store-out': 503
 }
 
+/** Whether a text names a kind of problem. */
+export const isProblemKind = (text: string): text is ProblemKind => Object.hasOwn(STATUS_OF, text)
+
 /** Content of a problem response (RFC 9457) that the fleet sends itself. */
 export interface Problem {
   readonly kind: ProblemKind
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -225,6 +225,8 @@
   /** Whether requests of higher priority use the same targets, so that some slots must stay free for them. */
   readonly hasHigherPriorityTraffic: boolean
   readonly triedTargetIds: ReadonlySet<string>
+  /** Whether only targets with an idle connection may be chosen. */
+  readonly needsConnection?: boolean
   /** Monotonic time at which the response is due. */
   readonly deadlineAtMs: number
 }
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,9 +1,9 @@
-import { DrainWindow, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
+import { DrainWindow, FORWARDING_HEADER, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
 import type { GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
-import { RelayNode, relayFitnessOf } from '@lovagehoist/peers'
+import { RelayNode, createPeerDocumentHandler, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
 import { ConnectionSender, FleetLimits, FleetStatsAggregator, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry } from '@lovagehoist/targets'
 import type { OpenSocket } from '@lovagehoist/targets'
@@ -32,9 +32,10 @@
 /** The components of a gateway daemon, before it listens. */
 export interface GatewayComponents {
   readonly handler: RequestHandler
+  /** Serves documents and forwarded requests to other daemons. */
+  readonly peerHandler: RequestHandler
   readonly registry: Registry
   readonly isReady: () => boolean
-  readonly documentSync: PeerDocumentSync
   readonly drainWindow: DrainWindow
   /** Background loops that run until their signal aborts. */
   readonly tasks: ReadonlyArray<(signal: AbortSignal) => Promise<void>>
@@ -49,6 +50,8 @@
 
 /** Connections within or between zones open within milliseconds; trying another target is faster than waiting for a retransmitted packet. */
 const CONNECT_TIMEOUT_MS = 400
+/** Other daemons that do not accept a connection this soon are left out for a while. */
+const PEER_CONNECT_TIMEOUT_MS = 150
 const OVERDUE_CHECK_INTERVAL_MS = 250
 /** Mean time between two reads of the instance list. */
 const INSTANCES_POLL_MS = 15_000
@@ -141,15 +144,18 @@
   readonly drainWindow: DrainWindow
   readonly registry: Registry
   readonly invariants: Invariants
+  readonly forwarder: PeerForwarder
 }
 
-const createServeOptions = ({ settings, clock, headers, random, liveSettings, log }: GatewayDependencies, { activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants }: ServeComponents): GatewayServeOptions => ({
+const createServeOptions = ({ settings, clock, headers, random, liveSettings, log }: GatewayDependencies, { activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder }: ServeComponents): GatewayServeOptions => ({
   clock,
   headers,
   invariants,
   config: activeConfig,
   trafficSplitter: TrafficSplitter.create(random),
   drainWindow,
+  isForPeers: false,
+  forwarder,
   readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing }),
   targetSelector: targets.selector,
   sender: targets.sender,
@@ -161,6 +167,14 @@
   log: log.child('request')
 })
 
+const createPeerHandler = (serveOptions: GatewayServeOptions, documentSync: PeerDocumentSync): RequestHandler => {
+  const serveDocument = createPeerDocumentHandler(documentSync.documentTexts)
+  return async (request, response) => {
+    if (request.headers[FORWARDING_HEADER] === undefined) await serveDocument(request, response)
+    else await serveGateway({ ...serveOptions, isForPeers: true }, request, response)
+  }
+}
+
 /**
  * Creates the components of a gateway daemon.
  *
@@ -181,19 +195,22 @@
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, relay })
   const listingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, relayRank: () => relay.relayRank, clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
   const drainWindow = DrainWindow.create(clock)
-  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants })
+  const peerSender = ConnectionSender.create({ clock, connectTimeoutMs: () => PEER_CONNECT_TIMEOUT_MS })
+  const forwarder = PeerForwarder.create({ clock, random, log: log.child('request'), headers: dependencies.headers, sender: peerSender, peers: () => relay.peers.others(), peerPort: settings.peers.port })
+  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder })
   return {
     handler: async (request, response) => { await serveGateway(serveOptions, request, response) },
+    peerHandler: createPeerHandler(serveOptions, documentSync),
     registry,
-    documentSync,
     drainWindow,
     isReady: () => activeConfig !== undefined && targets.targetRegistry.hasListing,
     tasks: [
-      config.run.bind(config), listingPoller.run.bind(listingPoller), relay.run.bind(relay), targets.sender.run.bind(targets.sender),
+      config.run.bind(config), listingPoller.run.bind(listingPoller), relay.run.bind(relay), targets.sender.run.bind(targets.sender), peerSender.run.bind(peerSender),
       ...createMaintenanceTasks(dependencies, targets), async signal => { await maintainRegistration(dependencies, self, relay, signal) }
     ],
     close: async () => {
       targets.sender.close()
+      peerSender.close()
       await store.close()
       dependencies.datagrams.close()
     }
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -2,7 +2,6 @@
 import { setMaxListeners } from 'node:events'
 import { CallerServer } from '@lovagehoist/callers'
 import type { Address } from '@lovagehoist/common'
-import { servePeerDocuments } from '@lovagehoist/peers'
 import { composeGateway } from './gatewayComponents.js'
 import type { GatewayComponents, GatewayDependencies } from './gatewayComponents.js'
 import { serveMetrics, serveReadiness } from './readinessServer.js'
@@ -24,6 +23,10 @@
 const REQUEST_TIMEOUT_MS = 60_000
 /** File descriptors that are not available for connections of callers: files, targets, peers and the store need them. */
 const RESERVED_DESCRIPTORS = 1_200
+/** Descriptors among them for connections of other daemons, which forward requests. */
+const MAX_PEER_CONNECTIONS = 400
+/** Room in a request's head for the header fields of a forwarded request. */
+const MAX_FORWARDING_BYTES = 2_048
 
 /** A running gateway daemon. */
 export class GatewayDaemon {
@@ -34,7 +37,7 @@
   /** Resolves when the daemon has stopped. */
   readonly done: Promise<void>
 
-  private constructor (private readonly dependencies: GatewayDependencies, private readonly components: GatewayComponents, private readonly callers: CallerServer) {
+  private constructor (private readonly dependencies: GatewayDependencies, private readonly components: GatewayComponents, private readonly callers: CallerServer, private readonly peers: CallerServer) {
     setMaxListeners(0, this.stopController.signal)
     this.done = new Promise(resolve => { this.resolveDone = resolve })
   }
@@ -51,7 +54,9 @@
     const components = composeGateway(dependencies)
     const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
     const callers = await CallerServer.create({ address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler })
-    const daemon = new GatewayDaemon(dependencies, components, callers)
+    const peerLimits = { ...limits, maxHeadBytes: limits.maxHeadBytes + MAX_FORWARDING_BYTES, maxConnections: MAX_PEER_CONNECTIONS }
+    const peers = await CallerServer.create({ address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler })
+    const daemon = new GatewayDaemon(dependencies, components, callers, peers)
     await daemon.start(listen)
     return daemon
   }
@@ -65,7 +70,8 @@
     log.info('draining', { graceMs })
     this.components.drainWindow.begin(graceMs)
     const longestExchangeMs = Math.max(0, graceMs - BALANCER_LAG_MS - SHUTDOWN_MARGIN_MS)
-    const { cutExchanges } = await this.callers.drain({ balancerLagMs: BALANCER_LAG_MS, longestExchangeMs })
+    const drains = await Promise.all([this.callers, this.peers].map(async server => await server.drain({ balancerLagMs: BALANCER_LAG_MS, longestExchangeMs })))
+    const cutExchanges = drains.reduce((sum, drain) => sum + drain.cutExchanges, 0)
     await this.closeAll()
     log.info('daemon left', { cutExchanges })
     this.resolveDone()
@@ -75,6 +81,7 @@
   async stop (): Promise<void> {
     this.isShuttingDown = true
     this.callers.close()
+    this.peers.close()
     await this.closeAll()
     this.resolveDone()
   }
@@ -91,7 +98,6 @@
     const { components } = this
     this.servers = [
       await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown),
-      await servePeerDocuments(settings.peers, components.documentSync.documentTexts),
       ...(metrics === undefined ? [] : [await serveMetrics(metrics, components.registry)])
     ]
     for (const task of components.tasks) {
--- a/packages/peers/src/relay/peerDocuments.ts
+++ b/packages/peers/src/relay/peerDocuments.ts
@@ -1,10 +1,7 @@
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import polka from 'polka'
 import { request } from 'undici'
-import { waitUntilListening } from '@lovagehoist/common'
 import type { Address, Clock } from '@lovagehoist/common'
 
 /** Name of a document that daemons fetch from each other. */
@@ -13,29 +10,22 @@
 /** Readers of the documents that this daemon serves; a reader returns undefined if the daemon does not hold the document. */
 export type PeerDocumentTexts = Readonly<Record<PeerDocument, () => string | undefined>>
 
+const PATH_PREFIX = '/documents/'
 const STATUS_NOT_FOUND = 404
 const STATUS_OK = 200
 /** Generous: daemons of the same zone answer within a few milliseconds. */
 const FETCH_TIMEOUT_MS = 1_000
 
 /**
- * Starts an HTTP server that serves documents to other daemons.
+ * Creates the handler that serves documents to other daemons.
  *
- * @param address - Address to listen on.
  * @param texts - Reader of each document.
- * @returns The server once it listens.
+ * @returns Handler of requests; it answers 404 for other paths and for documents that this daemon does not hold.
  */
-export const servePeerDocuments = async (address: Address, texts: PeerDocumentTexts): Promise<Server> => {
-  const server = createServer()
-  const app = polka({ server })
-  for (const [name, read] of Object.entries(texts)) {
-    app.get(`/documents/${name}`, (_request: IncomingMessage, response: ServerResponse) => {
-      const text = read()
-      response.writeHead(text === undefined ? STATUS_NOT_FOUND : STATUS_OK, { 'content-type': 'application/json', connection: 'close' }).end(text ?? '{}')
-    })
-  }
-  await waitUntilListening(server, onListening => { app.listen(address.port, address.host, onListening) })
-  return server
+export const createPeerDocumentHandler = (texts: PeerDocumentTexts) => async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const name = request.url?.slice(PATH_PREFIX.length) ?? ''
+  const text = request.url?.startsWith(PATH_PREFIX) === true && Object.hasOwn(texts, name) ? texts[name as PeerDocument]() : undefined
+  response.writeHead(text === undefined ? STATUS_NOT_FOUND : STATUS_OK, { 'content-type': 'application/json', connection: 'close' }).end(text ?? '{}')
 }
 
 /**
@@ -50,7 +40,7 @@
   const timeout = new AbortController()
   const cancelTimeout = clock.after(FETCH_TIMEOUT_MS, () => { timeout.abort() })
   try {
-    const { statusCode, body } = await request(`http://${host}:${port}/documents/${name}`, { signal: timeout.signal })
+    const { statusCode, body } = await request(`http://${host}:${port}${PATH_PREFIX}${name}`, { signal: timeout.signal })
     const text = await body.text()
     return statusCode === STATUS_OK ? ok(text) : err(`status ${statusCode}`)
   } catch (error) {
--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -18,6 +18,8 @@
 const RELAYS_PER_ZONE = 2
 /** Daemons of each other zone that are announced in views: the fittest, since relays are chosen among them. */
 const MAX_MEMBERS_OF_OTHER_ZONE = 4
+/** Further daemons of each other zone that are announced in turn; any of them may serve callers for a daemon that reaches no target. */
+const MAX_OTHERS_OF_OTHER_ZONE = 4
 
 /** Orders daemons by descending relay fitness, then by instance id. */
 const byFitness = ({ record: a }: KnownPeer, { record: b }: KnownPeer): number =>
@@ -26,6 +28,7 @@
 /** Known daemons of the fleet; chooses the relays of each zone: the fittest responsive ones. */
 export class PeerTable {
   private readonly peers = new Map<string, KnownPeer>()
+  private announcements = 0
 
   private constructor (private readonly self: InstanceRecord, private readonly clock: Clock) {}
 
@@ -69,6 +72,12 @@
     if (peer !== undefined && (peer.unansweredSinceMs === undefined || nowMs - peer.unansweredSinceMs > ANSWER_TIMEOUT_MS + EXCLUSION_MS)) peer.unansweredSinceMs = nowMs
   }
 
+  /** All other daemons that are known, without those that recently failed to answer this one. */
+  others (): readonly InstanceRecord[] {
+    const nowMs = this.clock.monotonicMs()
+    return [...this.peers.values()].filter(({ unansweredSinceMs }) => !this.isUnresponsive(unansweredSinceMs, nowMs)).map(({ record }) => record)
+  }
+
   /** Whether a message from a daemon arrived within the given time. */
   hasHeardWithin (instanceId: string, durationMs: number): boolean {
     return this.clock.monotonicMs() - (this.peers.get(instanceId)?.heardAtMs ?? -Infinity) <= durationMs
@@ -104,7 +113,8 @@
     const oldestMs = this.clock.monotonicMs() - MEMBER_TTL_MS
     const sameZone = [...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone === this.self.availabilityZone && heardAtMs >= oldestMs)
     const otherZones = this.zones().filter(zone => zone !== this.self.availabilityZone)
-      .flatMap(zone => [...this.peers.values()].filter(({ record }) => record.availabilityZone === zone).sort(byFitness).slice(0, MAX_MEMBERS_OF_OTHER_ZONE))
+      .flatMap(zone => this.chooseAnnounced([...this.peers.values()].filter(({ record }) => record.availabilityZone === zone).sort(byFitness)))
+    this.announcements++
     return [this.self, ...sameZone.map(({ record }) => record), ...otherZones.map(({ record }) => record)]
   }
 
@@ -113,6 +123,13 @@
     return this.peers.size + 1
   }
 
+  /** The fittest daemons of a zone, and a few others in turn, so that all become known in time. */
+  private chooseAnnounced (sorted: readonly KnownPeer[]): readonly KnownPeer[] {
+    const others = sorted.slice(MAX_MEMBERS_OF_OTHER_ZONE)
+    const offset = others.length === 0 ? 0 : this.announcements * MAX_OTHERS_OF_OTHER_ZONE % others.length
+    return [...sorted.slice(0, MAX_MEMBERS_OF_OTHER_ZONE), ...[...others, ...others].slice(offset, offset + Math.min(MAX_OTHERS_OF_OTHER_ZONE, others.length))]
+  }
+
   private isUnresponsive (unansweredSinceMs: number | undefined, nowMs: number): boolean {
     if (unansweredSinceMs === undefined) return false
     const elapsedMs = nowMs - unansweredSinceMs
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -45,6 +45,7 @@
 interface RunningDaemon {
   readonly daemon: GatewayDaemon
   readonly callerAddress: Address
+  readonly peerAddress: Address
   readonly links: DaemonLinks
   readonly readinessAddress: Address
 }
@@ -147,7 +148,7 @@
     const daemon = await GatewayDaemon.create(
       { settings, liveSettings: LiveSettings.create(settings, async () => ok(settings), log), uptimeMs: this.clock.monotonicMs, clock: this.clock, random, log, store: RowStore.create(settings.store, this.clock), headers: PLATFORM_HEADERS, datagrams, openTargetSocket: links.openSocket },
       { readinessPath: READINESS_PATH })
-    this.daemons.push({ daemon, links, callerAddress: callers, readinessAddress: readiness })
+    this.daemons.push({ daemon, links, callerAddress: callers, peerAddress: settings.peers, readinessAddress: readiness })
     if (shouldAwaitReady) await this.waitUntil(async () => await this.readinessStatus(this.daemons.length - 1) === 200)
   }
 
--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -59,8 +59,9 @@
     const nowMs = clock.monotonicMs()
     if (criteria.triedTargetIds.size === 0) limits.recordDemand(criteria.service)
     const untried = registry.activeTargets(criteria.service).filter(({ target }) => !criteria.triedTargetIds.has(target.id))
-    const entries = untried.filter(({ target }) => limits.allows(target.id, criteria.hasHigherPriorityTraffic))
-    if (entries.length === 0 && untried.length > 0) return { type: 'limited', retryDelayMs: limits.recordRefused(criteria.service) }
+    const usable = criteria.needsConnection === true ? untried.filter(({ target }) => hasIdle(target.id, criteria.isIdempotent)) : untried
+    const entries = usable.filter(({ target }) => limits.allows(target.id, criteria.hasHigherPriorityTraffic))
+    if (entries.length === 0 && usable.length > 0) return { type: 'limited', retryDelayMs: limits.recordRefused(criteria.service) }
     const candidates = entries.map(entry => statsTracker.describeCandidate(entry, availabilityZone, hasIdle(entry.target.id, criteria.isIdempotent)))
     const placement = placeRequest(candidates, this.describeRequest(criteria, nowMs), random)
     if (placement.type !== 'placed') return placement
--- a/packages/targets/src/reachability/pathMonitor.ts
+++ b/packages/targets/src/reachability/pathMonitor.ts
@@ -50,6 +50,7 @@
   private successfulRechecks = 0
   private readonly failedTargetIds = new Set<string>()
   private pending: Array<() => void> = []
+  private waiting: Array<() => void> = []
 
   private constructor (private readonly options: PathMonitorOptions) {}
 
@@ -74,7 +75,7 @@
   }
 
   /** Decides whether the next request is sent on this daemon's own path; during a recovery, the share of such requests rises. */
-  usesOwnPath (): boolean {
+  readonly usesOwnPath = (): boolean => {
     if (this.currentState !== 'recovering') return this.currentState === 'open'
     const elapsedMs = this.options.clock.monotonicMs() - this.recoveringSinceMs
     if (elapsedMs >= RECOVERY_MS) this.changeState('open')
@@ -115,11 +116,17 @@
    * Runs an action that takes a failure as evidence against a target: at once while the path is trusted, after it was confirmed, or never if this daemon
    * turns out to be cut off.
    */
-  afterConfirmation (action: () => void): void {
+  readonly afterConfirmation = (action: () => void): void => {
     if (this.currentCheck !== undefined) this.pending.push(action)
     else if (this.currentState !== 'cut') action()
   }
 
+  /** Resolves once a check that is in progress has ended; at once if there is none. */
+  readonly untilChecked = async (): Promise<void> => {
+    if (this.currentCheck === undefined) return
+    await new Promise<void>(resolve => { this.waiting.push(resolve) })
+  }
+
   private suspect (): void {
     if (this.currentCheck !== undefined || this.currentState === 'cut') return
     const nowMs = this.options.clock.monotonicMs()
@@ -167,20 +174,25 @@
       this.confirm()
       return
     }
-    this.currentCheck = undefined
     this.pending = []
     this.successfulRechecks = 0
     this.changeState('cut')
+    this.endCheck()
     this.scheduleRecheck()
   }
 
   private confirm (): void {
-    this.currentCheck = undefined
     this.failedTargetIds.clear()
     this.lastConfirmedAtMs = this.options.clock.monotonicMs()
-    const actions = this.pending
+    this.endCheck()
+  }
+
+  private endCheck (): void {
+    const { pending, waiting } = this
+    this.currentCheck = undefined
     this.pending = []
-    for (const action of actions) action()
+    this.waiting = []
+    for (const action of [...pending, ...waiting]) action()
   }
 
   private scheduleRecheck (): void {
