--- a/packages/standins/src/gateway/isolatedDaemon.spec.ts
+++ b/packages/standins/src/gateway/isolatedDaemon.spec.ts
@@ -60,6 +60,13 @@
     })
   }
 
+  it('serves the callers of a daemon that starts while it is cut off', async () => {
+    await fleet.addDaemon()
+    cut('silent', [DAEMONS])
+    await callFor(DAEMONS, STABILITY_WINDOW_MS)
+    expect(servedShare(await callFor(DAEMONS, COUNTED_MS))).to.be.at.least(REQUIRED_SHARE)
+  })
+
   /** Cuts a daemon off and waits until it knows. */
   const isolate = async (daemons: readonly number[]): Promise<void> => {
     cut('reset', daemons)
--- a/packages/standins/src/measure/main.ts
+++ b/packages/standins/src/measure/main.ts
@@ -1,4 +1,5 @@
 import { Command } from 'commander'
+import type { LinkCut } from '../gateway/daemonLinks.js'
 import { scenarios } from './scenarios/index.js'
 
 const MS_PER_SECOND = 1_000
@@ -9,6 +10,7 @@
   readonly seconds?: string
   readonly variant: 'fleet' | 'baseline'
   readonly profile: 'fast' | 'careful'
+  readonly kind: LinkCut
   readonly slots?: string
 }
 
@@ -21,6 +23,7 @@
     durationMs: Number(options.seconds ?? scenario.defaultSeconds) * MS_PER_SECOND,
     variant: options.variant,
     profile: options.profile,
+    kind: options.kind,
     ...(options.slots === undefined ? {} : { slots: options.slots }),
     progress: line => { process.stderr.write(`${line}\n`) }
   })
@@ -38,6 +41,7 @@
   .option('--seconds <number>', 'duration of the measurement in seconds')
   .option('--variant <name>', '"fleet" or "baseline"', 'fleet')
   .option('--profile <name>', 'profile of the measured service: "fast" or "careful"', 'careful')
+  .option('--kind <name>', 'how links to targets are cut: "silent", "reset" or "refused"', 'silent')
   .option('--slots <name>', 'slot-sharing policy: "shared", "least-loaded" or "two-choices"')
   .action(async (name: string, options: Options) => {
     if (name === 'list') listScenarios()
--- a/packages/standins/src/measure/scenario.ts
+++ b/packages/standins/src/measure/scenario.ts
@@ -1,4 +1,5 @@
 import type { JsonValue } from '@lovagehoist/common'
+import type { LinkCut } from '../gateway/daemonLinks.js'
 
 /** Arguments of a scenario. */
 export interface ScenarioArguments {
@@ -8,6 +9,8 @@
   readonly variant: 'fleet' | 'baseline'
   /** Profile of the measured service. */
   readonly profile: 'fast' | 'careful'
+  /** How links to targets are cut. */
+  readonly kind: LinkCut
   /** Slot-sharing policy; the default of the variant applies when absent. */
   readonly slots?: string
   /** Writes a line of progress. */
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -3,6 +3,7 @@
 import { drain } from './drain.js'
 import { gateway } from './gateway.js'
 import { gray } from './gray.js'
+import { isolated } from './isolated.js'
 import { limit } from './limit.js'
 import { outage } from './outage.js'
 import { overhead } from './overhead.js'
@@ -16,6 +17,7 @@
   [overhead.name]: overhead,
   [gray.name]: gray,
   [rush.name]: rush,
+  [isolated.name]: isolated,
   [limit.name]: limit,
   [outage.name]: outage,
   [promoteScenario.name]: promoteScenario,
