Count a forwarded request for the retry budget once

Found by reading: both daemons counted it, so that the fleet's retry budget grew with forwarded requests (rule BUDGET). No test of its own: counts of two daemons are not visible together; the cases of isolatedDaemon.spec pass as before.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -117,7 +117,8 @@
     return problemReply('quarantined', 'not-run', 'requests like this one took targets down', POISON_RETRY_AFTER_MS)
   }
   if (accepted.forwarding !== undefined && options.path.state === 'cut') return problemReply('isolated', 'not-run', 'this instance reaches no target', MIN_RETRY_AFTER_MS)
-  options.retryBudget.recordRequest(service)
+  // The daemon that received a forwarded request from its caller has counted it.
+  if (accepted.forwarding === undefined) options.retryBudget.recordRequest(service)
   for (;;) {
     const isOwnPathUsed = accepted.forwarding !== undefined || options.path.usesOwnPath() || !options.forwarder.hasPeers
     const needsConnection = !isOwnPathUsed && options.path.areConnectionsAlive
