--- a/packages/standins/src/soak/gateway/gatewayFaults.ts
+++ b/packages/standins/src/soak/gateway/gatewayFaults.ts
@@ -1,6 +1,7 @@
 import type { ResponseMode } from '../../gateway/gatewayTarget.js'
 import type { StoreFault } from '../../gateway/rowStoreStandin.js'
 import type { LinkFault, TcpProxy } from '../../network/tcpProxy.js'
+import type { GatewayProcess } from '../../process/gatewayProcess.js'
 import type { EndFault, StartFault } from '../faultLoop.js'
 import { SERVICES } from './soakFleet.js'
 import type { SoakFleet, SoakInstance, SoakTarget } from './soakFleet.js'
@@ -71,16 +72,22 @@
   return soakTarget
 }
 
+/** Restarts an instance unless another fault has already replaced the process that this one ended. */
+const restartEnded = async (fleet: SoakFleet, instance: SoakInstance, ended: GatewayProcess): Promise<void> => {
+  if (instance.process === ended) await fleet.restart(instance)
+}
+
 const killInstances = async (fleet: SoakFleet, chosen: readonly SoakInstance[]): Promise<EndFault> => {
-  const endPeriods = chosen.map(({ faultPeriods, process: daemon }) => {
+  const killed = chosen.map(instance => {
+    const { faultPeriods, process: daemon } = instance
     const endPeriod = faultPeriods.start()
     daemon.signal('SIGCONT')
     daemon.signal('SIGKILL')
-    return endPeriod
+    return { instance, daemon, endPeriod }
   })
   return async () => {
-    await Promise.all(chosen.map(async instance => { await fleet.restart(instance) }))
-    for (const endPeriod of endPeriods) endPeriod()
+    await Promise.all(killed.map(async ({ instance, daemon }) => { await restartEnded(fleet, instance, daemon) }))
+    for (const { endPeriod } of killed) endPeriod()
   }
 }
 
@@ -146,8 +153,10 @@
   daemonsAreKilled: async fleet => await killInstances(fleet, fleet.instances.filter(({ process: { hasExited } }) => !hasExited)),
   daemonLeaves: async fleet => {
     const chosen = pickOne(fleet, findStoppableInstances(fleet))
-    chosen?.process.signal('SIGTERM')
-    return async () => { if (chosen !== undefined) await fleet.restart(chosen) }
+    if (chosen === undefined) return noCleanup
+    const { process: daemon } = chosen
+    daemon.signal('SIGTERM')
+    return async () => { await restartEnded(fleet, chosen, daemon) }
   },
   daemonIsPaused: async fleet => {
     const chosen = pickOne(fleet, findStoppableInstances(fleet))
