--- a/packages/standins/src/soak/gateway/gatewayFaults.ts
+++ b/packages/standins/src/soak/gateway/gatewayFaults.ts
@@ -14,6 +14,9 @@
 const MIN_TARGETS_PER_SERVICE = 3
 const MIN_READY_INSTANCES = 2
 const LINK_DELAY_MS = 300
+const LIMIT_PER_SECOND = 1.5
+/** Additional time, since a limit is checked only from some seconds after it was named. */
+const LIMIT_MS = 6_000
 const STORM_VERSION_COUNT = 6
 const STORM_INTERVAL_MS = 150
 const MAX_INSTANCES = 12
@@ -108,6 +111,15 @@
   targetCodes: respondWith('coded', 0.5),
   targetBreaksOff: respondWith('unframed-reset', 0.5),
   targetIsFull: respondWith('refuse', 0.7),
+  targetNamesLimit: async fleet => {
+    const chosen = pickOne(fleet, fleet.targets.filter(({ target }) => target.limitPerSecond === undefined))
+    if (chosen === undefined) return noCleanup
+    const lift = fleet.nameLimit(chosen, LIMIT_PER_SECOND)
+    return async () => {
+      await fleet.clock.sleepMs(LIMIT_MS)
+      lift()
+    }
+  },
   targetIsFar: targetLinkFault({ delayMs: LINK_DELAY_MS }),
   targetIsSilent: targetLinkFault({ isSilent: true }),
   targetAnswersAreLost: targetLinkFault({ isResponseSilent: true }),
--- a/packages/standins/src/soak/gateway/runGatewaySoak.ts
+++ b/packages/standins/src/soak/gateway/runGatewaySoak.ts
@@ -5,6 +5,7 @@
 import { gatewayFaults } from './gatewayFaults.js'
 import { findGatewayBreaches } from './gatewayOracle.js'
 import type { GatewayBreach, SoakCall, SoakConditions, SoakRun } from './gatewayOracle.js'
+import { findLimitBreaches } from './limitOracle.js'
 import { SoakCaller } from './soakCaller.js'
 import { SoakFleet } from './soakFleet.js'
 
@@ -106,7 +107,11 @@
   const callers = Array.from({ length: options.callers }, (_, index) => SoakCaller.create(fleet, createCallerRandom(options, index)))
   const [stopFaults, stopAll] = [new AbortController(), new AbortController()]
   for (const { signal } of [stopFaults, stopAll]) setMaxListeners(0, signal)
-  const findBreaches = (): readonly GatewayBreach[] => findGatewayBreaches(callers.flatMap(({ calls }) => calls), collectRuns(fleet), createConditions(fleet))
+  const findBreaches = (): readonly GatewayBreach[] => {
+    const runs = collectRuns(fleet)
+    const isFleetFaultFree = (fromMs: number, toMs: number): boolean => fleet.instances.every(({ faultPeriods }) => !faultPeriods.overlaps(fromMs, toMs))
+    return [...findGatewayBreaches(callers.flatMap(({ calls }) => calls), runs, createConditions(fleet)), ...findLimitBreaches(fleet.limits, runs, isFleetFaultFree)]
+  }
   try {
     const readinessPolling = pollReadiness(fleet, stopAll.signal)
     await fleet.waitUntilReady()
--- a/packages/standins/src/soak/gateway/soakFleet.ts
+++ b/packages/standins/src/soak/gateway/soakFleet.ts
@@ -11,6 +11,7 @@
 import { GatewayProcess } from '../../process/gatewayProcess.js'
 import { SoakConfig } from './soakConfig.js'
 import { FaultPeriods } from './faultPeriods.js'
+import type { SoakLimit } from './limitOracle.js'
 
 /** A target with the TCP proxy through which daemons reach it. */
 export interface SoakTarget {
@@ -66,6 +67,8 @@
   readonly instances: SoakInstance[] = []
   readonly config: SoakConfig
   readonly storeFaultPeriods: FaultPeriods
+  /** Limits that targets have named. */
+  readonly limits: SoakLimit[] = []
   private nextTarget = 0
   private isFirstStart = true
 
@@ -113,6 +116,17 @@
     this.removedTargets.push(soakTarget)
   }
 
+  /** Makes a target name a limit in its answers; returns the function that ends it. */
+  nameLimit ({ target }: SoakTarget, perSecond: number): () => void {
+    const limit = { targetId: target.id, perSecond, fromMs: this.clock.monotonicMs(), toMs: Infinity }
+    this.limits.push(limit)
+    target.limitPerSecond = perSecond
+    return () => {
+      limit.toMs = this.clock.monotonicMs()
+      target.limitPerSecond = undefined
+    }
+  }
+
   /** Removes the row of a draining target; the target keeps running. */
   removeTarget (soakTarget: SoakTarget): void {
     this.store.remove('servers', soakTarget.target.id)
