Send no urgent report after the last one of a leaving daemon

Callers saw nothing in production, where the process exits at once; a daemon that is stopped while requests are in progress could end with an uncaught ERR_SOCKET_DGRAM_NOT_RUNNING. Cause: a request that failed after the end of the send loop scheduled an urgent report, and the datagram socket was closed by then.

--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -191,6 +191,17 @@
     expect(network.sentBytes / daemons.length / 10).to.be.below(5_000)
   })
 
+  it('sends nothing after its last report, when requests that are still in progress fail', async () => {
+    start()
+    await clock.advanceMs(2_000)
+    stopping.abort()
+    await clock.advanceMs(200)
+    network.sentBytes = 0
+    daemon('a3').notify(true)
+    await clock.advanceMs(200)
+    expect(network.sentBytes).to.equal(0)
+  })
+
   it('rejects undecodable datagrams', () => {
     expect(decodeMessage(Buffer.from('{"method":"report","params":{"from":[1]}}'))).to.equal(undefined)
     expect(decodeMessage(Buffer.from('{"method":"constructor","params":{}}'))).to.equal(undefined)
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -123,7 +123,7 @@
 
   private onCountersChanged (isUrgent: boolean): void {
     this.hasChanges = true
-    if (!isUrgent || this.cancelUrgent !== undefined) return
+    if (!isUrgent || this.isLeaving || this.cancelUrgent !== undefined) return
     this.cancelUrgent = this.options.clock.after(URGENT_DELAY_MS, () => {
       this.cancelUrgent = undefined
       this.tick(true)
