Log what identifies a request under which a target broke the connection

Each such break now leaves a line with the hashes of path, caller and body, the fingerprint that follows from them, and the crashes that this daemon and the fleet count for it.

--- a/packages/callers/src/gateway/poisonRequestDetector.ts
+++ b/packages/callers/src/gateway/poisonRequestDetector.ts
@@ -6,6 +6,13 @@
 /** Retention of crash counts: callers repeat such a request within seconds. */
 const RETENTION_MS = 60_000
 
+/** Crashes recorded for a request, with the fingerprint that equal requests share. */
+export interface CrashCountDescription {
+  readonly fingerprint: string
+  readonly ownCrashes: number
+  readonly fleetCrashes: number
+}
+
 interface CrashRecord {
   crashes: number
   atMs: number
@@ -40,6 +47,12 @@
     return Math.max(this.crashCountOf(this.ownCrashes, fingerprint), this.crashCountOf(this.fleetCrashes, fingerprint)) >= MIN_CRASHES
   }
 
+  /** What is known of a request, for the log. */
+  describe (description: string): CrashCountDescription {
+    const fingerprint = fingerprintOf(description)
+    return { fingerprint, ownCrashes: this.crashCountOf(this.ownCrashes, fingerprint), fleetCrashes: this.crashCountOf(this.fleetCrashes, fingerprint) }
+  }
+
   /** Records that a target reset the connection while it executed a request. */
   recordCrash (description: string): void {
     const fingerprint = fingerprintOf(description)
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { joinVerdicts } from '@lovagehoist/common'
+import { joinVerdicts, murmurHash } from '@lovagehoist/common'
 import type { TargetChoice, Invariants, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
 import { deliver } from '../responses/deliver.js'
 import { fractionalSeconds, sendProblem, statusOf } from '../responses/problem.js'
@@ -97,6 +97,13 @@
 /** Describes a request by what is equal in all of its repetitions. */
 const descriptionOf = ({ method, path, body, callerAddress }: AcceptedGatewayRequest): string => `${method} ${path} ${callerAddress} ${body?.toString('latin1') ?? ''}`
 
+/** Logs what identifies a request under which a target broke the connection; its parts only as hashes, since they may be confidential. */
+const logBrokenRequest = ({ log, poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest, { target }: GatewayAttemptResult): void => {
+  const { requestId, path, callerAddress, body } = accepted
+  const parts = { pathHash: murmurHash(path), callerHash: murmurHash(callerAddress), bodyHash: murmurHash(body?.toString('latin1') ?? '') }
+  log.info('target broke the connection under a request', { requestId, targetId: target.id, ...parts, ...poisonDetector.describe(descriptionOf(accepted)) })
+}
+
 const mayRetry = (options: GatewayServeOptions, accepted: AcceptedGatewayRequest, history: AttemptHistory, result: GatewayAttemptResult): boolean => {
   const { route, disconnectSignal, deadlineAtMs, service } = accepted
   const policy = RETRY_POLICIES[result.outcome]
@@ -131,7 +138,10 @@
     const result = await sendGatewayAttempt(options, accepted, choice.target, choice.attempt)
     options.metrics.countAttempt(service, result.outcome === 'wrong-target' ? 'refused' : result.outcome)
     options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, latencyMs: Math.round(result.latencyMs), detail: result.detail })
-    if (result.outcome === 'reset') options.path.afterConfirmation(() => { options.poisonDetector.recordCrash(descriptionOf(accepted)) })
+    if (result.outcome === 'reset') {
+      logBrokenRequest(options, accepted, result)
+      options.path.afterConfirmation(() => { options.poisonDetector.recordCrash(descriptionOf(accepted)) })
+    }
     history = addAttempt(history, result)
     if (!mayRetry(options, accepted, history, result)) return finalReply(history)
     await options.path.untilChecked()
