Share which target starts crashed under a request, joined by union, instead of counts that replace each other

Callers saw targets go down one after the other: a request that crashes targets was sent on after daemons or relays had restarted.

Cause: knowledge of the fleet was a number that newer messages overwrite. A view with a smaller count lowered what a daemon knew, a zone's totals were those of whichever relay sent last, and what a daemon had counted ended with its process. Each crash counted once for each daemon that saw it.

Each daemon now holds, for each suspicious request, the set of the target starts that crashed under it. Sets are joined by union: order, route and repetition of messages don't matter, who knows less takes nothing away, and any daemon can tell a restarted one all that it lost. The mechanism (SharedRecords, NewsTopic) knows nothing of crashes. A request whose set grows to two starts is urgent. New relays, new reporters and zones that come back get everything; besides, each kind of message carries all records every 4 s. A quarantine lasts 10 minutes, a suspicion one.

Old processes ignore the new field, and new ones the old counts: while both run, each half protects itself.

--- a/packages/callers/src/gateway/gatewayParts.spec.ts
+++ b/packages/callers/src/gateway/gatewayParts.spec.ts
@@ -3,6 +3,7 @@
 import { SeededRandom, murmurHash } from '@lovagehoist/common'
 import type { GatewayConfig, GatewayRoute } from '@lovagehoist/common'
 import { PoisonRequestDetector } from './poisonRequestDetector.js'
+import type { TargetStart } from './poisonRequestDetector.js'
 import { WindowedRetryBudget } from './windowedRetryBudget.js'
 import { RouteIndex } from './routeIndex.js'
 import { TrafficSplitter } from './trafficSplitter.js'
@@ -92,19 +93,52 @@
 })
 
 describe('PoisonRequestDetector', () => {
-  it('flags a request after three crashes, here or in the fleet, and no other request', () => {
+  const start = (id: string): TargetStart => ({ id, startedAtMs: 1 })
+  const create = (): { readonly clock: ManualClock, readonly detector: PoisonRequestDetector } => {
     const clock = ManualClock.create()
-    const detector = PoisonRequestDetector.create(clock)
-    detector.recordCrash('GET /bad')
-    detector.recordCrash('GET /bad')
+    return { clock, detector: PoisonRequestDetector.create(clock) }
+  }
+
+  it('flags a request after crashes of three targets, here or in the fleet, and no other request', () => {
+    const { clock, detector } = create()
+    const other = PoisonRequestDetector.create(clock)
+    detector.recordCrash('GET /bad', start('t1'))
+    detector.recordCrash('GET /bad', start('t2'))
+    other.recordCrash('GET /bad', start('t3'))
     expect(detector.isPoison(() => 'GET /bad')).to.equal(false)
-    detector.applyFleetCrashes(detector.crashCounts().map(([fingerprint]) => [fingerprint, 3]))
+    expect(detector.news.apply(other.news.collect('report', false), 'zone')).to.equal(true)
     expect(detector.isPoison(() => 'GET /bad')).to.equal(true)
     expect(detector.isPoison(() => 'GET /good')).to.equal(false)
+    clock.jumpMs(601_000)
+    expect(detector.isPoison(() => 'GET /bad')).to.equal(false)
+  })
+
+  it('forgets a suspicion after a minute', () => {
+    const { clock, detector } = create()
+    detector.recordCrash('GET /bad', start('t1'))
+    detector.recordCrash('GET /bad', start('t2'))
     clock.jumpMs(61_000)
+    detector.recordCrash('GET /bad', start('t3'))
     expect(detector.isPoison(() => 'GET /bad')).to.equal(false)
   })
 
+  it('is not lowered by a daemon that knows of fewer crashes', () => {
+    const { clock, detector } = create()
+    const late = PoisonRequestDetector.create(clock)
+    for (const id of ['t1', 't2', 't3']) detector.recordCrash('GET /bad', start(id))
+    late.recordCrash('GET /bad', start('t1'))
+    expect(detector.news.apply(late.news.collect('view', true), 'fleet')).to.equal(false)
+    expect(detector.isPoison(() => 'GET /bad')).to.equal(true)
+  })
+
+  it('counts the crash of one start of a target once, whoever saw it and however often', () => {
+    const { clock, detector } = create()
+    const other = PoisonRequestDetector.create(clock)
+    for (const daemon of [detector, other, detector]) for (const id of ['t1', 't2']) daemon.recordCrash('GET /bad', start(id))
+    for (let repeat = 0; repeat < 3; repeat++) detector.news.apply(other.news.collect('report', true), 'zone')
+    expect(detector.summarize('GET /bad').crashes).to.equal(2)
+  })
+
   it('does not compute a fingerprint while no crashes are recorded', () => {
     const detector = PoisonRequestDetector.create(ManualClock.create())
     expect(detector.isPoison(() => { throw new Error('described') })).to.equal(false)
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -101,7 +101,7 @@
 const logBrokenRequest = ({ log, poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest, { target }: GatewayAttemptResult): void => {
   const { requestId, path, callerAddress, body } = accepted
   const parts = { pathHash: murmurHash(path), callerHash: murmurHash(callerAddress), bodyHash: murmurHash(body?.toString('latin1') ?? '') }
-  log.info('target broke the connection under a request', { requestId, targetId: target.id, ...parts, ...poisonDetector.describe(descriptionOf(accepted)) })
+  log.info('target broke the connection under a request', { requestId, targetId: target.id, ...parts, ...poisonDetector.summarize(descriptionOf(accepted)) })
 }
 
 const mayRetry = (options: GatewayServeOptions, accepted: AcceptedGatewayRequest, history: AttemptHistory, result: GatewayAttemptResult): boolean => {
@@ -140,7 +140,7 @@
     options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, latencyMs: Math.round(result.latencyMs), detail: result.detail })
     if (result.outcome === 'reset') {
       logBrokenRequest(options, accepted, result)
-      options.path.afterConfirmation(() => { options.poisonDetector.recordCrash(descriptionOf(accepted)) })
+      options.path.afterConfirmation(() => { options.poisonDetector.recordCrash(descriptionOf(accepted), result.target) })
     }
     history = addAttempt(history, result)
     if (!mayRetry(options, accepted, history, result)) return finalReply(history)
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -203,9 +203,6 @@
   readonly idleMs: number
 }
 
-/** Number of connections to targets that broke while running requests with one fingerprint. */
-export type CrashCounts = ReadonlyArray<readonly [fingerprint: string, crashes: number]>
-
 /** A value for each target. */
 export type PerTarget<T> = ReadonlyArray<readonly [targetId: string, value: T]>
 
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -86,7 +86,7 @@
 const createRelayNode = (dependencies: GatewayDependencies, self: InstanceRecord, targets: ReturnType<typeof createTargetComponents>, documentSync: PeerDocumentSync, poisonDetector: PoisonRequestDetector): RelayNode => {
   const { liveSettings, clock, log, datagrams } = dependencies
   const { statsTracker, fleetStats, limits } = targets
-  return RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, crashes: poisonDetector, limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
+  return RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, news: [poisonDetector.news], limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
 }
 
 const createOverdueTask = (clock: Clock, statsTracker: TargetStatsTracker) => async (signal: AbortSignal): Promise<void> => {
--- a/packages/daemon/src/testing/crashSimulation.ts
+++ b/packages/daemon/src/testing/crashSimulation.ts
@@ -102,7 +102,7 @@
       datagrams: this.datagramsOf(record),
       localCounters: { onChange: () => {}, collectCounters: () => [], countTargets: () => 0, applyFleetStats: () => {} },
       fleetStats: { applyDaemonReport: () => false, applyZoneReport: () => false, ownZoneCounters: () => [], targetStats: () => [], sweep: () => {} },
-      crashes: detector,
+      news: [detector.news],
       limits: { onChange: () => {}, report: () => ({ limits: [], demand: [], settled: [] }), applyReport: () => false, zoneLimits: () => ({ limits: [], demand: [] }), applyZoneLimits: () => false, view: () => ({ limits: [], permits: [] }), applyView: () => {} },
       heldVersions: () => ({ configVersion: 0, listingDigest: '', listingVersion: -1, listingAgeMs: 0 }),
       onPeerVersions: () => {}
@@ -151,7 +151,7 @@
     this.clock.after(WORK_MS, () => {
       this.crashedAtMs.push(this.clock.monotonicMs())
       if (daemon.stopping.signal.aborted) return
-      daemon.detector.recordCrash(DESCRIPTION)
+      daemon.detector.recordCrash(DESCRIPTION, { id: `t${this.crashedAtMs.length}`, startedAtMs: 0 })
       this.attempt(daemon, attemptsLeft - 1)
     })
   }
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -1,5 +1,7 @@
-import type { PerTarget, CrashCounts, FleetTargetStats, InstanceRecord, LimitReport, LimitView, TargetCounters, ZoneLimits } from '@lovagehoist/common'
+import type { PerTarget, FleetTargetStats, InstanceRecord, LimitReport, LimitView, TargetCounters, ZoneLimits } from '@lovagehoist/common'
 import { decodeLimitReport, decodeLimitView, decodeZoneLimits, encodeLimitReport, encodeLimitView, encodeZoneLimits } from './limitMessages.js'
+import { decodeNews, encodeNews } from './newsMessages.js'
+import type { News } from './newsMessages.js'
 import { decodeRows } from './rows.js'
 import type { Row } from './rows.js'
 
@@ -25,8 +27,7 @@
   /** Time since the process started. */
   readonly uptimeMs: number
   readonly counters: PerTarget<TargetCounters>
-  /** Number of broken target connections by the fingerprint of the request that broke them. */
-  readonly crashes: CrashCounts
+  readonly news: News
   readonly limits: LimitReport
 }
 
@@ -36,7 +37,7 @@
   readonly from: InstanceRecord
   readonly isFull: boolean
   readonly counters: PerTarget<TargetCounters>
-  readonly crashes: CrashCounts
+  readonly news: News
   readonly limits: ZoneLimits
 }
 
@@ -47,7 +48,7 @@
   readonly heldVersions: HeldVersions
   /** Stats that changed since the last view. */
   readonly stats: PerTarget<FleetTargetStats>
-  readonly crashes: CrashCounts
+  readonly news: News
   readonly limits: LimitView
   /** Daemons heard from recently; empty in views that leave them out. */
   readonly members: readonly InstanceRecord[]
@@ -82,11 +83,6 @@
 const decodeStats = ([id, inProgress = 0, failing = 0, refusal = 0, latencyMs = 0, idleMs = 0]: Row): PerTarget<FleetTargetStats>[number] =>
   [id, { inProgress, failingChance: failing / PERCENT, refusalShare: refusal / PERCENT, latencyMs, idleMs }]
 
-const encodeCrashes = (crashes: CrashCounts): Params => crashes.length === 0 ? {} : { crashes }
-
-const decodeCrashes = (value: unknown): CrashCounts =>
-  value === undefined ? [] : decodeRows(value).map(([fingerprint, count = 0]) => [fingerprint, count])
-
 const decodeHeldVersions = (value: unknown): HeldVersions => {
   const [configVersion, listingDigest, listingVersion, listingAgeMs] = Array.isArray(value) ? value as readonly unknown[] : []
   if (typeof configVersion !== 'number' || typeof listingDigest !== 'string' || typeof listingVersion !== 'number' || typeof listingAgeMs !== 'number') {
@@ -104,15 +100,15 @@
   readonly rows?: unknown
   readonly facts?: unknown
   readonly members?: unknown
-  readonly crashes?: unknown
+  readonly news?: unknown
   readonly limits?: unknown
 }
 
 const encoders: { readonly [Type in RelayMessage['type']]: (message: Extract<RelayMessage, { readonly type: Type }>) => Params } = {
-  report: ({ from, isFull, isLeaving, uptimeMs, counters, crashes, limits }) => ({ ...encodeCrashes(crashes), ...encodeLimitReport(limits), from: encodeInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: counters.map(encodeCounters) }),
-  zone: ({ from, isFull, counters, crashes, limits }) => ({ ...encodeCrashes(crashes), ...encodeZoneLimits(limits), from: encodeInstance(from), full: isFull, rows: counters.map(encodeCounters) }),
-  view: ({ from, heldVersions, stats, members, crashes, limits }) => ({
-    ...encodeCrashes(crashes),
+  report: ({ from, isFull, isLeaving, uptimeMs, counters, news, limits }) => ({ ...encodeNews(news), ...encodeLimitReport(limits), from: encodeInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: counters.map(encodeCounters) }),
+  zone: ({ from, isFull, counters, news, limits }) => ({ ...encodeNews(news), ...encodeZoneLimits(limits), from: encodeInstance(from), full: isFull, rows: counters.map(encodeCounters) }),
+  view: ({ from, heldVersions, stats, members, news, limits }) => ({
+    ...encodeNews(news),
     ...encodeLimitView(limits),
     from: encodeInstance(from),
     facts: [heldVersions.configVersion, heldVersions.listingDigest, heldVersions.listingVersion, Math.round(heldVersions.listingAgeMs)],
@@ -122,15 +118,15 @@
 }
 
 const decoders: Readonly<Record<RelayMessage['type'], (params: Params) => RelayMessage>> = {
-  report: ({ from, full, leaving, uptime, rows, crashes, limits }) => ({ type: 'report', from: decodeInstance(from), isFull: full === true, isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), crashes: decodeCrashes(crashes), limits: decodeLimitReport(limits) }),
-  zone: ({ from, full, rows, crashes, limits }) => ({ type: 'zone', from: decodeInstance(from), isFull: full === true, counters: decodeRows(rows).map(decodeCounters), crashes: decodeCrashes(crashes), limits: decodeZoneLimits(limits) }),
-  view: ({ from, facts, rows, members, crashes, limits }) => ({
+  report: ({ from, full, leaving, uptime, rows, news, limits }) => ({ type: 'report', from: decodeInstance(from), isFull: full === true, isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeLimitReport(limits) }),
+  zone: ({ from, full, rows, news, limits }) => ({ type: 'zone', from: decodeInstance(from), isFull: full === true, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeZoneLimits(limits) }),
+  view: ({ from, facts, rows, members, news, limits }) => ({
     type: 'view',
     from: decodeInstance(from),
     heldVersions: decodeHeldVersions(facts),
     stats: decodeRows(rows).map(decodeStats),
     members: Array.isArray(members) ? members.map(decodeInstance) : [],
-    crashes: decodeCrashes(crashes),
+    news: decodeNews(news),
     limits: decodeLimitView(limits)
   })
 }
--- a/packages/peers/src/relay/relayContracts.ts
+++ b/packages/peers/src/relay/relayContracts.ts
@@ -1,4 +1,6 @@
-import type { PerTarget, CrashCounts, FleetTargetStats, TargetCounters } from '@lovagehoist/common'
+import type { Clock, FleetTargetStats, InstanceRecord, LimitExchange, Log, NewsTopic, PerTarget, TargetCounters } from '@lovagehoist/common'
+import type { Datagrams } from './datagrams.js'
+import type { HeldVersions } from './messages.js'
 
 /** Per-target counters of the requests that this daemon sends. */
 export interface LocalCounters {
@@ -26,10 +28,20 @@
   readonly sweep: () => void
 }
 
-/** Exchanges crash counts: how many target connections broke, by the fingerprint of the request. */
-export interface CrashExchange {
-  /** Recent counts of this daemon. */
-  readonly crashCounts: () => CrashCounts
-  /** Applies counts aggregated over the fleet. */
-  readonly applyFleetCrashes: (counts: CrashCounts) => void
+/** Options of a relay node. */
+export interface RelayNodeOptions {
+  readonly self: InstanceRecord
+  /** Hosts that receive this daemon's reports while it knows no other daemon. */
+  readonly bootstrapHosts: () => readonly string[]
+  readonly clock: Clock
+  readonly log: Log
+  readonly datagrams: Datagrams
+  readonly localCounters: LocalCounters
+  readonly fleetStats: FleetStats
+  /** Knowledge that all daemons share. */
+  readonly news: readonly NewsTopic[]
+  readonly limits: LimitExchange
+  readonly heldVersions: () => HeldVersions
+  /** Called with the versions that a relay holds, for each view received from it. */
+  readonly onPeerVersions: (versions: HeldVersions, from: InstanceRecord) => void
 }
--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -63,7 +63,7 @@
         targetStats: () => this.reports.at(-1)?.counters.map(([id, { inProgress }]) => [id, { inProgress, failingChance: 0.5, refusalShare: 0, latencyMs: 0, idleMs: 0 }]) ?? [],
         sweep: () => {}
       },
-      crashes: { crashCounts: () => [], applyFleetCrashes: () => {} },
+      news: [],
       limits: {
         onChange: () => {},
         report: () => ({ limits: [], demand: [], settled: [] }),
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -1,27 +1,9 @@
-import type { PerTarget, CancelTimer, Clock, FleetTargetStats, InstanceRecord, LimitExchange, Log, TargetCounters, ZoneLimits } from '@lovagehoist/common'
-import { CrashAggregator } from './crashAggregator.js'
-import type { Datagrams } from './datagrams.js'
+import type { PerTarget, CancelTimer, FleetTargetStats, InstanceRecord, TargetCounters } from '@lovagehoist/common'
 import { decodeMessage, encodeMessage } from './messages.js'
-import type { RelayView, HeldVersions, RelayMessage, Report, ZoneTotals } from './messages.js'
+import type { RelayView, RelayMessage, Report, ZoneTotals } from './messages.js'
+import { NewsBoard } from './newsBoard.js'
 import { PeerTable } from './peerTable.js'
-import type { CrashExchange, FleetStats, LocalCounters } from './relayContracts.js'
-
-/** Options of a relay node. */
-export interface RelayNodeOptions {
-  readonly self: InstanceRecord
-  /** Hosts that receive this daemon's reports while it knows no other daemon. */
-  readonly bootstrapHosts: () => readonly string[]
-  readonly clock: Clock
-  readonly log: Log
-  readonly datagrams: Datagrams
-  readonly localCounters: LocalCounters
-  readonly fleetStats: FleetStats
-  readonly crashes: CrashExchange
-  readonly limits: LimitExchange
-  readonly heldVersions: () => HeldVersions
-  /** Called with the versions that a relay holds, for each view received from it. */
-  readonly onPeerVersions: (versions: HeldVersions, from: InstanceRecord) => void
-}
+import type { RelayNodeOptions } from './relayContracts.js'
 
 /** Period of the send loop; changes within one period are batched. */
 const TICK_MS = 100
@@ -45,8 +27,6 @@
 const MEMBERS_INTERVAL_MS = 1_000
 /** Later requests to a target are sent again once the time of the last one differs by this much. */
 const LAST_SENT_RESOLUTION_MS = 300
-/** Distinguishes zones from daemons among the sources of crash counts. */
-const ZONE_SOURCE_PREFIX = 'zone '
 /** Silence of an earlier relay after which the next one issues permits. */
 const ISSUER_SILENCE_MS = 800
 /** Time after its last report for which a daemon is sent views. */
@@ -63,7 +43,7 @@
  */
 export class RelayNode {
   readonly peers: PeerTable
-  private readonly crashes: CrashAggregator
+  private readonly news: NewsBoard
   private readonly reporters = new Map<string, Reporter>()
   private readonly sentStats = new Map<string, string>()
   private readonly sentTotals = new Map<string, TargetCounters>()
@@ -78,11 +58,12 @@
 
   private constructor (private readonly options: RelayNodeOptions) {
     this.startedAtMs = options.clock.monotonicMs()
-    this.crashes = CrashAggregator.create(options.clock)
+    this.news = NewsBoard.create(options.news)
     this.peers = PeerTable.create(options.self, options.clock)
     options.datagrams.onDatagram(bytes => { this.receive(bytes) })
     options.localCounters.onChange(isUrgent => { this.onCountersChanged(isUrgent) })
     options.limits.onChange(() => { this.onCountersChanged(true) })
+    this.news.onChange(isUrgent => { this.onCountersChanged(isUrgent) })
   }
 
   /**
@@ -162,13 +143,13 @@
   private sendReport (counters: PerTarget<TargetCounters>, isFull: boolean, isForNewRelay: boolean): void {
     const { self, fleetStats, datagrams, bootstrapHosts, clock } = this.options
     const uptimeMs = clock.monotonicMs() - this.startedAtMs
-    const crashes = this.options.crashes.crashCounts()
     const limits = this.options.limits.report(isForNewRelay)
+    if (isForNewRelay) this.news.requestFull('report')
+    const news = this.news.collect('report', clock.monotonicMs())
     fleetStats.applyDaemonReport(self.startId, counters, isFull, uptimeMs)
-    this.crashes.update(self.startId, crashes)
     this.options.limits.applyReport(self.startId, limits)
     const relays = this.peers.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
-    const bytes = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, crashes, limits })
+    const bytes = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits })
     for (const { instanceId, host } of relays) {
       this.peers.recordRequest(instanceId)
       datagrams.send(host, bytes)
@@ -183,7 +164,6 @@
     if (!isUrgent && stats.length === 0 && nowMs - lastSent.view < IDLE_VIEW_INTERVAL_MS) return
     lastSent.view = nowMs
     this.options.localCounters.applyFleetStats(stats)
-    this.options.crashes.applyFleetCrashes(this.crashes.totals())
     this.sendView(nowMs, stats)
     this.options.fleetStats.sweep()
   }
@@ -195,7 +175,7 @@
     const limits = this.options.limits.view({ isIssuer: this.isIssuer(), isRepeat: withMembers, reporters: [self.startId, ...this.reporters.keys()], zones: this.peers.zones() })
     if (this.reporters.size === 0) return
     if (withMembers) this.lastSentMs.members = nowMs
-    const view: RelayView = { type: 'view', from: self, heldVersions: heldVersions(), stats, members: withMembers ? this.peers.members() : [], crashes: this.crashes.totals(), limits }
+    const view: RelayView = { type: 'view', from: self, heldVersions: heldVersions(), stats, members: withMembers ? this.peers.members() : [], news: this.news.collect('view', nowMs), limits }
     const bytes = encodeMessage(view)
     for (const { host } of this.reporters.values()) datagrams.send(host, bytes)
   }
@@ -233,16 +213,16 @@
       return isSent
     })
     const limits = this.options.limits.zoneLimits(isFull)
-    if (counters.length === 0 && limits.limits.length === 0 && !isFull) return
+    const news = this.news.collect('zone', nowMs)
+    if (counters.length === 0 && limits.limits.length === 0 && Object.values(news).flat().length === 0 && !isFull) return
     if (isDue) lastSent.zone = nowMs
     if (isFull) lastSent.zoneRepeat = nowMs
-    this.sendZoneTotals(counters, isFull, limits)
+    this.sendZoneTotals({ counters, isFull, limits, news })
   }
 
-  private sendZoneTotals (counters: PerTarget<TargetCounters>, isFull: boolean, limits: ZoneLimits): void {
+  private sendZoneTotals (totals: Pick<ZoneTotals, 'counters' | 'isFull' | 'limits' | 'news'>): void {
     const { self, datagrams } = this.options
-    const crashes = this.crashes.totals(source => !source.startsWith(ZONE_SOURCE_PREFIX))
-    const bytes = encodeMessage({ type: 'zone', from: self, isFull, counters, crashes, limits })
+    const bytes = encodeMessage({ type: 'zone', from: self, ...totals })
     for (const zone of this.peers.zones()) {
       if (zone === self.availabilityZone) continue
       for (const { host } of this.peers.relays(zone)) datagrams.send(host, bytes)
@@ -257,7 +237,7 @@
     }
     if (message.from.instanceId === this.options.self.instanceId) return
     const handler = this.handlers[message.type] as (message: RelayMessage) => void
-    if (this.peers.recordMessage(message.from)) this.options.log.info('peer seen', { peer: message.from.instanceId, zone: message.from.availabilityZone })
+    if (this.peers.recordMessage(message.from)) this.handleNewPeer(message.from)
     handler(message)
   }
 
@@ -267,8 +247,13 @@
     view: message => { this.handleView(message) }
   }
 
-  private handleReport ({ from, isFull, isLeaving, uptimeMs, counters, crashes, limits }: Report): void {
-    this.crashes.update(from.startId, crashes)
+  private handleNewPeer ({ instanceId, availabilityZone }: InstanceRecord): void {
+    this.options.log.info('peer seen', { peer: instanceId, zone: availabilityZone })
+    this.news.requestFull(availabilityZone === this.options.self.availabilityZone ? 'view' : 'zone')
+  }
+
+  private handleReport ({ from, isFull, isLeaving, uptimeMs, counters, news, limits }: Report): void {
+    const hasUrgentNews = this.news.apply(news, 'zone')
     if (isLeaving) {
       this.reporters.delete(from.startId)
       this.peers.remove(from.instanceId)
@@ -277,17 +262,17 @@
     }
     this.reporters.set(from.startId, { host: from.host, heardAtMs: this.options.clock.monotonicMs() })
     const hasUrgentLimits = this.options.limits.applyReport(from.startId, limits)
-    if (this.options.fleetStats.applyDaemonReport(from.startId, counters, isFull, uptimeMs) || hasUrgentLimits) this.onCountersChanged(true)
+    if (this.options.fleetStats.applyDaemonReport(from.startId, counters, isFull, uptimeMs) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
   }
 
-  private handleZoneTotals ({ from, isFull, counters, crashes, limits }: ZoneTotals): void {
-    this.crashes.update(`${ZONE_SOURCE_PREFIX}${from.availabilityZone}`, crashes)
+  private handleZoneTotals ({ from, isFull, counters, news, limits }: ZoneTotals): void {
+    const hasUrgentNews = this.news.apply(news, 'fleet')
     const hasUrgentLimits = this.options.limits.applyZoneLimits(from.availabilityZone, limits)
-    if (this.options.fleetStats.applyZoneReport(`${from.availabilityZone} ${from.startId}`, counters, isFull) || hasUrgentLimits) this.onCountersChanged(true)
+    if (this.options.fleetStats.applyZoneReport(`${from.availabilityZone} ${from.startId}`, counters, isFull) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
   }
 
-  private handleView ({ from, heldVersions, stats, members, crashes, limits }: RelayView): void {
-    this.options.crashes.applyFleetCrashes(crashes)
+  private handleView ({ from, heldVersions, stats, members, news, limits }: RelayView): void {
+    this.news.apply(news, 'fleet')
     this.peers.addKnown(members)
     this.options.localCounters.applyFleetStats(stats)
     this.options.limits.applyView(limits)
