Hold requests of a restarted daemon back until its first view, and send that at once

Callers saw crashing requests sent on by daemons that had just restarted: these serve callers before any relay has told them what the fleet knows.

Cause: the gate that holds requests back during a start waits for configuration and listing only, and a relay answers a new daemon with its next view, up to 300 ms later. Relays now send a new daemon its view at once, and the gate of a daemon that replaces another one waits for it, as for the rest, at most 1 s of the start and a quarter of the request's time. At the first start of a fleet there is nothing to wait for.

--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -156,7 +156,7 @@
   drainWindow,
   isForPeers: false,
   forwarder,
-  readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing }),
+  readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing && (settings.isFirstStart || relay.hasView) }),
   targetSelector: targets.selector,
   sender: targets.sender,
   onTargetAnswer: targets.limits.recordAnswer,
--- a/packages/daemon/src/testing/crashSimulation.ts
+++ b/packages/daemon/src/testing/crashSimulation.ts
@@ -41,6 +41,9 @@
 const MAX_ATTEMPTS = 2
 const WORK_MS = 90
 const NETWORK_DELAY_MS = 2
+/** A restarted daemon holds requests back until its first view, for this long at most. */
+const STARTUP_MS = 1_000
+const GATE_POLL_MS = 10
 const DESCRIPTION = 'GET /menus/1 10.0.0.1 '
 
 interface SimulatedDaemon {
@@ -48,6 +51,7 @@
   readonly detector: PoisonRequestDetector
   readonly relay: RelayNode
   readonly stopping: AbortController
+  readonly startedAtMs: number
 }
 
 /** Runs the relays and detectors of a whole fleet in virtual time, while a request that crashes each target comes again and again. */
@@ -110,7 +114,7 @@
     relay.peers.addKnown(known)
     const stopping = new AbortController()
     relay.run(stopping.signal).catch(() => {})
-    return { record, detector, relay, stopping }
+    return { record, detector, relay, stopping, startedAtMs: this.clock.monotonicMs() }
   }
 
   private datagramsOf ({ host, availabilityZone }: InstanceRecord): Datagrams {
@@ -146,6 +150,11 @@
 
   /** Sends the request unless the daemon knows better; a target crashes under it, and the next attempt follows. */
   private attempt (daemon: SimulatedDaemon, attemptsLeft: number): void {
+    const isWaiting = daemon.startedAtMs > 0 && !daemon.relay.hasView && this.clock.monotonicMs() - daemon.startedAtMs < STARTUP_MS
+    if (isWaiting) {
+      this.clock.after(GATE_POLL_MS, () => { this.attempt(daemon, attemptsLeft) })
+      return
+    }
     if (attemptsLeft === 0 || daemon.stopping.signal.aborted || daemon.detector.isPoison(() => DESCRIPTION)) return
     this.sentAtMs.push(this.clock.monotonicMs())
     this.clock.after(WORK_MS, () => {
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -50,6 +50,7 @@
   private reportedRelayIds = ''
   private hasChanges = false
   private isLeaving = false
+  private hasReceivedView = false
   private cancelUrgent: CancelTimer | undefined
   private readonly lastSentMs = { report: -Infinity, repeat: -Infinity, view: -Infinity, zone: -Infinity, zoneRepeat: -Infinity, members: -Infinity }
   private unreadableDatagrams = 0
@@ -81,6 +82,11 @@
     return this.unreadableDatagrams
   }
 
+  /** Whether a relay has told this daemon what the fleet knows. */
+  get hasView (): boolean {
+    return this.hasReceivedView
+  }
+
   /** Rank of this daemon among the relays of its zone: 0 for the first, -1 if it is not a relay. */
   get relayRank (): number {
     const { availabilityZone, instanceId } = this.options.self
@@ -260,6 +266,7 @@
       this.options.log.info('peer left', { peer: from.instanceId })
       return
     }
+    if (!this.reporters.has(from.startId)) this.onCountersChanged(true)
     this.reporters.set(from.startId, { host: from.host, heardAtMs: this.options.clock.monotonicMs() })
     const hasUrgentLimits = this.options.limits.applyReport(from.startId, limits)
     if (this.options.fleetStats.applyDaemonReport(from.startId, counters, isFull, uptimeMs) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
@@ -272,6 +279,7 @@
   }
 
   private handleView ({ from, heldVersions, stats, members, news, limits }: RelayView): void {
+    this.hasReceivedView = true
     this.news.apply(news, 'fleet')
     this.peers.addKnown(members)
     this.options.localCounters.applyFleetStats(stats)
