Ask before each attempt whether a request crashes targets, not only when it arrives

Callers saw more targets go down than the three that it takes to know: a request that was at a target, retried after a crash or a 421, or forwarded a second time was sent on although the fleet had stopped equal ones meanwhile.

Cause: the check ran once, on arrival. It now runs before each attempt; a request that this daemon has sent itself is answered by its last outcome, never as not run.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -104,6 +104,15 @@
   log.info('target broke the connection under a request', { requestId, targetId: target.id, ...parts, ...poisonDetector.summarize(descriptionOf(accepted)) })
 }
 
+const isPoison = ({ poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest): boolean => poisonDetector.isPoison(() => descriptionOf(accepted))
+
+/** Reply to a request under which targets crashed; one that this daemon has sent itself may have run. */
+const quarantinedReply = ({ log }: GatewayServeOptions, { requestId, service }: AcceptedGatewayRequest, history: AttemptHistory): Reply => {
+  log.warn('request stopped: several targets crashed under equal ones', { requestId, service, sentCount: history.sentCount })
+  if (history.verdict !== 'not-run') return finalReply(history)
+  return problemReply('quarantined', 'not-run', 'targets crashed under requests like this one', POISON_RETRY_AFTER_MS)
+}
+
 const mayRetry = (options: GatewayServeOptions, accepted: AcceptedGatewayRequest, history: AttemptHistory, result: GatewayAttemptResult): boolean => {
   const { route, disconnectSignal, deadlineAtMs, service } = accepted
   const policy = RETRY_POLICIES[result.outcome]
@@ -119,14 +128,12 @@
 const forward = async (options: GatewayServeOptions, accepted: AcceptedGatewayRequest): Promise<Reply> => {
   const { route, service, requestId, hasHigherPriorityTraffic, deadlineAtMs } = accepted
   let history = NO_ATTEMPTS
-  if (options.poisonDetector.isPoison(() => descriptionOf(accepted))) {
-    options.log.warn('request stopped: equal ones broke the connections of several targets', { requestId, service })
-    return problemReply('quarantined', 'not-run', 'requests like this one took targets down', POISON_RETRY_AFTER_MS)
-  }
   if (accepted.forwarding !== undefined && options.path.state === 'cut') return problemReply('isolated', 'not-run', 'this instance reaches no target', MIN_RETRY_AFTER_MS)
   // The daemon that received a forwarded request from its caller has counted it.
   if (accepted.forwarding === undefined) options.retryBudget.recordRequest(service)
   for (;;) {
+    // Asked again before each attempt: other daemons may have learned more in the meantime.
+    if (isPoison(options, accepted)) return quarantinedReply(options, accepted, history)
     const isOwnPathUsed = accepted.forwarding !== undefined || options.path.usesOwnPath() || !options.forwarder.hasPeers
     const needsConnection = !isOwnPathUsed && options.path.areConnectionsAlive
     const choice: TargetChoice = isOwnPathUsed || needsConnection
@@ -150,8 +157,8 @@
 }
 
 /** Serves a request through another daemon while this one reaches no target. */
-const replyThroughPeer = async ({ forwarder, retryBudget }: GatewayServeOptions, accepted: AcceptedGatewayRequest, history: AttemptHistory): Promise<Reply> => {
-  const result = await forwarder.forward(accepted, Math.max(1, accepted.route.maxAttempts - history.sentCount), () => retryBudget.tryAcquire(accepted.service))
+const replyThroughPeer = async (options: GatewayServeOptions, accepted: AcceptedGatewayRequest, history: AttemptHistory): Promise<Reply> => {
+  const result = await options.forwarder.forward(accepted, Math.max(1, accepted.route.maxAttempts - history.sentCount), () => !isPoison(options, accepted) && options.retryBudget.tryAcquire(accepted.service))
   if (result.type === 'answer') return result
   if (history.verdict !== 'not-run') return finalReply(history)
   if (result.type === 'problem') return result
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -37,6 +37,10 @@
   /** Number of requests received, including refused ones. */
   receivedRequests = 0
   workMs = 2
+  /** Whether a request crashes the target once its work is done, by its path. */
+  crashesUnder: (path: string) => boolean = () => false
+  /** Monotonic time at which a request crashed the target. */
+  crashedAtMs: number | undefined
   /** Limit named in answers, in requests per second; none when undefined. */
   limitPerSecond: number | undefined
   readonly runs: TargetRun[] = []
@@ -99,6 +103,12 @@
     this.runs.push(run)
     response.once('close', () => { if (!response.writableFinished) run.isAborted = true })
     await this.clock.sleepMs(this.workMs)
+    if (this.crashedAtMs !== undefined) return
+    if (this.crashesUnder(run.path)) {
+      this.crashedAtMs = this.clock.monotonicMs()
+      await this.close()
+      return
+    }
     this.responders[responseMode](request, response)
   }
 
