Count a broken request as a crash only if the target no longer accepts connections

Callers whose requests were reset on the way three times, by targets that lived on, were refused for minutes: each reset counted as a crash of its target.

Cause: the outcome of the exchange alone decided. A target that breaks a request off is now checked with a new connection, one for all requests that break off together. One that accepts it has not crashed; one that doesn't has, unless this daemon turns out to be cut off from all targets. A retry waits for the check, at most as long as a connect may take.

crashingRequests.spec, "does not stop a request that targets reset without crashing": 503 before, 200 after.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { joinVerdicts, murmurHash } from '@lovagehoist/common'
-import type { TargetChoice, Invariants, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
+import type { TargetChoice, Invariants, ListedTarget, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
 import { deliver } from '../responses/deliver.js'
 import { fractionalSeconds, sendProblem, statusOf } from '../responses/problem.js'
 import type { Problem } from '../responses/problem.js'
@@ -24,8 +24,6 @@
   readonly usesOwnPath: () => boolean
   /** Resolves once a check of the path that is in progress has ended. */
   readonly untilChecked: () => Promise<void>
-  /** Confirms failures of connections before they count against the request. */
-  readonly afterConfirmation: (action: () => void) => void
 }
 
 /** Dependencies for serving a request. */
@@ -33,6 +31,8 @@
   readonly targetSelector: TargetSelector
   readonly retryBudget: WindowedRetryBudget
   readonly poisonDetector: PoisonRequestDetector
+  /** Runs an action if a target that broke a request off has crashed; resolves once the target has been checked. */
+  readonly confirmCrash: (target: ListedTarget, onCrashed: () => void) => Promise<void>
   /** Whether this daemon reaches targets. */
   readonly path: OwnPath
   readonly forwarder: PeerForwarder
@@ -97,11 +97,13 @@
 /** Describes a request by what is equal in all of its repetitions. */
 const descriptionOf = ({ method, path, body, callerAddress }: AcceptedGatewayRequest): string => `${method} ${path} ${callerAddress} ${body?.toString('latin1') ?? ''}`
 
-/** Logs what identifies a request under which a target broke the connection; its parts only as hashes, since they may be confidential. */
-const logBrokenRequest = ({ log, poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest, { target }: GatewayAttemptResult): void => {
+/** Records that a target crashed under a request; logs the parts of its description only as hashes, since they may be confidential. */
+const recordCrash = ({ log, poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest, { target }: GatewayAttemptResult): void => {
   const { requestId, path, callerAddress, body } = accepted
+  const description = descriptionOf(accepted)
+  poisonDetector.recordCrash(description, target)
   const parts = { pathHash: murmurHash(path), callerHash: murmurHash(callerAddress), bodyHash: murmurHash(body?.toString('latin1') ?? '') }
-  log.info('target broke the connection under a request', { requestId, targetId: target.id, ...parts, ...poisonDetector.summarize(descriptionOf(accepted)) })
+  log.info('target crashed under a request', { requestId, targetId: target.id, ...parts, ...poisonDetector.summarize(description) })
 }
 
 const isPoison = ({ poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest): boolean => poisonDetector.isPoison(() => descriptionOf(accepted))
@@ -145,12 +147,10 @@
     const result = await sendGatewayAttempt(options, accepted, choice.target, choice.attempt)
     options.metrics.countAttempt(service, result.outcome === 'wrong-target' ? 'refused' : result.outcome)
     options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, latencyMs: Math.round(result.latencyMs), detail: result.detail })
-    if (result.outcome === 'reset') {
-      logBrokenRequest(options, accepted, result)
-      options.path.afterConfirmation(() => { options.poisonDetector.recordCrash(descriptionOf(accepted), result.target) })
-    }
+    const crashCheck = result.outcome === 'reset' ? options.confirmCrash(result.target, () => { recordCrash(options, accepted, result) }) : undefined
     history = addAttempt(history, result)
     if (!mayRetry(options, accepted, history, result)) return finalReply(history)
+    await crashCheck
     await options.path.untilChecked()
     options.metrics.countRetry(service)
   }
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -5,8 +5,8 @@
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, createPeerDocumentHandler, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
-import { ConnectionSender, FleetLimits, FleetStatsAggregator, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry } from '@lovagehoist/targets'
-import type { OpenSocket } from '@lovagehoist/targets'
+import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry } from '@lovagehoist/targets'
+import type { OpenSocket, PathMonitorOptions } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import type { LiveSettings } from './liveSettings.js'
@@ -61,13 +61,15 @@
 const SETTINGS_POLL_MS = 15_000
 
 const createTargetComponents = ({ liveSettings, clock, random, log, headers, openTargetSocket }: GatewayDependencies, { startId, availabilityZone }: InstanceRecord, registry: Registry, invariants: Invariants) => {
+  const checkConnect: PathMonitorOptions['checkConnect'] = (target, onDone) => { sender.openIdle(target).then(onDone, () => { onDone(false) }) }
   const path = PathMonitor.create({
     clock,
     random,
     log: log.child('path'),
     targets: () => targetRegistry.all().map(({ target }) => target),
-    checkConnect: (target, onDone) => { sender.openIdle(target).then(onDone, () => { onDone(false) }) }
+    checkConnect
   })
+  const crashConfirmer = CrashConfirmer.create({ path, checkConnect })
   const statsTracker: TargetStatsTracker = TargetStatsTracker.create(clock, targetId => targetRegistry.serviceOf(targetId), path)
   const fleetStats = FleetStatsAggregator.create(clock)
   const limits = FleetLimits.create({ clock, random, log: log.child('limits'), startId, availabilityZone, headerName: headers.limit, serviceOf: targetId => targetRegistry.serviceOf(targetId) })
@@ -80,7 +82,7 @@
   }
   const targetRegistry: TargetRegistry = TargetRegistry.create({ clock, log: log.child('targets'), onForget })
   const selector = LowestCostSelector.create({ registry: targetRegistry, statsTracker, clock, random, availabilityZone, limits, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
-  return { path, statsTracker, fleetStats, limits, sender, targetRegistry, selector }
+  return { path, crashConfirmer, statsTracker, fleetStats, limits, sender, targetRegistry, selector }
 }
 
 const createRelayNode = (dependencies: GatewayDependencies, self: InstanceRecord, targets: ReturnType<typeof createTargetComponents>, documentSync: PeerDocumentSync, poisonDetector: PoisonRequestDetector): RelayNode => {
@@ -162,6 +164,7 @@
   onTargetAnswer: targets.limits.recordAnswer,
   retryBudget: WindowedRetryBudget.create({ clock, limits: () => liveSettings.current().bounds, isFirstStart: settings.isFirstStart, fleetSize: () => relay.peers.size }),
   poisonDetector,
+  confirmCrash: targets.crashConfirmer.confirm,
   path: targets.path,
   metrics: createRequestMetrics(registry),
   log: log.child('request')
--- a/packages/standins/src/gateway/crashingRequests.spec.ts
+++ b/packages/standins/src/gateway/crashingRequests.spec.ts
@@ -42,6 +42,15 @@
     for (let index = 0; index < DAEMONS; index++) expect((await fleet.call({ daemon: index, path: '/p/other' })).status).to.equal(200)
   })
 
+  it('does not stop a request that targets reset without crashing', async () => {
+    await addTargets(0, TARGETS)
+    await fleet.addDaemon()
+    for (const target of fleet.targets.values()) target.responseMode = 'reset'
+    for (let index = 0; index < TARGETS; index++) await fleet.call({ path: '/p/innocent' })
+    for (const target of fleet.targets.values()) target.responseMode = 'well'
+    expect((await fleet.call({ path: '/p/innocent' })).status).to.equal(200)
+  })
+
   it('does not send a request on that became known to crash targets while it was at one', async () => {
     await addTargets(0, 1)
     for (let index = 0; index < 2; index++) await fleet.addDaemon()
--- /dev/null
+++ b/packages/targets/src/reachability/crashConfirmer.ts
@@ -0,0 +1,49 @@
+import type { ListedTarget } from '@lovagehoist/common'
+import type { PathMonitor, PathMonitorOptions } from './pathMonitor.js'
+
+/** Sources of a crash confirmer. */
+export interface CrashConfirmerOptions {
+  readonly path: Pick<PathMonitor, 'recordConnect' | 'afterConfirmation'>
+  /** Opens a connection to a target for later use and calls back with whether that succeeded. */
+  readonly checkConnect: PathMonitorOptions['checkConnect']
+}
+
+/** Tells whether a target that broke a request off has crashed: one that still accepts connections has not. */
+export class CrashConfirmer {
+  /** Checks in progress by the ID of their target. */
+  private readonly checks = new Map<string, Promise<boolean>>()
+
+  private constructor (private readonly options: CrashConfirmerOptions) {}
+
+  /**
+   * Creates a confirmer.
+   *
+   * @param options - The path to targets, and the way to check them.
+   * @returns The confirmer.
+   */
+  static create (options: CrashConfirmerOptions): CrashConfirmer {
+    return new CrashConfirmer(options)
+  }
+
+  /**
+   * Runs an action if a target has crashed; requests that break off together share one check.
+   *
+   * @param target - Target that broke a request off.
+   * @param onCrashed - Runs once it is known that the target, not this daemon's path to it, is at fault.
+   * @returns Resolves once the target has been checked; a check of the path may go on.
+   */
+  readonly confirm = async (target: ListedTarget, onCrashed: () => void): Promise<void> => {
+    const check = this.checks.get(target.id) ?? this.startCheck(target)
+    if (await check) return
+    this.options.path.recordConnect(target.id, false)
+    this.options.path.afterConfirmation(onCrashed)
+  }
+
+  private async startCheck (target: ListedTarget): Promise<boolean> {
+    const check = new Promise<boolean>(resolve => { this.options.checkConnect(target, resolve) })
+    this.checks.set(target.id, check)
+    const isOpened = await check
+    this.checks.delete(target.id)
+    return isOpened
+  }
+}
