Recognize a request that crashes targets when its query or its caller's address differs

Cause: one fingerprint over method, path with query, address and body. Each request now has three, from everything to path and body alone, and each collects crashes of its own. What serves one request clears all its fingerprints of earlier crashes, so a path at which others are served is never blamed for one request. A crash that is explained by a request with more crashes, or by a narrower fingerprint, doesn't count against requests that were broken off with it.

The log of a crash holds the hashes of each part and what is known for each fingerprint.

--- a/packages/callers/src/gateway/poisonRequestDetector.ts
+++ b/packages/callers/src/gateway/poisonRequestDetector.ts
@@ -1,5 +1,8 @@
 import { SharedRecords, sha256Hex } from '@lovagehoist/common'
 import type { Clock, NewsTopic } from '@lovagehoist/common'
+import { findPoisonRequests } from './findPoisonRequests.js'
+import { REQUEST_SCOPES, fingerprintsOf } from './requestDescription.js'
+import type { DescribedRequest, RequestFingerprint, RequestScope } from './requestDescription.js'
 
 /** Identifies one start of a target process. */
 export interface TargetStart {
@@ -9,6 +12,7 @@
 
 /** What the whole fleet knows of a request under which targets crashed; daemons only add to it. */
 interface CrashEvidence {
+  readonly scope: RequestScope
   /** Starts of targets that crashed while they executed the request. */
   readonly crashedStarts: ReadonlySet<string>
   /** Those among them whose crash was not the request's, since a target served an equal one later. */
@@ -18,27 +22,25 @@
 
 /** What is known of a request, for the log. */
 export interface CrashSummary {
-  /** Equal for all repetitions of the request. */
-  readonly fingerprint: string
-  /** Starts of targets that crashed under the request, as known here. */
-  readonly crashes: number
+  /** Starts of targets that crashed under requests like it, as known here, for each scope. */
+  readonly fingerprints: ReadonlyArray<RequestFingerprint & { readonly crashes: number }>
   readonly isPoison: boolean
 }
 
-/** Number of crashes from which a request is quarantined. */
+/** Number of crashes from which the evidence is kept as long as a quarantine lasts. */
 const MIN_CRASHES = 3
 /** Retention of fewer crashes: callers repeat such a request within seconds. */
 const SUSPICION_RETENTION_MS = 60_000
 const QUARANTINE_MS = 600_000
-const MAX_RECORDS = 256
+const MAX_RECORDS = 512
+/** Time after which expired evidence is noticed. */
+const POISON_CACHE_MS = 1_000
 /** Starts kept for one request; more change nothing. */
 const MAX_STARTS = 16
-const FINGERPRINT_LENGTH = 12
 const START_LENGTH = 8
 const CLEARED_MARK = '-'
 const NO_STARTS: ReadonlySet<string> = new Set()
 
-const fingerprintOf = (description: string): string => sha256Hex(description).slice(0, FINGERPRINT_LENGTH)
 const startOf = ({ id, startedAtMs }: TargetStart): string => sha256Hex(`${id} ${startedAtMs}`).slice(0, START_LENGTH)
 
 const effectiveStarts = ({ crashedStarts, clearedStarts }: CrashEvidence): readonly string[] => [...crashedStarts].filter(start => !clearedStarts.has(start))
@@ -51,22 +53,24 @@
   const clearedStarts = union(known.clearedStarts, news.clearedStarts)
   const hasNewCrash = crashedStarts.size > known.crashedStarts.size
   if (!hasNewCrash && clearedStarts.size === known.clearedStarts.size) return undefined
-  return { crashedStarts, clearedStarts, lastCrashAtMs: hasNewCrash ? Math.max(known.lastCrashAtMs, news.lastCrashAtMs) : known.lastCrashAtMs }
+  return { scope: known.scope, crashedStarts, clearedStarts, lastCrashAtMs: hasNewCrash ? Math.max(known.lastCrashAtMs, news.lastCrashAtMs) : known.lastCrashAtMs }
 }
 
-const encodeEvidence = ({ crashedStarts, clearedStarts, lastCrashAtMs }: CrashEvidence, nowMs: number): ReadonlyArray<string | number> =>
-  [Math.round(nowMs - lastCrashAtMs), ...[...crashedStarts].map(start => clearedStarts.has(start) ? CLEARED_MARK + start : start)]
+const encodeEvidence = ({ scope, crashedStarts, clearedStarts, lastCrashAtMs }: CrashEvidence, nowMs: number): ReadonlyArray<string | number> =>
+  [REQUEST_SCOPES.indexOf(scope), Math.round(nowMs - lastCrashAtMs), ...[...crashedStarts].map(start => clearedStarts.has(start) ? CLEARED_MARK + start : start)]
 
-const decodeEvidence = ([ageMs, ...starts]: ReadonlyArray<string | number>, nowMs: number): CrashEvidence | undefined => {
-  if (typeof ageMs !== 'number' || ageMs < 0 || starts.length === 0 || starts.length > MAX_STARTS) return undefined
+const decodeEvidence = ([scopeIndex, ageMs, ...starts]: ReadonlyArray<string | number>, nowMs: number): CrashEvidence | undefined => {
+  const scope = REQUEST_SCOPES[Number(scopeIndex)]
+  if (scope === undefined || typeof ageMs !== 'number' || ageMs < 0 || starts.length === 0 || starts.length > MAX_STARTS) return undefined
   const texts = starts.filter(start => typeof start === 'string')
   const cleared = texts.filter(start => start.startsWith(CLEARED_MARK)).map(start => start.slice(CLEARED_MARK.length))
-  return { crashedStarts: new Set(texts.map(start => start.startsWith(CLEARED_MARK) ? start.slice(CLEARED_MARK.length) : start)), clearedStarts: new Set(cleared), lastCrashAtMs: nowMs - ageMs }
+  return { scope, crashedStarts: new Set(texts.map(start => start.startsWith(CLEARED_MARK) ? start.slice(CLEARED_MARK.length) : start)), clearedStarts: new Set(cleared), lastCrashAtMs: nowMs - ageMs }
 }
 
 /** Detects poison requests: requests that crash every target that executes them. */
 export class PoisonRequestDetector {
   private readonly evidence: SharedRecords<CrashEvidence>
+  private poison: { readonly hashes: ReadonlySet<string>, readonly revision: number, readonly atMs: number } = { hashes: new Set(), revision: 0, atMs: -Infinity }
 
   private constructor (private readonly clock: Clock) {
     this.evidence = SharedRecords.create<CrashEvidence>({
@@ -100,23 +104,47 @@
   /**
    * Checks whether a request must not be sent to any further target.
    *
-   * @param describe - Returns a description that is equal for all repetitions of the request; called only while crashes are recorded.
-   * @returns Whether enough targets of the whole fleet crashed under equal requests.
+   * @param describe - Returns the request; called only while crashes are recorded.
+   * @returns Whether enough targets of the whole fleet crashed under requests like it.
    */
-  isPoison (describe: () => string): boolean {
-    return this.evidence.size > 0 && this.summarize(describe()).isPoison
+  isPoison (describe: () => DescribedRequest): boolean {
+    return this.evidence.size > 0 && fingerprintsOf(describe()).some(({ hash }) => this.poisonHashes().has(hash))
   }
 
   /** What is known of a request. */
-  summarize (description: string): CrashSummary {
-    const fingerprint = fingerprintOf(description)
-    const evidence = this.evidence.get(fingerprint)
-    const crashes = evidence === undefined ? 0 : effectiveStarts(evidence).length
-    return { fingerprint, crashes, isPoison: crashes >= MIN_CRASHES }
+  summarize (request: DescribedRequest): CrashSummary {
+    const fingerprints = fingerprintsOf(request).map(({ scope, hash }) => {
+      const evidence = this.evidence.get(hash)
+      return { scope, hash, crashes: evidence === undefined ? 0 : effectiveStarts(evidence).length }
+    })
+    return { fingerprints, isPoison: this.isPoison(() => request) }
   }
 
   /** Records that a target crashed while it executed a request. */
-  recordCrash (description: string, target: TargetStart): void {
-    this.evidence.record(fingerprintOf(description), { crashedStarts: new Set([startOf(target)]), clearedStarts: NO_STARTS, lastCrashAtMs: this.clock.monotonicMs() })
+  recordCrash (request: DescribedRequest, target: TargetStart): void {
+    const evidence = { crashedStarts: new Set([startOf(target)]), clearedStarts: NO_STARTS, lastCrashAtMs: this.clock.monotonicMs() }
+    for (const { scope, hash } of fingerprintsOf(request)) this.evidence.record(hash, { scope, ...evidence })
+  }
+
+  /**
+   * Records that a target served a request: the crashes under requests like it had other causes.
+   *
+   * @param describe - Returns the request; called only while crashes are recorded.
+   */
+  recordServed (describe: () => DescribedRequest): void {
+    if (this.evidence.size === 0) return
+    for (const { hash } of fingerprintsOf(describe())) {
+      const known = this.evidence.get(hash)
+      if (known !== undefined) this.evidence.record(hash, { ...known, clearedStarts: known.crashedStarts })
+    }
+  }
+
+  private poisonHashes (): ReadonlySet<string> {
+    const nowMs = this.clock.monotonicMs()
+    if (this.poison.revision !== this.evidence.revision || nowMs - this.poison.atMs > POISON_CACHE_MS) {
+      const suspects = this.evidence.all().map(([hash, evidence]) => ({ scope: evidence.scope, hash, starts: effectiveStarts(evidence) }))
+      this.poison = { hashes: findPoisonRequests(suspects), revision: this.evidence.revision, atMs: nowMs }
+    }
+    return this.poison.hashes
   }
 }
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -55,6 +55,7 @@
   | { readonly type: 'problem', readonly problem: Problem }
 
 const NO_SERVICE = 'none'
+const FIRST_REDIRECT = 300
 const NO_ATTEMPTS: AttemptHistory = { verdict: 'not-run', triedTargetIds: new Set(), sentCount: 0, lastAttempt: undefined }
 /** Outcomes of attempts that waited until the deadline. */
 const LATE_OUTCOMES: ReadonlySet<GatewayAttemptResult['outcome']> = new Set(['timeout', 'silent-connection'])
@@ -94,19 +95,16 @@
   return problemReply(lastAttempt !== undefined && LATE_OUTCOMES.has(lastAttempt.outcome) ? 'deadline' : 'target-failed', verdict, lastAttempt?.detail ?? '')
 }
 
-/** Describes a request by what is equal in all of its repetitions. */
-const descriptionOf = ({ method, path, body, callerAddress }: AcceptedGatewayRequest): string => `${method} ${path} ${callerAddress} ${body?.toString('latin1') ?? ''}`
-
 /** Records that a target crashed under a request; logs the parts of its description only as hashes, since they may be confidential. */
 const recordCrash = ({ log, poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest, { target }: GatewayAttemptResult): void => {
   const { requestId, path, callerAddress, body } = accepted
-  const description = descriptionOf(accepted)
-  poisonDetector.recordCrash(description, target)
-  const parts = { pathHash: murmurHash(path), callerHash: murmurHash(callerAddress), bodyHash: murmurHash(body?.toString('latin1') ?? '') }
-  log.info('target crashed under a request', { requestId, targetId: target.id, ...parts, ...poisonDetector.summarize(description) })
+  poisonDetector.recordCrash(accepted, target)
+  const [pathOnly = '', query = ''] = path.split('?')
+  const parts = { pathHash: murmurHash(pathOnly), queryHash: murmurHash(query), callerHash: murmurHash(callerAddress), bodyHash: murmurHash(body?.toString('latin1') ?? '') }
+  log.info('target crashed under a request', { requestId, targetId: target.id, ...parts, ...poisonDetector.summarize(accepted) })
 }
 
-const isPoison = ({ poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest): boolean => poisonDetector.isPoison(() => descriptionOf(accepted))
+const isPoison = ({ poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest): boolean => poisonDetector.isPoison(() => accepted)
 
 /** Reply to a request under which targets crashed; one that this daemon has sent itself may have run. */
 const quarantinedReply = ({ log }: GatewayServeOptions, { requestId, service }: AcceptedGatewayRequest, history: AttemptHistory): Reply => {
@@ -147,6 +145,7 @@
     const result = await sendGatewayAttempt(options, accepted, choice.target, choice.attempt)
     options.metrics.countAttempt(service, result.outcome === 'wrong-target' ? 'refused' : result.outcome)
     options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, latencyMs: Math.round(result.latencyMs), detail: result.detail })
+    if ((result.response?.status ?? Infinity) < FIRST_REDIRECT) options.poisonDetector.recordServed(() => accepted)
     const crashCheck = result.outcome === 'reset' ? options.confirmCrash(result.target, () => { recordCrash(options, accepted, result) }) : undefined
     history = addAttempt(history, result)
     if (!mayRetry(options, accepted, history, result)) return finalReply(history)
--- a/packages/common/src/fleet/sharedRecords.ts
+++ b/packages/common/src/fleet/sharedRecords.ts
@@ -46,6 +46,7 @@
   readonly name: string
   private readonly records = new Map<string, SharedRecord<V>>()
   private readonly collectedAtMs: Record<NewsMessage, number> = { report: -Infinity, zone: -Infinity, view: -Infinity }
+  private changes = 0
   private notify: (isUrgent: boolean) => void = () => {}
 
   private constructor (private readonly options: SharedRecordsOptions<V>) {
@@ -67,6 +68,11 @@
     return this.records.size
   }
 
+  /** Number of changes so far, for callers that derive something from the records. */
+  get revision (): number {
+    return this.changes
+  }
+
   readonly onChange = (listener: (isUrgent: boolean) => void): void => { this.notify = listener }
 
   /** Returns the value of a record that has not expired. */
@@ -117,6 +123,7 @@
   private merge (key: string, news: V, origin: Origin): V | undefined {
     const value = this.options.merge(this.get(key), news)
     if (value === undefined) return undefined
+    this.changes++
     this.records.set(key, { value, origin, changedAtMs: this.options.clock.monotonicMs() })
     this.dropLeastImportant()
     return value
--- a/packages/daemon/src/testing/crashSimulation.ts
+++ b/packages/daemon/src/testing/crashSimulation.ts
@@ -44,7 +44,7 @@
 /** A restarted daemon holds requests back until its first view, for this long at most. */
 const STARTUP_MS = 1_000
 const GATE_POLL_MS = 10
-const DESCRIPTION = 'GET /menus/1 10.0.0.1 '
+const REQUEST = { method: 'GET', path: '/menus/1', callerAddress: '10.0.0.1', body: undefined }
 
 interface SimulatedDaemon {
   readonly record: InstanceRecord
@@ -155,12 +155,12 @@
       this.clock.after(GATE_POLL_MS, () => { this.attempt(daemon, attemptsLeft) })
       return
     }
-    if (attemptsLeft === 0 || daemon.stopping.signal.aborted || daemon.detector.isPoison(() => DESCRIPTION)) return
+    if (attemptsLeft === 0 || daemon.stopping.signal.aborted || daemon.detector.isPoison(() => REQUEST)) return
     this.sentAtMs.push(this.clock.monotonicMs())
     this.clock.after(WORK_MS, () => {
       this.crashedAtMs.push(this.clock.monotonicMs())
       if (daemon.stopping.signal.aborted) return
-      daemon.detector.recordCrash(DESCRIPTION, { id: `t${this.crashedAtMs.length}`, startedAtMs: 0 })
+      daemon.detector.recordCrash(REQUEST, { id: `t${this.crashedAtMs.length}`, startedAtMs: 0 })
       this.attempt(daemon, attemptsLeft - 1)
     })
   }
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -1,5 +1,5 @@
 import { ok } from 'neverthrow'
-import { Client, request } from 'undici'
+import { Agent, Client, request } from 'undici'
 import type { Dispatcher } from 'undici'
 import { SeededRandom, SystemClock, createLog } from '@lovagehoist/common'
 import type { Address, GatewaySettings } from '@lovagehoist/common'
@@ -30,6 +30,8 @@
   readonly requestId?: string
   readonly deadlineMs?: number
   readonly signal?: AbortSignal
+  /** Loopback address that the request comes from; chosen by the system by default. */
+  readonly callerHost?: string
 }
 
 /** Response that a caller received. */
@@ -162,7 +164,8 @@
 
   /** Sends a request to a daemon as a caller does. */
   async call (call: CallOptions = {}, dispatcher?: Dispatcher): Promise<CallResponse> {
-    const { daemon = 0, path = '/p/x', method = 'GET', body, deadlineMs = 6_000, signal } = call
+    const { daemon = 0, path = '/p/x', method = 'GET', body, deadlineMs = 6_000, signal, callerHost } = call
+    if (callerHost !== undefined) return await this.callFrom(callerHost, call)
     const { host = '', port = 0 } = this.daemons[daemon]?.callerAddress ?? {}
     const requestId = call.requestId ?? `req-${this.nextRequestId++}`
     const headers = { host: HOST_NAME, [PLATFORM_HEADERS.requestId]: requestId, [PLATFORM_HEADERS.deadline]: String(deadlineMs) }
@@ -171,6 +174,16 @@
     return { status: response.statusCode, body: text, header: name => response.headers[name]?.toString() }
   }
 
+  /** Sends a request from another loopback address, on a connection of its own. */
+  private async callFrom (localAddress: string, { callerHost: _, ...call }: CallOptions): Promise<CallResponse> {
+    const agent = new Agent({ localAddress })
+    try {
+      return await this.call(call, agent)
+    } finally {
+      await agent.close()
+    }
+  }
+
   /** Creates a client that sends all its requests over one keep-alive connection. */
   connect (daemon: number): { readonly call: (call?: CallOptions) => Promise<CallResponse>, readonly close: () => Promise<void> } {
     const { host = '', port = 0 } = this.daemons[daemon]?.callerAddress ?? {}
--- a/packages/targets/src/reachability/crashConfirmer.spec.ts
+++ b/packages/targets/src/reachability/crashConfirmer.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { silentLog } from '@lovagehoist/common'
 import { fakeTarget } from '@lovagehoist/common/testing'
 import { CrashConfirmer } from './crashConfirmer.js'
 
@@ -16,6 +17,7 @@
     isCut = false
     crashes = []
     confirmer = CrashConfirmer.create({
+      log: silentLog,
       path: { recordConnect: () => {}, afterConfirmation: action => { if (!isCut) action() } },
       checkConnect: (_target, onDone) => {
         checks++
--- a/packages/targets/src/reachability/crashConfirmer.ts
+++ b/packages/targets/src/reachability/crashConfirmer.ts
@@ -1,8 +1,9 @@
-import type { ListedTarget } from '@lovagehoist/common'
+import type { ListedTarget, Log } from '@lovagehoist/common'
 import type { PathMonitor, PathMonitorOptions } from './pathMonitor.js'
 
 /** Sources of a crash confirmer. */
 export interface CrashConfirmerOptions {
+  readonly log: Log
   readonly path: Pick<PathMonitor, 'recordConnect' | 'afterConfirmation'>
   /** Opens a connection to a target for later use and calls back with whether that succeeded. */
   readonly checkConnect: PathMonitorOptions['checkConnect']
@@ -44,6 +45,7 @@
     this.checks.set(target.id, check)
     const isOpened = await check
     this.checks.delete(target.id)
+    this.options.log.info('target checked after it broke a request off', { targetId: target.id, isOpened })
     return isOpened
   }
 }
