Count crashes after the head of an answer, and of targets that fall silent

Callers saw a request crash target after target if each ended with half an answer sent, or with its connection open: only resets before an answer counted.

Cause: the outcome `reset` alone led to a crash. Attempts that end in a broken answer or with the time limit are now checked as well; a target that still accepts connections has not crashed, so slow targets and wrong answers stay what they were.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -59,6 +59,8 @@
 const NO_ATTEMPTS: AttemptHistory = { verdict: 'not-run', triedTargetIds: new Set(), sentCount: 0, lastAttempt: undefined }
 /** Outcomes of attempts that waited until the deadline. */
 const LATE_OUTCOMES: ReadonlySet<GatewayAttemptResult['outcome']> = new Set(['timeout', 'silent-connection'])
+/** Outcomes of attempts whose target may have crashed. */
+const CRASH_OUTCOMES: ReadonlySet<GatewayAttemptResult['outcome']> = new Set(['reset', 'broken-answer', 'timeout', 'silent-connection'])
 /** Limit of targets tried for one request, including those that could not be connected to. */
 const MAX_TRIED_TARGETS = 5
 /** Bounds of the `Retry-After` delay of refused requests. */
@@ -146,7 +148,7 @@
     options.metrics.countAttempt(service, result.outcome === 'wrong-target' ? 'refused' : result.outcome)
     options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, latencyMs: Math.round(result.latencyMs), detail: result.detail })
     if ((result.response?.status ?? Infinity) < FIRST_REDIRECT) options.poisonDetector.recordServed(() => accepted)
-    const crashCheck = result.outcome === 'reset' ? options.confirmCrash(result.target, () => { recordCrash(options, accepted, result) }) : undefined
+    const crashCheck = result.isSent && CRASH_OUTCOMES.has(result.outcome) ? options.confirmCrash(result.target, () => { recordCrash(options, accepted, result) }) : undefined
     history = addAttempt(history, result)
     if (!mayRetry(options, accepted, history, result)) return finalReply(history)
     await crashCheck
--- a/packages/standins/src/gateway/crashingRequests.spec.ts
+++ b/packages/standins/src/gateway/crashingRequests.spec.ts
@@ -9,6 +9,8 @@
 const CRASHES_OF_DIFFERENT_CALLERS = 5
 /** Time in which all daemons have heard of a crash. */
 const SPREAD_MS = 400
+/** Time in which a daemon has checked a target that broke a request off. */
+const CHECK_MS = 50
 
 describe('requests that crash targets, end to end', () => {
   let fleet: GatewayFleet
@@ -56,6 +58,19 @@
     })
   }
 
+  for (const crashMode of ['mid-answer', 'silent'] as const) {
+    it(`counts a crash whose request sees it as ${crashMode}`, async () => {
+      await addTargets(0, TARGETS)
+      for (const target of fleet.targets.values()) target.crashMode = crashMode
+      await fleet.addDaemon()
+      for (let index = 0; index < TARGETS; index++) {
+        await fleet.call({ path: CRASH_PATH, deadlineMs: 400 })
+        await fleet.clock.sleepMs(CHECK_MS)
+      }
+      expect(crashedTargets()).to.equal(ALLOWED_CRASHES)
+    })
+  }
+
   it('does not stop what is asked of a path at which another request crashes targets', async () => {
     await addTargets(0, TARGETS)
     for (const target of fleet.targets.values()) target.crashesUnder = path => path === `${CRASH_PATH}?page=bad`
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -39,6 +39,8 @@
   workMs = 2
   /** Whether a request crashes the target once its work is done, by its path. */
   crashesUnder: (path: string) => boolean = () => false
+  /** What a request sees of the crash: its connection closes, or an answer breaks off, or nothing comes any more. */
+  crashMode: 'close' | 'mid-answer' | 'silent' = 'close'
   /** Monotonic time at which a request crashed the target. */
   crashedAtMs: number | undefined
   /** Limit named in answers, in requests per second; none when undefined. */
@@ -105,13 +107,26 @@
     await this.clock.sleepMs(this.workMs)
     if (this.crashedAtMs !== undefined) return
     if (this.crashesUnder(run.path)) {
-      this.crashedAtMs = this.clock.monotonicMs()
-      await this.close()
+      await this.crash(response)
       return
     }
     this.responders[responseMode](request, response)
   }
 
+  private async crash (response: ServerResponse): Promise<void> {
+    this.crashedAtMs = this.clock.monotonicMs()
+    if (this.crashMode === 'silent') {
+      this.server.close()
+      return
+    }
+    if (this.crashMode === 'mid-answer') {
+      this.sign(response).writeHead(STATUS_OK, { 'content-length': '100' }).write('begun')
+      // The daemon must read the bytes first: a reset discards data in transit.
+      await this.clock.sleepMs(CLOSE_DELAY_MS)
+    }
+    await this.close()
+  }
+
   private readonly responders: Readonly<Record<ResponseMode, (request: IncomingMessage, response: ServerResponse) => void>> = {
     well: ({ headers }, response) => { this.sign(response).writeHead(STATUS_OK).end(this.responseBodyFor(String(headers[PLATFORM_HEADERS.requestId]))) },
     error: (_request, response) => { this.sign(response).writeHead(STATUS_FAILED).end('failed') },
