Keep crashes that a daemon sees while it is cut off until the path is open again

Cause: evidence that waits for the check of the path is dropped when the check ends with a cut. That is right for loads of failures by which targets are chosen, but a crash is one event that doesn't come again. It now waits for the end of the cut and is decided then: a start that is no longer listed has crashed, one that is is checked once more.

crashConfirmer.spec, two cases: no crash recorded before, one after.

--- a/packages/targets/src/reachability/crashConfirmer.spec.ts
+++ b/packages/targets/src/reachability/crashConfirmer.spec.ts
@@ -10,15 +10,27 @@
   let checks: number
   let isCut: boolean
   let crashes: string[]
+  let isCurrent: boolean
+  let reopen: () => void
   let confirmer: CrashConfirmer
 
   beforeEach(() => {
     checks = 0
     isCut = false
     crashes = []
+    isCurrent = true
+    reopen = () => {}
     confirmer = CrashConfirmer.create({
       log: silentLog,
-      path: { recordConnect: () => {}, afterConfirmation: action => { if (!isCut) action() } },
+      path: {
+        recordConnect: () => {},
+        afterConfirmation: action => { if (!isCut) action() },
+        whenOpen: action => {
+          if (isCut) reopen = action
+          else action()
+        }
+      },
+      isCurrent: () => isCurrent,
       checkConnect: (_target, onDone) => {
         checks++
         answer = onDone
@@ -47,4 +59,27 @@
     await confirmation
     expect(crashes).to.deep.equal([])
   })
+
+  /** Lets a target break a request off while the path is cut, then reopens the path. */
+  const cutAndReopen = async (): Promise<void> => {
+    isCut = true
+    const confirmation = confirmer.confirm(target, () => { crashes.push('a') })
+    answer(false)
+    await confirmation
+    isCut = false
+    reopen()
+  }
+
+  it('does not lose a crash that happened while the path was cut', async () => {
+    await cutAndReopen()
+    answer(false)
+    for (let turn = 0; turn < 4; turn++) await Promise.resolve()
+    expect(crashes).to.deep.equal(['a'])
+  })
+
+  it('takes a target that is gone once the path is open again for crashed', async () => {
+    isCurrent = false
+    await cutAndReopen()
+    expect([checks, crashes]).to.deep.equal([1, ['a']])
+  })
 })
--- a/packages/targets/src/reachability/crashConfirmer.ts
+++ b/packages/targets/src/reachability/crashConfirmer.ts
@@ -4,7 +4,9 @@
 /** Sources of a crash confirmer. */
 export interface CrashConfirmerOptions {
   readonly log: Log
-  readonly path: Pick<PathMonitor, 'recordConnect' | 'afterConfirmation'>
+  readonly path: Pick<PathMonitor, 'recordConnect' | 'afterConfirmation' | 'whenOpen'>
+  /** Whether this start of a target is still listed. */
+  readonly isCurrent: (target: ListedTarget) => boolean
   /** Opens a connection to a target for later use and calls back with whether that succeeded. */
   readonly checkConnect: PathMonitorOptions['checkConnect']
 }
@@ -36,8 +38,20 @@
   readonly confirm = async (target: ListedTarget, onCrashed: () => void): Promise<void> => {
     const check = this.checks.get(target.id) ?? this.startCheck(target)
     if (await check) return
-    this.options.path.recordConnect(target.id, false)
-    this.options.path.afterConfirmation(onCrashed)
+    const { path } = this.options
+    let isConfirmed = false
+    path.recordConnect(target.id, false)
+    path.afterConfirmation(() => {
+      isConfirmed = true
+      onCrashed()
+    })
+    path.whenOpen(() => { if (!isConfirmed) this.confirmLater(target, onCrashed) })
+  }
+
+  /** Decides after a cut of the path, when another target may listen at the address. */
+  private confirmLater (target: ListedTarget, onCrashed: () => void): void {
+    if (this.options.isCurrent(target)) this.confirm(target, onCrashed).catch(() => {})
+    else onCrashed()
   }
 
   private async startCheck (target: ListedTarget): Promise<boolean> {
--- a/packages/targets/src/reachability/pathMonitor.ts
+++ b/packages/targets/src/reachability/pathMonitor.ts
@@ -30,6 +30,8 @@
 const SILENCE_MS = 800
 /** Time after a successful check for which silence alone does not start another one. */
 const SILENCE_CHECK_INTERVAL_MS = 2_000
+/** Actions that wait for the end of a cut. */
+const MAX_DEFERRED = 256
 /** Time since the last answer for which open connections count as alive during a cut. */
 const ALIVE_MS = 1_500
 
@@ -51,6 +53,7 @@
   private readonly failedTargetIds = new Set<string>()
   private pending: Array<() => void> = []
   private waiting: Array<() => void> = []
+  private deferred: Array<() => void> = []
 
   private constructor (private readonly options: PathMonitorOptions) {}
 
@@ -121,6 +124,12 @@
     else if (this.currentState !== 'cut') action()
   }
 
+  /** Runs an action as soon as the path is open: at once, after the check in progress, or at the end of the cut. */
+  readonly whenOpen = (action: () => void): void => {
+    if (this.currentCheck === undefined && this.currentState !== 'cut') action()
+    else if (this.deferred.length < MAX_DEFERRED) this.deferred.push(action)
+  }
+
   /** Resolves once a check that is in progress has ended; at once if there is none. */
   readonly untilChecked = async (): Promise<void> => {
     if (this.currentCheck === undefined) return
@@ -185,6 +194,9 @@
     this.failedTargetIds.clear()
     this.lastConfirmedAtMs = this.options.clock.monotonicMs()
     this.endCheck()
+    const { deferred } = this
+    this.deferred = []
+    for (const action of deferred) action()
   }
 
   private endCheck (): void {
--- a/packages/targets/src/registry/targetRegistry.ts
+++ b/packages/targets/src/registry/targetRegistry.ts
@@ -86,6 +86,11 @@
   /** Returns the service of a target; undefined if the target is not listed. */
   readonly serviceOf = (targetId: string): string | undefined => this.entries.get(targetId)?.target.service ?? this.expired.get(targetId)?.target.service
 
+  /** Whether this start of a target is listed. */
+  isCurrent ({ id, startedAtMs }: Pick<ListedTarget, 'id' | 'startedAtMs'>): boolean {
+    return (this.entries.get(id) ?? this.expired.get(id))?.target.startedAtMs === startedAtMs
+  }
+
   /** Returns all entries, including those of leaving targets. */
   all (): readonly RegisteredTarget[] {
     return [...this.entries.values(), ...this.expired.values()]
