--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -26,6 +26,7 @@
 const STATUS_FAILED = 500
 const STATUS_OK = 200
 const CLOSE_DELAY_MS = 30
+const LEAVING_HEADER = 'server-leaving'
 
 /** Stand-in of a target that speaks the platform's protocol for targets. */
 export class GatewayTarget {
@@ -45,6 +46,12 @@
   crashedAtMs: number | undefined
   /** Limit named in answers, in requests per second; none when undefined. */
   limitPerSecond: number | undefined
+  /** Values of the field in which refusals ask for rest; none when empty. */
+  retryAfter: readonly string[] = []
+  /** Whether all answers say that the target leaves. */
+  saysLeaving = false
+  /** Times at which requests arrived, and the daemons that sent them, by the host of the connection. */
+  readonly arrivals: Array<{ readonly atMs: number, readonly fromHost: string }> = []
   readonly runs: TargetRun[] = []
 
   private constructor (readonly id: string, private readonly server: Server, private readonly clock: Clock) {
@@ -95,9 +102,12 @@
       return
     }
     this.receivedRequests++
+    this.arrivals.push({ atMs: this.clock.monotonicMs(), fromHost: request.socket.remoteAddress ?? '' })
+    if (this.saysLeaving) response.setHeader(LEAVING_HEADER, '1')
     if (this.limitPerSecond !== undefined) response.setHeader(PLATFORM_HEADERS.limit, String(this.limitPerSecond))
     const responseMode = this.receivedRequests * this.responseModeShare % 1 + this.responseModeShare >= 1 ? this.responseMode : 'well'
     if (responseMode === 'refuse') {
+      if (this.retryAfter.length > 0) response.setHeader('retry-after', [...this.retryAfter])
       response.writeHead(STATUS_OVERLOADED, { [PLATFORM_HEADERS.notRun]: '1' }).end()
       return
     }
@@ -143,7 +153,8 @@
   /** Sends a response without a length, which the end of the connection delimits. */
   private sendCloseDelimited ({ socket }: IncomingMessage, response: ServerResponse, end: () => void): void {
     const requestId = String(response.getHeader(PLATFORM_HEADERS.requestId))
-    socket.write(`HTTP/1.1 200 OK\r\n${PLATFORM_HEADERS.requestId}: ${requestId}\r\n${PLATFORM_HEADERS.signature}: sig-${this.id}\r\n\r\nunframed`, () => {
+    const leaving = this.saysLeaving ? `${LEAVING_HEADER}: 1\r\n` : ''
+    socket.write(`HTTP/1.1 200 OK\r\n${leaving}${PLATFORM_HEADERS.requestId}: ${requestId}\r\n${PLATFORM_HEADERS.signature}: sig-${this.id}\r\n\r\nunframed`, () => {
       // The daemon must read the bytes first: a reset discards data in transit.
       this.clock.after(CLOSE_DELAY_MS, end)
     })
