Send a target nothing while it rests after having turned a request away

Reported: a target that had asked a daemon for 3 s of rest got three requests from it in that time.

Cause: nothing read Retry-After of a target. A refusal is over within milliseconds and raises an estimate that decays, so the target soon looks better than a busy one.

A daemon now keeps, for each start of a target, the latest end of the rests that its refusals asked for, and leaves the target out of each choice until then, trials and probes of idle targets included. A request that was waiting for a connection is asked again right before its first byte: it is withdrawn, not run, and may go elsewhere without drawing on the retry budget. In the half second after a rest the target gets one request at a time from this daemon. Where all targets rest, requests are refused at once as not run, to return after the earliest end, spread over a second. What can't be read asks for nothing and is logged once for each target.

The rest was asked of one daemon; the fleet hears of the refusals as load, as before.

--- a/packages/callers/src/exchange/classifyOutcome.ts
+++ b/packages/callers/src/exchange/classifyOutcome.ts
@@ -33,6 +33,7 @@
   reset: retryElsewhere,
   timeout: retryInOtherZone,
   'silent-connection': retryElsewhere,
+  withdrawn: { ...retryElsewhere, isBudgeted: false },
   'zone-unreachable': retryInOtherZone,
   'broken-answer': retryElsewhere,
   'server-error': retryElsewhere,
--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -17,13 +17,23 @@
   readonly latencyMs: number
 }
 
+/** Head of a target's answer. */
+export interface TargetAnswerHead {
+  readonly status: number
+  readonly headers: RawHeaders
+  /** Monotonic time at which the request was sent. */
+  readonly sentAtMs: number
+}
+
 /** Dependencies of an attempt. */
 export interface GatewayAttemptOptions {
   readonly clock: Clock
   readonly headers: GatewayHeaders
   readonly sender: TargetSender
-  /** Called with the head of each answer that is known to come from the target, and the time at which the request was sent. */
-  readonly onTargetAnswer?: (targetId: string, headers: RawHeaders, sentAtMs: number) => void
+  /** Called with the head of each answer that is known to come from the target. */
+  readonly onTargetAnswer?: (target: ListedTarget, answer: TargetAnswerHead) => void
+  /** Whether a target may still get requests once a connection has been opened. */
+  readonly isUsable?: (target: ListedTarget) => boolean
 }
 
 /** Responses up to this size are buffered completely, so that a truncated one can be retried or reported as a failure. */
@@ -50,6 +60,7 @@
   'deadline-too-short': 'unknown',
   poison: 'unknown',
   'silent-connection': 'unknown',
+  withdrawn: 'unknown',
   'wrong-target': 'unknown'
 }
 
@@ -142,9 +153,10 @@
     headTimeoutMs: remainingMs,
     bodyIdleTimeoutMs: remainingMs,
     findResponseMismatch: responseValidator(headers, accepted.requestId),
+    isStillWanted: () => options.isUsable?.(target) !== false,
     allowsCloseDelimitedBody: true
   }, abortSignal)
-  if (sendResult.type === 'answer' && isProvenAnswer(headers, sendResult)) options.onTargetAnswer?.(target.id, sendResult.headers, startedAtMs)
+  if (sendResult.type === 'answer' && isProvenAnswer(headers, sendResult)) options.onTargetAnswer?.(target, { status: sendResult.status, headers: sendResult.headers, sentAtMs: startedAtMs })
   const result = sendResult.type === 'failure' ? failedAttempt(target, sendResult) : await completedAttempt(options, accepted, target, sendResult)
   activeAttempt.end(REPORTED_OUTCOME[result.outcome], clock.monotonicMs() - startedAtMs)
   return result
--- a/packages/callers/src/gateway/retryPolicies.ts
+++ b/packages/callers/src/gateway/retryPolicies.ts
@@ -24,6 +24,7 @@
   reset: budgetedRetry,
   timeout: budgetedRetry,
   'silent-connection': budgetedRetry,
+  withdrawn: unbudgetedRetry,
   'zone-unreachable': unbudgetedRetry,
   'broken-answer': budgetedRetry,
   'server-error': budgetedRetry,
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -83,10 +83,11 @@
 
 /** Reply when no target could be chosen for the next attempt. */
 const replyWithoutTarget = (history: AttemptHistory, choice: Exclude<TargetChoice, { readonly type: 'chosen' }>): Reply => {
+  if (choice.type === 'resting' && history.verdict === 'not-run') return problemReply('overload', history.verdict, 'all targets of the service asked for rest', choice.retryDelayMs)
   if (history.lastAttempt !== undefined) return finalReply(history)
   if (choice.type === 'no-target') return problemReply('no-target', history.verdict, 'no target of the service may take work', MIN_RETRY_AFTER_MS)
   if (choice.type === 'limited') return problemReply('overload', history.verdict, 'all targets of the service limit their requests', choice.retryDelayMs)
-  return problemReply('overload', history.verdict, 'the request could not be finished in time', retryAfterMs(choice.waitMs))
+  return problemReply('overload', history.verdict, 'the request could not be finished in time', retryAfterMs(choice.type === 'resting' ? choice.retryDelayMs : choice.waitMs))
 }
 
 /** Reply after the last attempt; a request that may have been executed is never reported as refused. */
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -257,6 +257,8 @@
   | { readonly type: 'too-late', readonly waitMs: number }
   /** All targets name a limit and none may take another request now; `retryDelayMs` is the delay after which the caller may return. */
   | { readonly type: 'limited', readonly retryDelayMs: number }
+  /** All targets rest; `retryDelayMs` is the delay after which the caller may return. */
+  | { readonly type: 'resting', readonly retryDelayMs: number }
   | { readonly type: 'no-target' }
 
 /** Chooses a target for each request and tracks the requests in progress at each target. */
--- a/packages/common/src/contracts/targets.ts
+++ b/packages/common/src/contracts/targets.ts
@@ -116,6 +116,8 @@
   readonly bodyIdleTimeoutMs: number
   /** Returns why a response cannot belong to this request, and undefined if it can; a mismatch closes the connection. Without this function, any response is accepted. */
   readonly findResponseMismatch?: (status: number, headers: RawHeaders) => string | undefined
+  /** Asked right before the first byte is sent; the request is not sent when the target has become unusable in the meantime. */
+  readonly isStillWanted?: () => boolean
   /** Whether the response body may be delimited by the close of the connection; otherwise its length or chunked framing must be explicit. */
   readonly allowsCloseDelimitedBody?: boolean
 }
--- a/packages/common/src/verdict/outcome.ts
+++ b/packages/common/src/verdict/outcome.ts
@@ -13,4 +13,5 @@
   | 'deadline-too-short'
   | 'poison'
   | 'silent-connection'
+  | 'withdrawn'
   | 'zone-unreachable'
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -5,7 +5,7 @@
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, createPeerDocumentHandler, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
-import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry } from '@lovagehoist/targets'
+import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
 import type { OpenSocket, PathMonitorOptions } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
@@ -81,8 +81,9 @@
     sender.closeIdleConnections(targetId, -1)
   }
   const targetRegistry: TargetRegistry = TargetRegistry.create({ clock, log: log.child('targets'), onForget })
-  const selector = LowestCostSelector.create({ registry: targetRegistry, statsTracker, clock, random, availabilityZone, limits, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
-  return { path, crashConfirmer, statsTracker, fleetStats, limits, sender, targetRegistry, selector }
+  const rests = TargetRests.create({ clock, random, log: log.child('targets') })
+  const selector = LowestCostSelector.create({ registry: targetRegistry, rests, statsTracker, clock, random, availabilityZone, limits, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
+  return { path, crashConfirmer, rests, statsTracker, fleetStats, limits, sender, targetRegistry, selector }
 }
 
 const createRelayNode = (dependencies: GatewayDependencies, self: InstanceRecord, targets: ReturnType<typeof createTargetComponents>, documentSync: PeerDocumentSync, poisonDetector: PoisonRequestDetector): RelayNode => {
@@ -161,7 +162,11 @@
   readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing && (settings.isFirstStart || relay.hasView) }),
   targetSelector: targets.selector,
   sender: targets.sender,
-  onTargetAnswer: targets.limits.recordAnswer,
+  onTargetAnswer: (target, { status, headers, sentAtMs }) => {
+    targets.limits.recordAnswer(target.id, headers, sentAtMs)
+    targets.rests.recordAnswer(target, status, headers)
+  },
+  isUsable: target => !targets.rests.isResting(target),
   retryBudget: WindowedRetryBudget.create({ clock, limits: () => liveSettings.current().bounds, isFirstStart: settings.isFirstStart, fleetSize: () => relay.peers.size }),
   poisonDetector,
   confirmCrash: targets.crashConfirmer.confirm,
--- a/packages/targets/src/connections/connectionSender.ts
+++ b/packages/targets/src/connections/connectionSender.ts
@@ -120,6 +120,10 @@
       return { type: 'failure', verdict: 'not-run', ...opened.error, isFreshConnection: true, latencyMs: spentMs }
     }
     this.openedCounter?.inc()
+    if (request.isStillWanted?.() === false) {
+      pool.release(opened.value, false)
+      return { type: 'failure', verdict: 'not-run', outcome: 'withdrawn', message: 'the target became unusable while the connection was opened', isFreshConnection: true, latencyMs: spentMs }
+    }
     return await this.exchange(pool, opened.value, { ...request, headTimeoutMs: Math.max(0, request.headTimeoutMs - spentMs) }, signal)
   }
 
--- a/packages/targets/src/health/evidence/attribution.ts
+++ b/packages/targets/src/health/evidence/attribution.ts
@@ -18,5 +18,6 @@
   'deadline-too-short': 'nobody',
   poison: 'nobody',
   'silent-connection': 'connection',
+  withdrawn: 'nobody',
   'zone-unreachable': 'path'
 }
--- a/packages/targets/src/load/targetStatsTracker.ts
+++ b/packages/targets/src/load/targetStatsTracker.ts
@@ -200,6 +200,11 @@
     })
   }
 
+  /** Requests of this daemon in progress at a target. */
+  ownInProgress (targetId: string): number {
+    return this.ownStats.get(targetId)?.running.size ?? 0
+  }
+
   /** Number of targets with counters. */
   countTargets (): number {
     return this.ownStats.size
--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -1,7 +1,8 @@
 import type { TargetChoice, ChoiceInputs, ChoiceCriteria, Clock, Random, TargetSelector } from '@lovagehoist/common'
 import type { FleetLimits } from '../limits/fleetLimits.js'
+import type { TargetRests } from '../rest/targetRests.js'
 import type { TargetStatsTracker } from '../load/targetStatsTracker.js'
-import type { TargetRegistry } from '../registry/targetRegistry.js'
+import type { RegisteredTarget, TargetRegistry } from '../registry/targetRegistry.js'
 import { placeRequest } from './placement.js'
 import type { Placement } from './placement.js'
 import type { Candidate, PlacementRequest } from './candidate.js'
@@ -19,6 +20,8 @@
   readonly floorShare: () => number
   /** Permits for targets that name a limit. */
   readonly limits: Pick<FleetLimits, 'allows' | 'recordDemand' | 'recordSent' | 'recordRefused'>
+  /** Targets that asked this daemon for rest. */
+  readonly rests: Pick<TargetRests, 'isResting' | 'isReturning' | 'retryDelayMs'>
   /** Whether an idle connection to a target exists that suits the request. */
   readonly hasIdle: (targetId: string, isIdempotent: boolean) => boolean
 }
@@ -60,8 +63,10 @@
     if (criteria.triedTargetIds.size === 0) limits.recordDemand(criteria.service)
     const untried = registry.activeTargets(criteria.service).filter(({ target }) => !criteria.triedTargetIds.has(target.id))
     const usable = criteria.needsConnection === true ? untried.filter(({ target }) => hasIdle(target.id, criteria.isIdempotent)) : untried
-    const entries = usable.filter(({ target }) => limits.allows(target.id, criteria.hasHigherPriorityTraffic))
-    if (entries.length === 0 && usable.length > 0) return { type: 'limited', retryDelayMs: limits.recordRefused(criteria.service) }
+    const awake = this.selectAwake(usable)
+    if (awake.length === 0 && usable.length > 0) return { type: 'resting', retryDelayMs: this.options.rests.retryDelayMs(usable.map(({ target }) => target)) }
+    const entries = awake.filter(({ target }) => limits.allows(target.id, criteria.hasHigherPriorityTraffic))
+    if (entries.length === 0 && awake.length > 0) return { type: 'limited', retryDelayMs: limits.recordRefused(criteria.service) }
     const candidates = entries.map(entry => statsTracker.describeCandidate(entry, availabilityZone, hasIdle(entry.target.id, criteria.isIdempotent)))
     const placement = placeRequest(candidates, this.describeRequest(criteria, nowMs), random)
     if (placement.type !== 'placed') return placement
@@ -73,6 +78,14 @@
     return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
   }
 
+  /** Leaves out targets at rest, and those whose rest has just ended if they have a request of this daemon and others are awake. */
+  private selectAwake (entries: readonly RegisteredTarget[]): readonly RegisteredTarget[] {
+    const { rests, statsTracker } = this.options
+    const awake = entries.filter(({ target }) => !rests.isResting(target))
+    const settled = awake.filter(({ target }) => !rests.isReturning(target) || statsTracker.ownInProgress(target.id) === 0)
+    return settled.length > 0 ? settled : awake
+  }
+
   private describeRequest ({ isIdempotent, triedTargetIds, deadlineAtMs, hasHigherPriorityTraffic }: ChoiceCriteria, nowMs: number): PlacementRequest {
     return { remainingMs: deadlineAtMs - nowMs, isIdempotent, isRetry: triedTargetIds.size > 0, minUsedShare: Math.min(1, this.options.floorShare() + USED_SHARE_MARGIN), hasHigherPriorityTraffic, isRecentlyStarted: nowMs - this.startedAtMs < RECENT_START_MS }
   }
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -7,6 +7,7 @@
 import { LowestCostSelector } from '../placing/lowestCostSelector.js'
 import { PathMonitor } from '../reachability/pathMonitor.js'
 import { TargetRegistry } from '../registry/targetRegistry.js'
+import { TargetRests } from '../rest/targetRests.js'
 
 /** One availability zone of a simulated fleet that serves one service. */
 export interface SimulatedZone {
@@ -188,7 +189,8 @@
     const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf, path)
     const name = `${zone}-${index}-${restarts}`
     const limits = FleetLimits.create({ clock: this.clock, random: this.random, log: silentLog, startId: name, availabilityZone: String(zone), headerName: LIMIT_HEADER, serviceOf: registry.serviceOf })
-    const selector = LowestCostSelector.create({ registry, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), limits, floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
+    const rests = TargetRests.create({ clock: this.clock, random: this.random, log: silentLog })
+    const selector = LowestCostSelector.create({ registry, rests, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), limits, floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
     tracker.onChange(isUrgent => { if (isUrgent) this.exchangeSoon(zone) })
     limits.onChange(() => { this.exchangeSoon(zone) })
     return { name, zone, index, connectedIds, path, tracker, limits, selector }
