Send nothing new to a target start that said in an answer that it leaves

Callers lost requests at targets that had announced their end in their answers, while the listing said ready for seconds more.

Cause: nothing read Server-Leaving. Any answer but a 421 counts, failures, refusals and broken bodies included. From then on the start is left out of choices and checks, a request that was waiting for a connection to it is withdrawn, and idle connections to it are closed. All daemons share the starts that leave, by the same join as crashes, so one that starts knows them with its first view. Only a new start at the address takes requests again, whatever the listing says.

A gauge counts targets at rest, and the one of leaving targets includes these.

--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -21,6 +21,8 @@
 export interface TargetAnswerHead {
   readonly status: number
   readonly headers: RawHeaders
+  /** Whether the answer bears proof that it comes from the target. */
+  readonly isProven: boolean
   /** Monotonic time at which the request was sent. */
   readonly sentAtMs: number
 }
@@ -30,7 +32,7 @@
   readonly clock: Clock
   readonly headers: GatewayHeaders
   readonly sender: TargetSender
-  /** Called with the head of each answer that is known to come from the target. */
+  /** Called with the head of each answer, unless another target gave it. */
   readonly onTargetAnswer?: (target: ListedTarget, answer: TargetAnswerHead) => void
   /** Whether a target may still get requests once a connection has been opened. */
   readonly isUsable?: (target: ListedTarget) => boolean
@@ -80,8 +82,8 @@
 }
 
 /** Whether an answer shows that it comes from the target itself, not from another one at its address or something in between. */
-const isProvenAnswer = (headerNames: GatewayHeaders, { status, headers }: TargetResponse): boolean =>
-  status !== MISDIRECTED_REQUEST && (findHeader(headers, headerNames.signature) !== undefined || findHeader(headers, headerNames.notRun) !== undefined)
+const isProvenAnswer = (headerNames: GatewayHeaders, { headers }: TargetResponse): boolean =>
+  findHeader(headers, headerNames.signature) !== undefined || findHeader(headers, headerNames.notRun) !== undefined
 
 const classifyStatus = (headerNames: GatewayHeaders, { status, headers }: TargetResponse): Pick<GatewayAttemptResult, 'outcome' | 'verdict'> => {
   if (status === MISDIRECTED_REQUEST) return { outcome: 'wrong-target', verdict: 'not-run' }
@@ -156,7 +158,9 @@
     isStillWanted: () => options.isUsable?.(target) !== false,
     allowsCloseDelimitedBody: true
   }, abortSignal)
-  if (sendResult.type === 'answer' && isProvenAnswer(headers, sendResult)) options.onTargetAnswer?.(target, { status: sendResult.status, headers: sendResult.headers, sentAtMs: startedAtMs })
+  if (sendResult.type === 'answer' && sendResult.status !== MISDIRECTED_REQUEST) {
+    options.onTargetAnswer?.(target, { status: sendResult.status, headers: sendResult.headers, isProven: isProvenAnswer(headers, sendResult), sentAtMs: startedAtMs })
+  }
   const result = sendResult.type === 'failure' ? failedAttempt(target, sendResult) : await completedAttempt(options, accepted, target, sendResult)
   activeAttempt.end(REPORTED_OUTCOME[result.outcome], clock.monotonicMs() - startedAtMs)
   return result
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -130,6 +130,8 @@
   readonly notRun: string
   /** In a response: proof that it comes from a target. */
   readonly signature: string
+  /** In a response: the target leaves. */
+  readonly leaving: string
   /** In a response: requests per second that the target takes from the whole fleet. */
   readonly limit: string
 }
--- a/packages/common/src/fleet/sharedRecords.ts
+++ b/packages/common/src/fleet/sharedRecords.ts
@@ -47,6 +47,7 @@
   private readonly records = new Map<string, SharedRecord<V>>()
   private readonly collectedAtMs: Record<NewsMessage, number> = { report: -Infinity, zone: -Infinity, view: -Infinity }
   private changes = 0
+  private notifyAdded: (key: string) => void = () => {}
   private notify: (isUrgent: boolean) => void = () => {}
 
   private constructor (private readonly options: SharedRecordsOptions<V>) {
@@ -75,6 +76,11 @@
 
   readonly onChange = (listener: (isUrgent: boolean) => void): void => { this.notify = listener }
 
+  /** Sets the listener for records that this daemon did not know. */
+  onAdded (listener: (key: string) => void): void {
+    this.notifyAdded = listener
+  }
+
   /** Returns the value of a record that has not expired. */
   get (key: string): V | undefined {
     const value = this.records.get(key)?.value
@@ -121,10 +127,12 @@
   }
 
   private merge (key: string, news: V, origin: Origin): V | undefined {
-    const value = this.options.merge(this.get(key), news)
+    const known = this.get(key)
+    const value = this.options.merge(known, news)
     if (value === undefined) return undefined
     this.changes++
     this.records.set(key, { value, origin, changedAtMs: this.options.clock.monotonicMs() })
+    if (known === undefined) this.notifyAdded(key)
     this.dropLeastImportant()
     return value
   }
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -5,7 +5,7 @@
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, createPeerDocumentHandler, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
-import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
+import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
 import type { OpenSocket, PathMonitorOptions } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
@@ -66,7 +66,7 @@
     clock,
     random,
     log: log.child('path'),
-    targets: () => targetRegistry.all().map(({ target }) => target),
+    targets: () => targetRegistry.all().map(({ target }) => target).filter(target => !leaving.has(target)),
     checkConnect
   })
   const crashConfirmer = CrashConfirmer.create({ log: log.child('path'), path, isCurrent: target => targetRegistry.isCurrent(target), checkConnect })
@@ -81,15 +81,16 @@
     sender.closeIdleConnections(targetId, -1)
   }
   const targetRegistry: TargetRegistry = TargetRegistry.create({ clock, log: log.child('targets'), onForget })
+  const leaving: LeavingTargets = LeavingTargets.create({ clock, log: log.child('targets'), headerName: headers.leaving, onLeaving: targetId => { sender.closeIdleConnections(targetId, -1) } })
   const rests = TargetRests.create({ clock, random, log: log.child('targets') })
-  const selector = LowestCostSelector.create({ registry: targetRegistry, rests, statsTracker, clock, random, availabilityZone, limits, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
-  return { path, crashConfirmer, rests, statsTracker, fleetStats, limits, sender, targetRegistry, selector }
+  const selector = LowestCostSelector.create({ registry: targetRegistry, rests, leaving, statsTracker, clock, random, availabilityZone, limits, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
+  return { path, crashConfirmer, rests, leaving, statsTracker, fleetStats, limits, sender, targetRegistry, selector }
 }
 
 const createRelayNode = (dependencies: GatewayDependencies, self: InstanceRecord, targets: ReturnType<typeof createTargetComponents>, documentSync: PeerDocumentSync, poisonDetector: PoisonRequestDetector): RelayNode => {
   const { liveSettings, clock, log, datagrams } = dependencies
   const { statsTracker, fleetStats, limits } = targets
-  return RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, news: [poisonDetector.news], limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
+  return RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, news: [poisonDetector.news, targets.leaving.news], limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
 }
 
 const createOverdueTask = (clock: Clock, statsTracker: TargetStatsTracker) => async (signal: AbortSignal): Promise<void> => {
@@ -162,11 +163,13 @@
   readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing && (settings.isFirstStart || relay.hasView) }),
   targetSelector: targets.selector,
   sender: targets.sender,
-  onTargetAnswer: (target, { status, headers, sentAtMs }) => {
+  onTargetAnswer: (target, { status, headers, isProven, sentAtMs }) => {
+    targets.leaving.recordAnswer(target, headers)
+    if (!isProven) return
     targets.limits.recordAnswer(target.id, headers, sentAtMs)
     targets.rests.recordAnswer(target, status, headers)
   },
-  isUsable: target => !targets.rests.isResting(target),
+  isUsable: target => !targets.rests.isResting(target) && (!targets.leaving.has(target) || targets.leaving.isLastResort(target)),
   retryBudget: WindowedRetryBudget.create({ clock, limits: () => liveSettings.current().bounds, isFirstStart: settings.isFirstStart, fleetSize: () => relay.peers.size }),
   poisonDetector,
   confirmCrash: targets.crashConfirmer.confirm,
@@ -200,7 +203,7 @@
   const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry })
   const poisonDetector = PoisonRequestDetector.create(clock)
   const relay = createRelayNode(dependencies, self, targets, documentSync, poisonDetector)
-  registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, relay })
+  registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
   const listingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, relayRank: () => relay.relayRank, clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
   const drainWindow = DrainWindow.create(clock)
   const peerSender = ConnectionSender.create({ clock, connectTimeoutMs: () => PEER_CONNECT_TIMEOUT_MS })
--- a/packages/daemon/src/gateway/gatewayMetrics.spec.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
-import { createRegistry, silentLog } from '@lovagehoist/common'
+import { SeededRandom, createRegistry, silentLog } from '@lovagehoist/common'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
-import { TargetLimits, TargetRegistry, TargetStatsTracker } from '@lovagehoist/targets'
+import { LeavingTargets, TargetLimits, TargetRegistry, TargetRests, TargetStatsTracker } from '@lovagehoist/targets'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import type { GatewayMetricsOptions } from './gatewayMetrics.js'
 
@@ -13,7 +13,9 @@
     const statsTracker = TargetStatsTracker.create(clock, targetRegistry.serviceOf)
     const others = { config: { version: 1, refusedCount: 0 }, relay: { relayRank: 0, unreadableCount: 0, peers: { size: 1 } } } as unknown as Pick<GatewayMetricsOptions, 'config' | 'relay'>
     const targetLimits = TargetLimits.create(clock, silentLog)
-    registerGatewayMetrics({ registry, clock, targetRegistry, statsTracker, targetLimits, ...others })
+    const rests = TargetRests.create({ clock, random: SeededRandom.create(1), log: silentLog })
+    const leaving = LeavingTargets.create({ clock, log: silentLog, headerName: 'leaving', onLeaving: () => {} })
+    registerGatewayMetrics({ registry, clock, targetRegistry, statsTracker, targetLimits, rests, leaving, ...others })
     const targets = ['used', 'unused', 'leaving'].map(id => ({ ...fakeTarget(id), coldForMs: 0, isLeaving: id === 'leaving' }))
     targetRegistry.apply({ storeVersion: 1, targets, skipped: [] }, 0)
     clock.jumpMs(2_500)
@@ -23,5 +25,9 @@
     expect(await registry.metrics()).to.match(/^lovagehoist_targets_unused\{service="burnbook"\} 2$/m)
     targetLimits.recordAnswer('used', { type: 'limited', perSecond: 1.5 }, clock.monotonicMs())
     expect(await registry.metrics()).to.match(/^lovagehoist_targets_limited\{service="burnbook"\} 1$/m)
+    rests.recordAnswer(targets[0] ?? fakeTarget('used'), 503, ['retry-after', '3'])
+    expect(await registry.metrics()).to.match(/^lovagehoist_targets_resting\{service="burnbook"\} 1$/m)
+    leaving.recordAnswer(targets[1] ?? fakeTarget('unused'), ['leaving', '1'])
+    expect(await registry.metrics()).to.match(/^lovagehoist_targets\{service="burnbook",state="leaving"\} 2$/m)
   })
 })
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
 import type { RelayNode } from '@lovagehoist/peers'
-import type { TargetLimits, TargetStatsTracker, TargetRegistry } from '@lovagehoist/targets'
+import type { LeavingTargets, TargetLimits, TargetRests, TargetStatsTracker, TargetRegistry } from '@lovagehoist/targets'
 
 /** Components whose state the gauges show. */
 export interface GatewayMetricsOptions {
@@ -13,6 +13,8 @@
   readonly targetRegistry: TargetRegistry
   readonly statsTracker: TargetStatsTracker
   readonly targetLimits: TargetLimits
+  readonly rests: TargetRests
+  readonly leaving: LeavingTargets
   readonly relay: RelayNode
 }
 
@@ -27,7 +29,7 @@
  *
  * @param options - Registry and the components to read.
  */
-export const registerGatewayMetrics = ({ registry, clock, config, targetRegistry, statsTracker, targetLimits, relay }: GatewayMetricsOptions): void => {
+export const registerGatewayMetrics = ({ registry, clock, config, targetRegistry, statsTracker, targetLimits, rests, leaving, relay }: GatewayMetricsOptions): void => {
   const gauge = <Label extends string>(name: string, help: string, labelNames: readonly Label[], collect: (gauge: Gauge<Label>) => void): void => {
     const created: Gauge<Label> = new Gauge({ name: `lovagehoist_${name}`, help, labelNames: [...labelNames], registers: [registry], collect: () => { collect(created) } })
   }
@@ -38,7 +40,7 @@
     metric.reset()
     for (const { target } of targetRegistry.all()) {
       const { failingChance } = statsTracker.estimate(target.id)
-      metric.inc({ service: target.service, state: target.isLeaving ? 'leaving' : failingChance >= MIN_FAILING_CHANCE ? 'failing' : 'sound' })
+      metric.inc({ service: target.service, state: target.isLeaving || leaving.has(target) ? 'leaving' : failingChance >= MIN_FAILING_CHANCE ? 'failing' : 'sound' })
     }
   })
   gauge('targets_unused', 'Targets that may take requests and got none from any daemon for two seconds.', ['service'], metric => {
@@ -51,6 +53,10 @@
     metric.reset()
     for (const { target } of targetRegistry.all()) metric.inc({ service: target.service }, targetLimits.limitOf(target.id) === undefined ? 0 : 1)
   })
+  gauge('targets_resting', 'Targets that asked this daemon for rest, which has not ended.', ['service'], metric => {
+    metric.reset()
+    for (const { target } of targetRegistry.all()) metric.inc({ service: target.service }, rests.isResting(target) ? 1 : 0)
+  })
   gauge('requests_in_progress', 'Requests of the whole fleet in progress, as known here.', ['service'], metric => {
     metric.reset()
     for (const { target } of targetRegistry.all()) metric.inc({ service: target.service }, statsTracker.estimate(target.id).inProgress)
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -26,7 +26,6 @@
 const STATUS_FAILED = 500
 const STATUS_OK = 200
 const CLOSE_DELAY_MS = 30
-const LEAVING_HEADER = 'server-leaving'
 
 /** Stand-in of a target that speaks the platform's protocol for targets. */
 export class GatewayTarget {
@@ -103,7 +102,7 @@
     }
     this.receivedRequests++
     this.arrivals.push({ atMs: this.clock.monotonicMs(), fromHost: request.socket.remoteAddress ?? '' })
-    if (this.saysLeaving) response.setHeader(LEAVING_HEADER, '1')
+    if (this.saysLeaving) response.setHeader(PLATFORM_HEADERS.leaving, '1')
     if (this.limitPerSecond !== undefined) response.setHeader(PLATFORM_HEADERS.limit, String(this.limitPerSecond))
     const responseMode = this.receivedRequests * this.responseModeShare % 1 + this.responseModeShare >= 1 ? this.responseMode : 'well'
     if (responseMode === 'refuse') {
@@ -153,7 +152,7 @@
   /** Sends a response without a length, which the end of the connection delimits. */
   private sendCloseDelimited ({ socket }: IncomingMessage, response: ServerResponse, end: () => void): void {
     const requestId = String(response.getHeader(PLATFORM_HEADERS.requestId))
-    const leaving = this.saysLeaving ? `${LEAVING_HEADER}: 1\r\n` : ''
+    const leaving = this.saysLeaving ? `${PLATFORM_HEADERS.leaving}: 1\r\n` : ''
     socket.write(`HTTP/1.1 200 OK\r\n${leaving}${PLATFORM_HEADERS.requestId}: ${requestId}\r\n${PLATFORM_HEADERS.signature}: sig-${this.id}\r\n\r\nunframed`, () => {
       // The daemon must read the bytes first: a reset discards data in transit.
       this.clock.after(CLOSE_DELAY_MS, end)
--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -1,5 +1,6 @@
 import type { TargetChoice, ChoiceInputs, ChoiceCriteria, Clock, Random, TargetSelector } from '@lovagehoist/common'
 import type { FleetLimits } from '../limits/fleetLimits.js'
+import type { LeavingTargets } from '../rest/leavingTargets.js'
 import type { TargetRests } from '../rest/targetRests.js'
 import type { TargetStatsTracker } from '../load/targetStatsTracker.js'
 import type { RegisteredTarget, TargetRegistry } from '../registry/targetRegistry.js'
@@ -20,6 +21,8 @@
   readonly floorShare: () => number
   /** Permits for targets that name a limit. */
   readonly limits: Pick<FleetLimits, 'allows' | 'recordDemand' | 'recordSent' | 'recordRefused'>
+  /** Targets that said in an answer that they leave. */
+  readonly leaving: Pick<LeavingTargets, 'has' | 'isLastResort'>
   /** Targets that asked this daemon for rest. */
   readonly rests: Pick<TargetRests, 'isResting' | 'isReturning' | 'retryDelayMs'>
   /** Whether an idle connection to a target exists that suits the request. */
@@ -62,7 +65,8 @@
     const nowMs = clock.monotonicMs()
     if (criteria.triedTargetIds.size === 0) limits.recordDemand(criteria.service)
     const untried = registry.activeTargets(criteria.service).filter(({ target }) => !criteria.triedTargetIds.has(target.id))
-    const usable = criteria.needsConnection === true ? untried.filter(({ target }) => hasIdle(target.id, criteria.isIdempotent)) : untried
+    const staying = this.selectStaying(untried)
+    const usable = criteria.needsConnection === true ? staying.filter(({ target }) => hasIdle(target.id, criteria.isIdempotent)) : staying
     const awake = this.selectAwake(usable)
     if (awake.length === 0 && usable.length > 0) return { type: 'resting', retryDelayMs: this.options.rests.retryDelayMs(usable.map(({ target }) => target)) }
     const entries = awake.filter(({ target }) => limits.allows(target.id, criteria.hasHigherPriorityTraffic))
@@ -78,6 +82,13 @@
     return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
   }
 
+  /** Leaves out targets that said that they leave; where all did, those that may serve for a moment longer remain. */
+  private selectStaying (entries: readonly RegisteredTarget[]): readonly RegisteredTarget[] {
+    const { leaving } = this.options
+    const staying = entries.filter(({ target }) => !leaving.has(target))
+    return staying.length > 0 ? staying : entries.filter(({ target }) => leaving.isLastResort(target))
+  }
+
   /** Leaves out targets at rest, and those whose rest has just ended if they have a request of this daemon and others are awake. */
   private selectAwake (entries: readonly RegisteredTarget[]): readonly RegisteredTarget[] {
     const { rests, statsTracker } = this.options
--- a/packages/targets/src/rest/restingTargets.load.spec.ts
+++ b/packages/targets/src/rest/restingTargets.load.spec.ts
@@ -48,7 +48,7 @@
     const rests = TargetRests.create({ clock, random, log: silentLog })
     const statsTracker = TargetStatsTracker.create(clock, registry.serviceOf)
     const limits = { allows: () => true, recordDemand: () => {}, recordSent: () => {}, recordRefused: () => 0 }
-    return { rests, refusals: new Map(), selector: LowestCostSelector.create({ registry, rests, statsTracker, clock, random, availabilityZone: 'a', limits, floorShare: () => 0.7, hasIdle: () => true }) }
+    return { rests, refusals: new Map(), selector: LowestCostSelector.create({ registry, rests, leaving: { has: () => false, isLastResort: () => false }, statsTracker, clock, random, availabilityZone: 'a', limits, floorShare: () => 0.7, hasIdle: () => true }) }
   }
 
   const arrive = ({ rests, refusals }: Daemon, target: ListedTarget, end: (outcome: 'refused' | 'succeeded' | 'unknown') => void): void => {
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -190,7 +190,7 @@
     const name = `${zone}-${index}-${restarts}`
     const limits = FleetLimits.create({ clock: this.clock, random: this.random, log: silentLog, startId: name, availabilityZone: String(zone), headerName: LIMIT_HEADER, serviceOf: registry.serviceOf })
     const rests = TargetRests.create({ clock: this.clock, random: this.random, log: silentLog })
-    const selector = LowestCostSelector.create({ registry, rests, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), limits, floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
+    const selector = LowestCostSelector.create({ registry, rests, leaving: { has: () => false, isLastResort: () => false }, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), limits, floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
     tracker.onChange(isUrgent => { if (isUrgent) this.exchangeSoon(zone) })
     limits.onChange(() => { this.exchangeSoon(zone) })
     return { name, zone, index, connectedIds, path, tracker, limits, selector }
