Keep the verdict of earlier daemons when a forwarded request is repeated

The loop over daemons kept the verdict of the last one only; it now joins them, and a request that may have run ends with 502.

peerForwarder.spec: two of three cases fail before, none after.

--- a/packages/callers/src/gateway/peerForwarder.ts
+++ b/packages/callers/src/gateway/peerForwarder.ts
@@ -1,4 +1,4 @@
-import { VERDICT_HEADER } from '@lovagehoist/common'
+import { VERDICT_HEADER, joinVerdicts } from '@lovagehoist/common'
 import type { Clock, GatewayHeaders, InstanceRecord, Log, Random, RawHeaders, RunVerdict, Target, TargetResponse, TargetSender } from '@lovagehoist/common'
 import { findHeader } from '../exchange/headers.js'
 import type { BufferedResponse } from '../exchange/bufferResponse.js'
@@ -57,6 +57,9 @@
   return { kind: isProblemKind(kind) ? kind : 'target-failed', verdict, detail, ...(Number.isFinite(retryAfterMs) ? { retryAfterMs } : {}) }
 }
 
+/** Problem of a request that an earlier daemon may have run, whatever the later ones said. */
+const failedProblem = (verdict: RunVerdict, detail: string): ForwardingResult => ({ type: 'problem', problem: { kind: 'target-failed', verdict, detail } })
+
 const parseProblem = (body: Buffer): { readonly type: string, readonly detail: string } => {
   try {
     const { type, detail } = JSON.parse(body.toString()) as { readonly type?: unknown, readonly detail?: unknown }
@@ -99,6 +102,7 @@
     const { clock, log } = this.options
     const tried = new Set<string>()
     let attemptsLeft = attempts
+    let verdict: RunVerdict = 'not-run'
     let detail = 'no other daemon is known that reaches targets'
     while (tried.size < MAX_TRIED_PEERS && clock.monotonicMs() < accepted.deadlineAtMs && !accepted.disconnectSignal.aborted) {
       const peer = this.choosePeer(tried)
@@ -106,12 +110,14 @@
       tried.add(peer.instanceId)
       const result = await this.forwardTo(peer, accepted, attemptsLeft)
       log.info('forwarded to another daemon', { requestId: accepted.requestId, peer: peer.instanceId, result: result.type, ...(result.type === 'failed' ? { verdict: result.verdict, detail: result.detail } : {}) })
-      if (result.type !== 'failed') return result
+      if (result.type === 'answer') return result
+      if (result.type === 'problem') return verdict === 'not-run' ? result : failedProblem(joinVerdicts(verdict, result.problem.verdict), result.problem.detail)
       detail = result.detail
+      verdict = joinVerdicts(verdict, result.verdict)
       if (result.verdict === 'not-run') continue
-      if (!accepted.route.isIdempotent || --attemptsLeft < 1 || !mayRepeat()) return { type: 'problem', problem: { kind: 'target-failed', verdict: result.verdict, detail } }
+      if (!accepted.route.isIdempotent || --attemptsLeft < 1 || !mayRepeat()) return failedProblem(verdict, detail)
     }
-    return { type: 'not-taken', detail }
+    return verdict === 'not-run' ? { type: 'not-taken', detail } : failedProblem(verdict, detail)
   }
 
   private choosePeer (tried: ReadonlySet<string>): InstanceRecord | undefined {
