Do not count the end of a target that leaves as a crash under its last requests

Requests that a leaving target broke off at its end each got a crash against them; a caller that met three such targets in a minute would have been refused for ten. A start that is listed as leaving, or that said so, is not checked for a crash. crashConfirmer.spec: one case, failing before.

--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -69,7 +69,7 @@
     targets: () => targetRegistry.all().map(({ target }) => target).filter(target => !leaving.has(target)),
     checkConnect
   })
-  const crashConfirmer = CrashConfirmer.create({ log: log.child('path'), path, isCurrent: target => targetRegistry.isCurrent(target), checkConnect })
+  const crashConfirmer = CrashConfirmer.create({ log: log.child('path'), path, isLeaving: target => targetRegistry.isLeaving(target.id) || leaving.has(target), isCurrent: target => targetRegistry.isCurrent(target), checkConnect })
   const statsTracker: TargetStatsTracker = TargetStatsTracker.create(clock, targetId => targetRegistry.serviceOf(targetId), path)
   const fleetStats = FleetStatsAggregator.create(clock)
   const limits = FleetLimits.create({ clock, random, log: log.child('limits'), startId, availabilityZone, headerName: headers.limit, serviceOf: targetId => targetRegistry.serviceOf(targetId) })
--- a/packages/targets/src/reachability/crashConfirmer.spec.ts
+++ b/packages/targets/src/reachability/crashConfirmer.spec.ts
@@ -10,6 +10,7 @@
   let checks: number
   let isCut: boolean
   let crashes: string[]
+  let isLeaving: boolean
   let isCurrent: boolean
   let reopen: () => void
   let confirmer: CrashConfirmer
@@ -18,6 +19,7 @@
     checks = 0
     isCut = false
     crashes = []
+    isLeaving = false
     isCurrent = true
     reopen = () => {}
     confirmer = CrashConfirmer.create({
@@ -30,6 +32,7 @@
           else action()
         }
       },
+      isLeaving: () => isLeaving,
       isCurrent: () => isCurrent,
       checkConnect: (_target, onDone) => {
         checks++
@@ -52,6 +55,12 @@
     expect([checks, [...crashes].sort()]).to.deep.equal([1, ['a', 'b']])
   })
 
+  it('does not take the end of a target that leaves for a crash', async () => {
+    isLeaving = true
+    await confirmer.confirm(target, () => { crashes.push('a') })
+    expect([checks, crashes]).to.deep.equal([0, []])
+  })
+
   it('blames no target for a cut path', async () => {
     isCut = true
     const confirmation = confirmer.confirm(target, () => { crashes.push('a') })
--- a/packages/targets/src/reachability/crashConfirmer.ts
+++ b/packages/targets/src/reachability/crashConfirmer.ts
@@ -5,6 +5,8 @@
 export interface CrashConfirmerOptions {
   readonly log: Log
   readonly path: Pick<PathMonitor, 'recordConnect' | 'afterConfirmation' | 'whenOpen'>
+  /** Whether this start of a target is known to leave, so that its end is no crash. */
+  readonly isLeaving: (target: ListedTarget) => boolean
   /** Whether this start of a target is still listed. */
   readonly isCurrent: (target: ListedTarget) => boolean
   /** Opens a connection to a target for later use and calls back with whether that succeeded. */
@@ -36,6 +38,7 @@
    * @returns Resolves once the target has been checked; a check of the path may go on.
    */
   readonly confirm = async (target: ListedTarget, onCrashed: () => void): Promise<void> => {
+    if (this.options.isLeaving(target)) return
     const check = this.checks.get(target.id) ?? this.startCheck(target)
     if (await check) return
     const { path } = this.options
--- a/packages/targets/src/registry/targetRegistry.ts
+++ b/packages/targets/src/registry/targetRegistry.ts
@@ -91,6 +91,11 @@
     return (this.entries.get(id) ?? this.expired.get(id))?.target.startedAtMs === startedAtMs
   }
 
+  /** Whether a target is listed as leaving. */
+  isLeaving (targetId: string): boolean {
+    return this.entries.get(targetId)?.target.isLeaving === true
+  }
+
   /** Returns all entries, including those of leaving targets. */
   all (): readonly RegisteredTarget[] {
     return [...this.entries.values(), ...this.expired.values()]
