--- a/packages/targets/src/rest/targetRests.ts
+++ b/packages/targets/src/rest/targetRests.ts
@@ -93,6 +93,6 @@
   private reportInvalid (targetId: string, reason: string): void {
     if (this.targetsWithInvalidRest.has(targetId) || this.targetsWithInvalidRest.size >= MAX_ENDED_RESTS) return
     this.targetsWithInvalidRest.add(targetId)
-    this.options.log.warn('invalid rest of a target ignored', { targetId, reason })
+    this.options.log.warn('invalid target rest ignored', { targetId, reason })
   }
 }
