Close the connection that checks whether a target has crashed

The connection stayed open in the pool for 30 s. endlessResponses.spec (head), which waits for all connections to a target with endless header fields to close, failed in the first whole run of the tests with one left open; it passes with the connection closed.

--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -6,7 +6,7 @@
 import { RelayNode, createPeerDocumentHandler, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
 import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
-import type { OpenSocket, PathMonitorOptions } from '@lovagehoist/targets'
+import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import type { LiveSettings } from './liveSettings.js'
@@ -61,15 +61,14 @@
 const SETTINGS_POLL_MS = 15_000
 
 const createTargetComponents = ({ liveSettings, clock, random, log, headers, openTargetSocket }: GatewayDependencies, { startId, availabilityZone }: InstanceRecord, registry: Registry, invariants: Invariants) => {
-  const checkConnect: PathMonitorOptions['checkConnect'] = (target, onDone) => { sender.openIdle(target).then(onDone, () => { onDone(false) }) }
   const path = PathMonitor.create({
     clock,
     random,
     log: log.child('path'),
     targets: () => targetRegistry.all().map(({ target }) => target).filter(target => !leaving.has(target)),
-    checkConnect
+    checkConnect: (target, onDone) => { sender.openIdle(target).then(onDone, () => { onDone(false) }) }
   })
-  const crashConfirmer = CrashConfirmer.create({ log: log.child('path'), path, isLeaving: target => targetRegistry.isLeaving(target.id) || leaving.has(target), isCurrent: target => targetRegistry.isCurrent(target), checkConnect })
+  const crashConfirmer = CrashConfirmer.create({ log: log.child('path'), path, isLeaving: target => targetRegistry.isLeaving(target.id) || leaving.has(target), isCurrent: target => targetRegistry.isCurrent(target), canConnect: target => sender.canConnect(target) })
   const statsTracker: TargetStatsTracker = TargetStatsTracker.create(clock, targetId => targetRegistry.serviceOf(targetId), path)
   const fleetStats = FleetStatsAggregator.create(clock)
   const limits = FleetLimits.create({ clock, random, log: log.child('limits'), startId, availabilityZone, headerName: headers.limit, serviceOf: targetId => targetRegistry.serviceOf(targetId) })
--- a/packages/targets/src/connections/connectionSender.ts
+++ b/packages/targets/src/connections/connectionSender.ts
@@ -92,6 +92,16 @@
     return isOpened
   }
 
+  /** Opens a connection to a target and closes it again; returns whether that succeeded. */
+  readonly canConnect = async (target: Target): Promise<boolean> => {
+    const pool = this.poolOf(target)
+    const opened = await pool.open(new AbortController().signal)
+    if (opened.isErr()) return false
+    this.openedCounter?.inc()
+    pool.release(opened.value, false)
+    return true
+  }
+
   readonly closeIdleConnections = (targetId: string, olderThanMs: number): void => {
     this.pools.get(targetId)?.closeOlderThan(olderThanMs)
   }
--- a/packages/targets/src/reachability/crashConfirmer.spec.ts
+++ b/packages/targets/src/reachability/crashConfirmer.spec.ts
@@ -34,9 +34,9 @@
       },
       isLeaving: () => isLeaving,
       isCurrent: () => isCurrent,
-      checkConnect: (_target, onDone) => {
+      canConnect: async () => {
         checks++
-        answer = onDone
+        return await new Promise<boolean>(resolve => { answer = resolve })
       }
     })
   })
--- a/packages/targets/src/reachability/crashConfirmer.ts
+++ b/packages/targets/src/reachability/crashConfirmer.ts
@@ -1,5 +1,5 @@
 import type { ListedTarget, Log } from '@lovagehoist/common'
-import type { PathMonitor, PathMonitorOptions } from './pathMonitor.js'
+import type { PathMonitor } from './pathMonitor.js'
 
 /** Sources of a crash confirmer. */
 export interface CrashConfirmerOptions {
@@ -9,8 +9,8 @@
   readonly isLeaving: (target: ListedTarget) => boolean
   /** Whether this start of a target is still listed. */
   readonly isCurrent: (target: ListedTarget) => boolean
-  /** Opens a connection to a target for later use and calls back with whether that succeeded. */
-  readonly checkConnect: PathMonitorOptions['checkConnect']
+  /** Returns whether a connection to a target can be opened. */
+  readonly canConnect: (target: ListedTarget) => Promise<boolean>
 }
 
 /** Tells whether a target that broke a request off has crashed: one that still accepts connections has not. */
@@ -58,7 +58,7 @@
   }
 
   private async startCheck (target: ListedTarget): Promise<boolean> {
-    const check = new Promise<boolean>(resolve => { this.options.checkConnect(target, resolve) })
+    const check = this.options.canConnect(target)
     this.checks.set(target.id, check)
     const isOpened = await check
     this.checks.delete(target.id)
