--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -219,6 +219,7 @@
       ...createMaintenanceTasks(dependencies, targets), async signal => { await maintainRegistration(dependencies, self, relay, signal) }
     ],
     close: async () => {
+      targets.path.close()
       targets.sender.close()
       peerSender.close()
       await store.close()
--- a/packages/targets/src/reachability/pathMonitor.spec.ts
+++ b/packages/targets/src/reachability/pathMonitor.spec.ts
@@ -133,4 +133,13 @@
     await cut()
     expect(monitor.state).to.equal('cut')
   })
+
+  it('checks no more once it is closed, also when a check was in progress', async () => {
+    await cut()
+    monitor.close()
+    await clock.advanceMs(CONNECT_TIMEOUT_MS)
+    const before = checkedIds.length
+    await clock.advanceMs(5_000)
+    expect(checkedIds.length).to.equal(before)
+  })
 })
--- a/packages/targets/src/reachability/pathMonitor.ts
+++ b/packages/targets/src/reachability/pathMonitor.ts
@@ -54,6 +54,8 @@
   private pending: Array<() => void> = []
   private waiting: Array<() => void> = []
   private deferred: Array<() => void> = []
+  private isClosed = false
+  private cancelRecheck: CancelTimer = () => {}
 
   private constructor (private readonly options: PathMonitorOptions) {}
 
@@ -136,6 +138,12 @@
     await new Promise<void>(resolve => { this.waiting.push(resolve) })
   }
 
+  /** Ends the checks of a cut, so that nothing keeps the process running. */
+  close (): void {
+    this.isClosed = true
+    this.cancelRecheck()
+  }
+
   private suspect (): void {
     if (this.currentCheck !== undefined || this.currentState === 'cut') return
     const nowMs = this.options.clock.monotonicMs()
@@ -209,7 +217,8 @@
 
   private scheduleRecheck (): void {
     const { clock, random } = this.options
-    clock.after(RECHECK_MS * (0.75 + random.next() / 2), () => { this.recheck() })
+    if (this.isClosed) return
+    this.cancelRecheck = clock.after(RECHECK_MS * (0.75 + random.next() / 2), () => { this.recheck() })
   }
 
   private recheck (): void {
