--- a/packages/standins/src/gateway/daemonLinks.ts
+++ b/packages/standins/src/gateway/daemonLinks.ts
@@ -14,22 +14,23 @@
 export class DaemonLinks {
   private cutKind: LinkCut | undefined
 
-  private constructor (private readonly proxies: ReadonlyMap<number, TcpProxy>) {}
+  private constructor (private readonly proxies: ReadonlyMap<number, TcpProxy>, private readonly localAddress: string) {}
 
   /**
    * Creates intact links.
    *
    * @param clock - Source of time.
    * @param ports - Ports of the targets.
+   * @param localAddress - Loopback address that the daemon's connections come from.
    * @returns The links; targets that are added later are reached without them.
    */
-  static async create (clock: Clock, ports: readonly number[]): Promise<DaemonLinks> {
+  static async create (clock: Clock, ports: readonly number[], localAddress: string): Promise<DaemonLinks> {
     const proxies = await Promise.all(ports.map(async port => {
       const proxy = await TcpProxy.create(clock, HOST)
       proxy.setDestination({ host: HOST, port })
       return [port, proxy] as const
     }))
-    return new DaemonLinks(new Map(proxies))
+    return new DaemonLinks(new Map(proxies), localAddress)
   }
 
   /** Opens a socket of the daemon to a target. */
@@ -37,7 +38,7 @@
     const { port } = options as TcpNetConnectOpts
     // A socket that is never connected behaves like one whose packets are all lost.
     if (this.cutKind === 'silent') return new Socket()
-    return connect({ ...options, port: this.cutKind === undefined ? this.proxies.get(port)?.port ?? port : CLOSED_PORT })
+    return connect({ ...options, localAddress: this.localAddress, port: this.cutKind === undefined ? this.proxies.get(port)?.port ?? port : CLOSED_PORT })
   }
 
   /** Cuts all links. */
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -53,6 +53,7 @@
 }
 
 export const HOST_NAME = 'shop.example'
+const DEFAULT_SEED = 11
 const POLL_INTERVAL_MS = 10
 const KEEP_ALIVE_MS = 60_000
 /** Margin by which the client closes an idle connection before the `keep-alive` timeout that responses announce. */
@@ -70,7 +71,7 @@
 /** Gateway daemons, a stand-in of the platform's row store and targets in one process, on loopback addresses. */
 export class GatewayFleet {
   readonly clock = SystemClock.create()
-  readonly random = SeededRandom.create(11)
+  readonly random: SeededRandom
   readonly targets = new Map<string, GatewayTarget>()
   readonly daemons: RunningDaemon[] = []
   readonly logLines: LogLine[] = []
@@ -81,12 +82,15 @@
   private readonly ports = allocatePorts(process.pid)
   private configVersion = 0
   private nextRequestId = 0
+  private startedDaemons = 0
 
-  private constructor (readonly store: RowStoreStandin) {}
+  private constructor (readonly store: RowStoreStandin, seed: number) {
+    this.random = SeededRandom.create(seed)
+  }
 
   /** Starts the row store, without targets and daemons. */
-  static async create (): Promise<GatewayFleet> {
-    return new GatewayFleet(await RowStoreStandin.create(SystemClock.create()))
+  static async create (seed = DEFAULT_SEED): Promise<GatewayFleet> {
+    return new GatewayFleet(await RowStoreStandin.create(SystemClock.create()), seed)
   }
 
   /** Writes the next version of the configuration to the store. */
@@ -119,16 +123,17 @@
     return target
   }
 
-  /** Starts a daemon and, unless `shouldAwaitReady` is false, waits until it is ready. */
-  async addDaemon (zone = 'a', shouldAwaitReady = true): Promise<void> {
-    const host = `127.0.0.${this.daemons.length + 2}`
+  /** Starts a daemon and, unless `shouldAwaitReady` is false, waits until it is ready; with `isFirstStart` false it replaces an earlier one. */
+  async addDaemon (zone = 'a', shouldAwaitReady = true, isFirstStart = true): Promise<void> {
+    const number = this.startedDaemons++
+    const host = `127.0.0.${number + 2}`
     const addressAt = (port: number): Address => ({ host, port })
     const callers = addressAt(this.ports.callers)
     const readiness = addressAt(this.ports.readiness)
     const settings: GatewaySettings = {
-      instanceId: `gate-${this.daemons.length}`,
+      instanceId: `gate-${number}`,
       availabilityZone: zone,
-      isFirstStart: true,
+      isFirstStart,
       callers,
       readiness,
       peers: addressAt(this.ports.peers),
@@ -144,9 +149,9 @@
       this.logLines.push(JSON.parse(line) as LogLine)
     }
     const log = createLog({ level: 'info', format: 'json', clock: this.clock, write, fields: { instance: settings.instanceId } })
-    const random = SeededRandom.create(100 + this.daemons.length)
+    const random = SeededRandom.create(100 + number)
     const datagrams = await openDatagrams(settings.peers, log)
-    const links = await DaemonLinks.create(this.clock, this.hasCuttableLinks ? [...this.targets.values()].map(({ port }) => port) : [])
+    const links = await DaemonLinks.create(this.clock, this.hasCuttableLinks ? [...this.targets.values()].map(({ port }) => port) : [], host)
     const daemon = await GatewayDaemon.create(
       { settings, liveSettings: LiveSettings.create(settings, async () => ok(settings), log), uptimeMs: this.clock.monotonicMs, clock: this.clock, random, log, store: RowStore.create(settings.store, this.clock), headers: PLATFORM_HEADERS, datagrams, openTargetSocket: links.openSocket },
       { readinessPath: READINESS_PATH })
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -21,6 +21,13 @@
   isAborted: boolean
 }
 
+/** A request that reached the target. */
+export interface TargetArrival {
+  readonly atMs: number
+  readonly fromHost: string
+  readonly isRefused: boolean
+}
+
 const STATUS_MISDIRECTED = 421
 const STATUS_OVERLOADED = 503
 const STATUS_FAILED = 500
@@ -49,8 +56,10 @@
   retryAfter: readonly string[] = []
   /** Whether all answers say that the target leaves. */
   saysLeaving = false
-  /** Times at which requests arrived, and the daemons that sent them, by the host of the connection. */
-  readonly arrivals: Array<{ readonly atMs: number, readonly fromHost: string }> = []
+  /** Called when a request has crashed the target. */
+  onCrashed: () => void = () => {}
+  /** Requests that arrived, with the host of the daemon that sent each, and whether it was refused. */
+  readonly arrivals: TargetArrival[] = []
   readonly runs: TargetRun[] = []
 
   private constructor (readonly id: string, private readonly server: Server, private readonly clock: Clock) {
@@ -101,10 +110,10 @@
       return
     }
     this.receivedRequests++
-    this.arrivals.push({ atMs: this.clock.monotonicMs(), fromHost: request.socket.remoteAddress ?? '' })
     if (this.saysLeaving) response.setHeader(PLATFORM_HEADERS.leaving, '1')
     if (this.limitPerSecond !== undefined) response.setHeader(PLATFORM_HEADERS.limit, String(this.limitPerSecond))
     const responseMode = this.receivedRequests * this.responseModeShare % 1 + this.responseModeShare >= 1 ? this.responseMode : 'well'
+    this.arrivals.push({ atMs: this.clock.monotonicMs(), fromHost: request.socket.remoteAddress ?? '', isRefused: responseMode === 'refuse' })
     if (responseMode === 'refuse') {
       if (this.retryAfter.length > 0) response.setHeader('retry-after', [...this.retryAfter])
       response.writeHead(STATUS_OVERLOADED, { [PLATFORM_HEADERS.notRun]: '1' }).end()
@@ -124,6 +133,7 @@
 
   private async crash (response: ServerResponse): Promise<void> {
     this.crashedAtMs = this.clock.monotonicMs()
+    this.onCrashed()
     if (this.crashMode === 'silent') {
       this.server.close()
       return
--- a/packages/standins/src/measure/scenarios/index.ts
+++ b/packages/standins/src/measure/scenarios/index.ts
@@ -1,5 +1,6 @@
 import type { Scenario } from '../scenario.js'
 import { control } from './control.js'
+import { crashing } from './crashing.js'
 import { drain } from './drain.js'
 import { gateway } from './gateway.js'
 import { gray } from './gray.js'
@@ -9,6 +10,7 @@
 import { overhead } from './overhead.js'
 import { poison } from './poison.js'
 import { promoteScenario } from './promote.js'
+import { rest } from './rest.js'
 import { rush } from './rush.js'
 import { silent } from './silent.js'
 
@@ -19,6 +21,8 @@
   [rush.name]: rush,
   [isolated.name]: isolated,
   [limit.name]: limit,
+  [crashing.name]: crashing,
+  [rest.name]: rest,
   [outage.name]: outage,
   [promoteScenario.name]: promoteScenario,
   [drain.name]: drain,
--- a/packages/standins/src/measure/scenarios/isolated.ts
+++ b/packages/standins/src/measure/scenarios/isolated.ts
@@ -1,11 +1,10 @@
 import type { JsonValue } from '@lovagehoist/common'
 import { runOpenLoop } from '../../load/openLoop.js'
-import { GatewayFleet } from '../../gateway/gatewayFleet.js'
-import type { LogLine } from '../../gateway/gatewayFleet.js'
+import type { GatewayFleet, LogLine } from '../../gateway/gatewayFleet.js'
 import type { Figures, Scenario, ScenarioArguments } from '../scenario.js'
+import { ZONES, countDuplicates, round, startZonedFleet } from './gatewayScenario.js'
 
 const SERVICES = ['menus', 'orders'] as const
-const ZONES = ['a', 'b', 'c'] as const
 const TARGETS_OF_SERVICE = 9
 const WORK_MS = 150
 const REQUESTS_PER_DAEMON = 3
@@ -19,7 +18,6 @@
 const FAILING_CHANCE = 0.4
 const MS_PER_SECOND = 1_000
 const STATUS_OK = 200
-const ROUNDING_FACTOR = 1_000
 
 interface Call {
   readonly daemon: number
@@ -27,19 +25,6 @@
   readonly isServed: boolean
 }
 
-const round = (value: number): number => Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR
-
-const startFleet = async (instances: number): Promise<GatewayFleet> => {
-  const fleet = await GatewayFleet.create()
-  fleet.hasCuttableLinks = true
-  fleet.configure(SERVICES.map(service => ({ prefix: `/${service}/`, kind: service === 'menus' ? 'safe' : 'unsafe', service })))
-  for (const service of SERVICES) {
-    for (let index = 0; index < TARGETS_OF_SERVICE; index++) (await fleet.addTarget(`${service}-${index}`, service, ZONES[index % ZONES.length])).workMs = WORK_MS
-  }
-  for (let index = 0; index < instances; index++) await fleet.addDaemon(ZONES[index % ZONES.length])
-  return fleet
-}
-
 /** Calls the daemons in turn at a constant rate; a connection for each request, and no second tries. */
 const callFor = async (fleet: GatewayFleet, durationMs: number): Promise<readonly Call[]> => {
   const calls: Call[] = []
@@ -55,11 +40,6 @@
 
 const servedShare = (calls: readonly Call[]): number => round(calls.filter(({ isServed }) => isServed).length / Math.max(1, calls.length))
 
-const countDuplicateRuns = (fleet: GatewayFleet): number => {
-  const orders = fleet.runs().filter(({ targetId }) => targetId.startsWith('orders')).map(({ requestId }) => requestId)
-  return orders.length - new Set(orders).size
-}
-
 /** What the logs since the cut say of its detection and of healthy targets that other daemons took for failing. */
 const readLogs = (lines: readonly LogLine[], cutNames: ReadonlySet<string>, cutWallMs: number): Pick<Figures, 'detectedDaemons' | 'detectionMs' | 'falseEjections'> => {
   // eslint-disable-next-line no-restricted-globals -- parses the times of log lines
@@ -95,7 +75,7 @@
 
 const run = async (args: ScenarioArguments): Promise<Figures> => {
   const { seed, variant, instances, kind } = args
-  const fleet = await startFleet(instances)
+  const fleet = await startZonedFleet({ seed, instances, services: SERVICES.map(service => ({ service, kind: service === 'menus' ? 'safe' : 'unsafe', targets: TARGETS_OF_SERVICE })), workMs: WORK_MS, hasCuttableLinks: true })
   try {
     await callFor(fleet, WARM_UP_MS)
     const figures = await measureCut(fleet, args)
@@ -107,7 +87,7 @@
       targets: fleet.targets.size,
       requests: 0,
       wrongAnswers: null,
-      duplicateRuns: countDuplicateRuns(fleet),
+      duplicateRuns: countDuplicates(fleet),
       falseNotRun: null,
       floorBreaches: null,
       invariantBreaches: null,
