Let targets say that they leave, and requests crash targets, in the gateway soak

Two faults with an oracle each: runs later than the drain period after a target's first such answer, more than three retries later than 3 s after the third crash, and ordinary requests that are stopped. Rests are no fault of the soak: its daemons connect from one address, so its targets can't tell which daemon they asked.

--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -56,6 +56,8 @@
   retryAfter: readonly string[] = []
   /** Whether all answers say that the target leaves. */
   saysLeaving = false
+  /** Called with the end of each answer that is not a refusal. */
+  onAnswered: () => void = () => {}
   /** Called when a request has crashed the target. */
   onCrashed: () => void = () => {}
   /** Requests that arrived, with the host of the daemon that sent each, and whether it was refused. */
@@ -129,6 +131,7 @@
       return
     }
     this.responders[responseMode](request, response)
+    this.onAnswered()
   }
 
   private async crash (response: ServerResponse): Promise<void> {
--- a/packages/standins/src/soak/gateway/gatewayFaults.ts
+++ b/packages/standins/src/soak/gateway/gatewayFaults.ts
@@ -1,11 +1,15 @@
+import { PLATFORM_HEADERS } from '@lovagehoist/platform'
+import { request } from 'undici'
 import type { ResponseMode } from '../../gateway/gatewayTarget.js'
 import type { StoreFault } from '../../gateway/rowStoreStandin.js'
 import type { LinkFault, TcpProxy } from '../../network/tcpProxy.js'
 import type { GatewayProcess } from '../../process/gatewayProcess.js'
 import type { EndFault, StartFault } from '../faultLoop.js'
+import { HOST_NAME } from './soakConfig.js'
 import { SERVICES } from './soakFleet.js'
 import type { SoakFleet, SoakInstance, SoakTarget } from './soakFleet.js'
 import type { FaultPeriods } from './faultPeriods.js'
+import { CRASH_PREFIX } from './targetOracle.js'
 
 type Fault = StartFault<SoakFleet>
 
@@ -22,6 +26,11 @@
 const MAX_INSTANCES = 12
 /** Time between the start of a target's drain and the removal of its row. */
 const DRAIN_MS = 3_500
+/** A request that crashes targets is repeated at any daemon for a while. */
+const CRASHING_MS = 6_000
+const CRASH_REPEAT_MS = 300
+const MAX_CRASHING_REQUESTS = 1_000_000
+const DEADLINE_MS = 1_000
 const noCleanup: EndFault = async () => {}
 
 const pickOne = <T>({ random }: SoakFleet, items: readonly T[]): T | undefined => items.length === 0 ? undefined : items[random.int(items.length)]
@@ -66,6 +75,12 @@
   return chosen
 }
 
+const callOnce = async (fleet: SoakFleet, instance: SoakInstance, path: string): Promise<void> => {
+  const headers = { host: HOST_NAME, [PLATFORM_HEADERS.requestId]: `${path}-${fleet.clock.monotonicMs()}`, [PLATFORM_HEADERS.deadline]: String(DEADLINE_MS) }
+  const { body } = await request(`${fleet.baseUrlOf(instance)}${path}`, { headers })
+  await body.dump()
+}
+
 const drainTarget = async (fleet: SoakFleet): Promise<SoakTarget | undefined> => {
   const soakTarget = pickRemovableTarget(fleet)
   if (soakTarget === undefined) return undefined
@@ -120,6 +135,27 @@
       lift()
     }
   },
+  targetSaysItLeaves: async fleet => {
+    const chosen = pickRemovableTarget(fleet)
+    if (chosen === undefined) return noCleanup
+    fleet.sayLeaving(chosen)
+    return async () => {
+      await fleet.clock.sleepMs(DRAIN_MS)
+      if (!fleet.targets.includes(chosen)) return
+      fleet.drainTarget(chosen)
+      fleet.removeTarget(chosen)
+      await fleet.addTarget(chosen.service)
+    }
+  },
+  requestCrashesTargets: async fleet => {
+    const path = `${CRASH_PREFIX}${fleet.random.int(MAX_CRASHING_REQUESTS)}`
+    for (let elapsedMs = 0; elapsedMs < CRASHING_MS; elapsedMs += CRASH_REPEAT_MS) {
+      const instance = pickOne(fleet, fleet.instances.filter(({ isReady }) => isReady))
+      if (instance !== undefined) callOnce(fleet, instance, path).catch(() => {})
+      await fleet.clock.sleepMs(CRASH_REPEAT_MS)
+    }
+    return noCleanup
+  },
   targetIsFar: targetLinkFault({ delayMs: LINK_DELAY_MS }),
   targetIsSilent: targetLinkFault({ isSilent: true }),
   targetAnswersAreLost: targetLinkFault({ isResponseSilent: true }),
--- a/packages/standins/src/soak/gateway/runGatewaySoak.ts
+++ b/packages/standins/src/soak/gateway/runGatewaySoak.ts
@@ -6,6 +6,7 @@
 import { findGatewayBreaches } from './gatewayOracle.js'
 import type { GatewayBreach, SoakCall, SoakConditions, SoakRun } from './gatewayOracle.js'
 import { findLimitBreaches } from './limitOracle.js'
+import { findCrashBreaches, findDepartureBreaches } from './targetOracle.js'
 import { SoakCaller } from './soakCaller.js'
 import { SoakFleet } from './soakFleet.js'
 
@@ -110,7 +111,13 @@
   const findBreaches = (): readonly GatewayBreach[] => {
     const runs = collectRuns(fleet)
     const isFleetFaultFree = (fromMs: number, toMs: number): boolean => fleet.instances.every(({ faultPeriods }) => !faultPeriods.overlaps(fromMs, toMs))
-    return [...findGatewayBreaches(callers.flatMap(({ calls }) => calls), runs, createConditions(fleet)), ...findLimitBreaches(fleet.limits, runs, isFleetFaultFree)]
+    const calls = callers.flatMap(caller => caller.calls)
+    return [
+      ...findGatewayBreaches(calls, runs, createConditions(fleet)),
+      ...findLimitBreaches(fleet.limits, runs, isFleetFaultFree),
+      ...findDepartureBreaches(fleet.departures, runs, isFleetFaultFree),
+      ...findCrashBreaches(calls, runs, isFleetFaultFree)
+    ]
   }
   try {
     const readinessPolling = pollReadiness(fleet, stopAll.signal)
--- a/packages/standins/src/soak/gateway/soakFleet.ts
+++ b/packages/standins/src/soak/gateway/soakFleet.ts
@@ -12,6 +12,8 @@
 import { SoakConfig } from './soakConfig.js'
 import { FaultPeriods } from './faultPeriods.js'
 import type { SoakLimit } from './limitOracle.js'
+import { CRASH_PREFIX } from './targetOracle.js'
+import type { SoakDeparture } from './targetOracle.js'
 
 /** A target with the TCP proxy through which daemons reach it. */
 export interface SoakTarget {
@@ -53,6 +55,7 @@
 const PORTS = { callers: 8_381, readiness: 8_388, peers: 7_200 }
 const READINESS_TIMEOUT_MS = 400
 const STATUS_OK = 200
+const TARGET_RESTART_MS = 1_000
 const START_TIMEOUT_MS = 60_000
 const START_POLL_MS = 50
 
@@ -69,6 +72,8 @@
   readonly storeFaultPeriods: FaultPeriods
   /** Limits that targets have named. */
   readonly limits: SoakLimit[] = []
+  /** Targets that have said that they leave. */
+  readonly departures: SoakDeparture[] = []
   private nextTarget = 0
   private isFirstStart = true
 
@@ -102,7 +107,9 @@
     target.responseBodyFor = requestId => `answer to ${requestId} of ${service}`
     const proxy = await TcpProxy.create(this.clock, '127.0.0.1')
     proxy.setDestination({ host: '127.0.0.1', port: target.port })
+    target.crashesUnder = path => path.startsWith(CRASH_PREFIX)
     const soakTarget: SoakTarget = { target, service, zone: ZONES[this.nextTarget % ZONES.length] ?? '', proxy, faultPeriods: FaultPeriods.create(this.clock.monotonicMs), drainedAtMs: undefined }
+    target.onCrashed = () => { this.replaceCrashed(soakTarget).catch(() => {}) }
     this.targets.push(soakTarget)
     this.store.put('servers', id, this.createRow(soakTarget, 'ready'))
     return soakTarget
@@ -116,6 +123,15 @@
     this.removedTargets.push(soakTarget)
   }
 
+  /** Makes all answers of a target say that it leaves, while it stays listed as ready. */
+  sayLeaving ({ target }: SoakTarget): void {
+    target.saysLeaving = true
+    target.onAnswered = () => {
+      target.onAnswered = () => {}
+      this.departures.push({ targetId: target.id, saidAtMs: this.clock.monotonicMs() })
+    }
+  }
+
   /** Makes a target name a limit in its answers; returns the function that ends it. */
   nameLimit ({ target }: SoakTarget, perSecond: number): () => void {
     const limit = { targetId: target.id, perSecond, fromMs: this.clock.monotonicMs(), toMs: Infinity }
@@ -191,6 +207,16 @@
     await rm(this.folder, { recursive: true, force: true })
   }
 
+  /** Lets connects to a crashed target fail, and starts another one in its place after a while. */
+  private async replaceCrashed (soakTarget: SoakTarget): Promise<void> {
+    this.targets.splice(this.targets.indexOf(soakTarget), 1)
+    this.removedTargets.push(soakTarget)
+    await soakTarget.proxy.close()
+    await this.clock.sleepMs(TARGET_RESTART_MS)
+    this.store.remove('servers', soakTarget.target.id)
+    await this.addTarget(soakTarget.service)
+  }
+
   private async replaceProcess (instance: SoakInstance): Promise<void> {
     await instance.process.exited
     instance.process = await this.startProcess(instance)
