Space the views of a relay by their number, and cut messages to the length of a packet

Cause: any failure, and any request to a target that had been idle for 0.8 s, made both relays of a zone send a view to each of its daemons within 5 ms. On a large fleet something of that kind happens all the time. A full view or report of 366 targets was one datagram of 15 to 20 KB, lost with any of its packets, and from about 1,100 targets on it no longer fits into a datagram at all. Change: a relay spreads its datagrams over time in proportion to its fitness, the standby relay sends a quarter as many; views carry the stats of failing targets first, then of those that the zone uses, then those that waited longest. Messages are cut into parts of 1,200 bytes that are applied one by one; full ones count as full once all parts have arrived. Totals go to one relay of each other zone, the one heard from last, which passes them on, so that a zone whose fittest machines are lost is reached through its next relay. Stats of idle targets are repeated; a target of another zone that is not mentioned counts as idle for a second at most.

--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -203,6 +203,8 @@
   readonly latencyMs: number
   /** Time since the last request of any daemon was sent to the target. */
   readonly idleMs: number
+  /** Whether daemons of the relay's own zone have sent it requests recently; known to the relay alone. */
+  readonly isUsedHere?: boolean
 }
 
 /** A value for each target. */
--- a/packages/common/src/fakes/manualClock.ts
+++ b/packages/common/src/fakes/manualClock.ts
@@ -2,7 +2,6 @@
 
 interface Timer {
   readonly atMs: number
-  readonly order: number
   readonly run: () => void
 }
 
@@ -18,9 +17,9 @@
 
 /** A clock that advances only when a test advances it. */
 export class ManualClock implements Clock {
-  private readonly timers = new Set<Timer>()
+  /** Ordered by the time at which they are due, then by their creation. */
+  private readonly timers: Timer[] = []
   private nowMs = 0
-  private nextOrder = 0
 
   private constructor (private readonly epochMs: number) {}
 
@@ -39,9 +38,12 @@
   readonly wallMs = (): number => this.epochMs + this.nowMs
 
   readonly after = (durationMs: number, run: () => void): CancelTimer => {
-    const timer: Timer = { atMs: this.nowMs + Math.max(0, durationMs), order: this.nextOrder++, run }
-    this.timers.add(timer)
-    return () => { this.timers.delete(timer) }
+    const timer: Timer = { atMs: this.nowMs + Math.max(0, durationMs), run }
+    this.timers.splice(this.indexAfter(timer.atMs), 0, timer)
+    return () => {
+      const index = this.timers.indexOf(timer, this.indexAfter(timer.atMs, true))
+      if (index >= 0) this.timers.splice(index, 1)
+    }
   }
 
   readonly sleepMs = async (durationMs: number, signal?: AbortSignal): Promise<void> => {
@@ -66,7 +68,6 @@
     const endMs = this.nowMs + durationMs
     await runContinuations()
     for (let timer = this.nextDue(endMs); timer !== undefined; timer = this.nextDue(endMs)) {
-      this.timers.delete(timer)
       this.nowMs = Math.max(this.nowMs, timer.atMs)
       timer.run()
       await runContinuations()
@@ -79,12 +80,22 @@
     this.nowMs += durationMs
   }
 
+  /** Removes and returns the first timer that is due. */
   private nextDue (endMs: number): Timer | undefined {
-    let first: Timer | undefined
-    for (const timer of this.timers) {
-      if (timer.atMs > endMs) continue
-      if (first === undefined || timer.atMs < first.atMs || (timer.atMs === first.atMs && timer.order < first.order)) first = timer
+    const [first] = this.timers
+    return first === undefined || first.atMs > endMs ? undefined : this.timers.shift()
+  }
+
+  /** Index of the first timer that is due later than a time, or at that time with `isInclusive`. */
+  private indexAfter (atMs: number, isInclusive = false): number {
+    let low = 0
+    let high = this.timers.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      const timerAtMs = this.timers[middle]?.atMs ?? Infinity
+      if (timerAtMs < atMs || (!isInclusive && timerAtMs === atMs)) low = middle + 1
+      else high = middle
     }
-    return first
+    return low
   }
 }
--- a/packages/peers/src/relay/messages.fuzz.spec.ts
+++ b/packages/peers/src/relay/messages.fuzz.spec.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
+import { FullPartTracker } from './fullPartTracker.js'
 import { decodeMessage, encodeMessage } from './messages.js'
-import type { RelayMessage } from './messages.js'
+import type { RelayMessage, ZoneTotals } from './messages.js'
 
 const SEED = 41
 const RUNS = 300
@@ -31,9 +32,52 @@
   })
 )
 
+const MAX_BYTES = 1_200
+
+type Lists = Readonly<Record<string, readonly unknown[]>>
+
+const mergeLists = (parts: readonly Lists[]): Lists => {
+  const names = new Set(parts.flatMap(part => Object.keys(part)))
+  return Object.fromEntries([...names].map(name => [name, parts.flatMap(part => part[name] ?? [])]).filter(([, list]) => (list ?? []).length > 0))
+}
+
+/** What a receiver of all parts knows; the demand is repeated in each part. */
+const merge = (parts: readonly RelayMessage[]): unknown => {
+  const [first, ...others] = parts as ReadonlyArray<Record<string, unknown> & RelayMessage>
+  const { demand, ...limits } = (first?.limits ?? {}) as Lists
+  const lists = ['counters', 'stats', 'members'].filter(name => first?.[name] !== undefined)
+  const { fullPart, ...head } = first as { readonly fullPart?: unknown }
+  return {
+    ...head,
+    isFull: undefined,
+    ...Object.fromEntries(lists.map(name => [name, parts.flatMap(part => (part as unknown as Lists)[name] ?? [])])),
+    news: mergeLists(parts.map(({ news }) => news)),
+    limits: { demand, ...mergeLists([limits, ...others.map(other => ({ ...other.limits as unknown as Lists, demand: [] }))]) }
+  }
+}
+
 describe('relay messages (fuzz)', () => {
-  it('survive an encode-decode round trip unchanged', () => {
-    fc.assert(fc.property(message, sent => { expect(decodeMessage(encodeMessage(sent))).to.deep.equal(sent) }), { seed: SEED, numRuns: RUNS })
+  it('survive encoding, splitting and decoding unchanged', () => {
+    fc.assert(fc.property(message, sent => {
+      const parts = encodeMessage(sent, 7).map(bytes => decodeMessage(bytes) as RelayMessage)
+      expect(merge(parts)).to.deep.equal(merge([sent]))
+    }), { seed: SEED, numRuns: RUNS })
+  })
+
+  it('fit into one packet each, however many targets a message names', () => {
+    const from = { instanceId: 'edge-a-1', startId: '0123456789ab', host: '10.1.0.18', availabilityZone: 'a', relayFitness: 1 }
+    const counters = Array.from({ length: 6_500 }, (_, index) => [`i-${String(index).padStart(10, '0')}`, { inProgress: 2, succeeded: 9_999, failed: 1, failedLate: 1, failedEarly: 1, refused: 1, latencySquares: 9_999_999 }] as const)
+    const parts = encodeMessage({ type: 'report', from, isFull: true, isLeaving: false, uptimeMs: 1, counters, news: {}, limits: { limits: [], demand: [], settled: [] } })
+    expect(Math.max(...parts.map(({ length }) => length))).to.be.at.most(MAX_BYTES + 60)
+  })
+
+  it('count as full only when all parts have arrived, in any order', () => {
+    const from = { instanceId: 'edge-a-1', startId: 's', host: '10.1.0.18', availabilityZone: 'a', relayFitness: 1 }
+    const counters = Array.from({ length: 100 }, (_, index) => [`t${index}`, { inProgress: 0, succeeded: 1, failed: 0, failedLate: 0, failedEarly: 0, refused: 0, latencySquares: 0 }] as const)
+    const parts = encodeMessage({ type: 'zone', from, isFull: true, counters, news: {}, limits: { limits: [], demand: [] } }, 3).map(bytes => decodeMessage(bytes) as ZoneTotals)
+    const tracker = FullPartTracker.create()
+    expect(parts.toReversed().map(part => tracker.isWhole('s', part))).to.deep.equal(parts.map((_, index) => index === parts.length - 1))
+    expect(tracker.isWhole('s', parts.at(-1) as ZoneTotals)).to.equal(false)
   })
 
   it('never make decoding throw, whatever the bytes or the JSON', () => {
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -4,6 +4,8 @@
 import type { News } from './newsMessages.js'
 import { decodeRows } from './rows.js'
 import type { Row } from './rows.js'
+import { splitParams } from './splitParams.js'
+import type { FullPart } from './splitParams.js'
 
 /** Versions of the configuration and of the target listing that a daemon holds. */
 export interface HeldVersions {
@@ -23,6 +25,8 @@
   readonly from: InstanceRecord
   /** Whether the report contains all counters, or only those that changed. */
   readonly isFull: boolean
+  /** Set if the report is a part of a full one. */
+  readonly fullPart?: FullPart
   readonly isLeaving: boolean
   /** Time since the process started. */
   readonly uptimeMs: number
@@ -36,6 +40,8 @@
   readonly type: 'zone'
   readonly from: InstanceRecord
   readonly isFull: boolean
+  /** Set if the totals are a part of full ones. */
+  readonly fullPart?: FullPart
   readonly counters: PerTarget<TargetCounters>
   readonly news: News
   readonly limits: ZoneLimits
@@ -59,6 +65,9 @@
 
 const PERCENT = 100
 
+/** Length up to which a message fits into one packet; a longer datagram is lost with any of its packets. */
+const MAX_MESSAGE_BYTES = 1_200
+
 const encodeInstance = ({ instanceId, startId, host, availabilityZone, relayFitness }: InstanceRecord): readonly unknown[] =>
   [instanceId, startId, host, availabilityZone, relayFitness]
 
@@ -91,10 +100,16 @@
   return { configVersion, listingDigest, listingVersion, listingAgeMs }
 }
 
+const decodeFullPart = (value: unknown): { readonly fullPart?: FullPart } => {
+  const [index, count, wholeId] = Array.isArray(value) ? value as readonly unknown[] : []
+  return typeof index === 'number' && typeof count === 'number' && typeof wholeId === 'number' ? { fullPart: { index, count, wholeId } } : {}
+}
+
 /** Parameters of a message before they are validated. */
 interface Params {
   readonly from?: unknown
   readonly full?: unknown
+  readonly part?: unknown
   readonly leaving?: unknown
   readonly uptime?: unknown
   readonly rows?: unknown
@@ -118,8 +133,8 @@
 }
 
 const decoders: Readonly<Record<RelayMessage['type'], (params: Params) => RelayMessage>> = {
-  report: ({ from, full, leaving, uptime, rows, news, limits }) => ({ type: 'report', from: decodeInstance(from), isFull: full === true, isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeLimitReport(limits) }),
-  zone: ({ from, full, rows, news, limits }) => ({ type: 'zone', from: decodeInstance(from), isFull: full === true, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeZoneLimits(limits) }),
+  report: ({ from, full, part, leaving, uptime, rows, news, limits }) => ({ type: 'report', from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeLimitReport(limits) }),
+  zone: ({ from, full, part, rows, news, limits }) => ({ type: 'zone', from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeZoneLimits(limits) }),
   view: ({ from, facts, rows, members, news, limits }) => ({
     type: 'view',
     from: decodeInstance(from),
@@ -131,15 +146,25 @@
   })
 }
 
+const encodeParams = (method: RelayMessage['type'], params: Params): Buffer => Buffer.from(JSON.stringify({ jsonrpc: '2.0', method, params }))
+
+/** Marks the parts of a full message; the last one also says `full`, which is all that earlier versions read. */
+const markFullParts = (parts: readonly Params[], wholeId: number): readonly Params[] =>
+  parts.map((part, index) => ({ ...part, full: index === parts.length - 1, part: [index, parts.length, wholeId] }))
+
 /**
- * Encodes a message as a JSON-RPC 2.0 notification.
+ * Encodes a message as one or more JSON-RPC 2.0 notifications, each of which fits into one packet and can be applied without the others.
  *
  * @param message - Message to encode.
- * @returns Payload of one datagram.
+ * @param wholeId - Number that tells the parts of one full message from those of others of the same sender.
+ * @returns Payload of each datagram.
  */
-export const encodeMessage = (message: RelayMessage): Buffer => {
+export const encodeMessage = (message: RelayMessage, wholeId = 0): readonly Buffer[] => {
   const encode = encoders[message.type] as (message: RelayMessage) => Params
-  return Buffer.from(JSON.stringify({ jsonrpc: '2.0', method: message.type, params: encode(message) }))
+  const params = encode(message)
+  const parts = splitParams({ ...params }, MAX_MESSAGE_BYTES)
+  const isMarked = parts.length > 1 && params.full === true
+  return (isMarked ? markFullParts(parts, wholeId) : parts).map(part => encodeParams(message.type, part))
 }
 
 /**
--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -14,6 +14,11 @@
 const EXCLUSION_MS = 3_000
 /** Time since its last message after which a daemon no longer counts as a member. */
 const MEMBER_TTL_MS = 3_000
+/** Time since the last message of another zone's relay after which another daemon of that zone is contacted. */
+const ZONE_CONTACT_TTL_MS = 1_500
+/** Daemons that one view announces: the fittest of the zone, and as many others in turn as fit into a packet with the stats. */
+const FITTEST_ANNOUNCED = 3
+const OTHERS_ANNOUNCED = 8
 /** Relays per zone; the second takes over without an election if the first fails. */
 const RELAYS_PER_ZONE = 2
 /** Daemons of each other zone that are announced in views: the fittest, since relays are chosen among them. */
@@ -103,19 +108,35 @@
     return candidates.sort(byFitness).slice(0, RELAYS_PER_ZONE).map(({ record }) => record)
   }
 
+  /**
+   * Chooses the daemons of another zone that messages to it are sent to.
+   *
+   * @param zone - Availability zone.
+   * @returns The daemon that this zone was heard from last, since only relays send to other zones; the fittest ones if it has been silent.
+   */
+  zoneContacts (zone: string): readonly InstanceRecord[] {
+    const oldestMs = this.clock.monotonicMs() - ZONE_CONTACT_TTL_MS
+    const heard = [...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone === zone && heardAtMs >= oldestMs)
+    const latest = heard.reduce<KnownPeer | undefined>((best, peer) => best === undefined || peer.heardAtMs > best.heardAtMs ? peer : best, undefined)
+    return latest === undefined ? this.relays(zone) : [latest.record]
+  }
+
   /** Availability zones of all known daemons. */
   zones (): readonly string[] {
     return [...new Set([this.self, ...[...this.peers.values()].map(({ record }) => record)].map(({ availabilityZone }) => availabilityZone))]
   }
 
-  /** This daemon, the daemons of its zone heard from recently, and the fittest few of each other zone. */
-  members (): readonly InstanceRecord[] {
+  /** Daemons to announce in the next view: the fittest of this zone, and the others of this zone and some of other zones in turn. */
+  nextMembers (): readonly InstanceRecord[] {
     const oldestMs = this.clock.monotonicMs() - MEMBER_TTL_MS
-    const sameZone = [...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone === this.self.availabilityZone && heardAtMs >= oldestMs)
+    const self: KnownPeer = { record: this.self, heardAtMs: Infinity, unansweredSinceMs: undefined }
+    const sameZone = [self, ...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone === this.self.availabilityZone && heardAtMs >= oldestMs).sort(byFitness)
     const otherZones = this.zones().filter(zone => zone !== this.self.availabilityZone)
       .flatMap(zone => this.chooseAnnounced([...this.peers.values()].filter(({ record }) => record.availabilityZone === zone).sort(byFitness)))
-    this.announcements++
-    return [this.self, ...sameZone.map(({ record }) => record), ...otherZones.map(({ record }) => record)]
+    const others = [...sameZone.slice(FITTEST_ANNOUNCED), ...otherZones]
+    const offset = this.announcements++ * OTHERS_ANNOUNCED % Math.max(1, others.length)
+    const inTurn = [...others, ...others].slice(offset, offset + Math.min(OTHERS_ANNOUNCED, others.length))
+    return [...sameZone.slice(0, FITTEST_ANNOUNCED), ...inTurn].map(({ record }) => record)
   }
 
   /** Number of known daemons, including this one. */
@@ -126,7 +147,7 @@
   /** The fittest daemons of a zone, and a few others in turn, so that all become known in time. */
   private chooseAnnounced (sorted: readonly KnownPeer[]): readonly KnownPeer[] {
     const others = sorted.slice(MAX_MEMBERS_OF_OTHER_ZONE)
-    const offset = others.length === 0 ? 0 : this.announcements * MAX_OTHERS_OF_OTHER_ZONE % others.length
+    const offset = others.length === 0 ? 0 : this.announcements % others.length
     return [...sorted.slice(0, MAX_MEMBERS_OF_OTHER_ZONE), ...[...others, ...others].slice(offset, offset + Math.min(MAX_OTHERS_OF_OTHER_ZONE, others.length))]
   }
 
--- a/packages/peers/src/relay/relayFitness.spec.ts
+++ b/packages/peers/src/relay/relayFitness.spec.ts
@@ -26,7 +26,7 @@
   it('survives encoding unchanged, so that all daemons rank relays alike', () => {
     const relayFitness = relayFitnessOf({ cores: 0.333, linkMbps: 1_000 })
     const from = record('a1', relayFitness)
-    const decoded = decodeMessage(encodeMessage({ type: 'zone', from, isFull: false, counters: [], news: {}, limits: { limits: [], demand: [] } }))
+    const decoded = decodeMessage(encodeMessage({ type: 'zone', from, isFull: false, counters: [], news: {}, limits: { limits: [], demand: [] } })[0] ?? Buffer.alloc(0))
     expect(decoded?.from).to.deep.equal(from)
   })
 })
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -1,41 +1,28 @@
-import type { PerTarget, CancelTimer, FleetTargetStats, InstanceRecord, TargetCounters } from '@lovagehoist/common'
+import type { CancelTimer, InstanceRecord, PerTarget, TargetCounters } from '@lovagehoist/common'
+import { FullPartTracker } from './fullPartTracker.js'
 import { decodeMessage, encodeMessage } from './messages.js'
 import type { RelayView, RelayMessage, Report, ZoneTotals } from './messages.js'
 import { NewsBoard } from './newsBoard.js'
 import { PeerTable } from './peerTable.js'
 import type { RelayNodeOptions } from './relayContracts.js'
+import { ViewPublisher } from './viewPublisher.js'
+import { ZoneTotalsSender } from './zoneTotalsSender.js'
 
 /** Period of the send loop; changes within one period are batched. */
 const TICK_MS = 100
 /** Delay before a failure is sent, so that simultaneous failures are batched. */
 const URGENT_DELAY_MS = 5
+/** Delay after which an urgent message that had to wait for others is tried again. */
+const URGENT_RETRY_MS = 20
 /** Maximum time between two reports, reached when no counter changes. */
 const HEARTBEAT_MS = 400
-/** Minimum time between two views, and the maximum one while nothing changes. */
-const VIEW_INTERVAL_MS = 150
-const IDLE_VIEW_INTERVAL_MS = 300
-/** Time between two messages to other zones: traffic between zones is expensive. */
-const ZONE_TOTALS_INTERVAL_MS = 800
-const FULL_ZONE_TOTALS_INTERVAL_MS = 4_000
 /** Every interval, counters that changed within the lookback are sent again in case a datagram was lost. */
 const REPEAT_INTERVAL_MS = 1_000
 const REPEAT_LOOKBACK_MS = 2_500
-/** Up to this many targets, every repeat is a full report: all counters fit into a few kilobytes. */
+/** Up to this many targets, every repeat is a full report: all counters fit into a few packets. */
 const ALWAYS_FULL_MAX_TARGETS = 64
 /** With more targets, one repeat in this many is a full report. */
 const REPEATS_PER_FULL_REPORT = 10
-const MEMBERS_INTERVAL_MS = 1_000
-/** Later requests to a target are sent again once the time of the last one differs by this much. */
-const LAST_SENT_RESOLUTION_MS = 300
-/** Silence of an earlier relay after which the next one issues permits. */
-const ISSUER_SILENCE_MS = 800
-/** Time after its last report for which a daemon is sent views. */
-const REPORTER_TTL_MS = 1_500
-
-interface Reporter {
-  readonly host: string
-  heardAtMs: number
-}
 
 /**
  * Aggregates load and failures over the fleet: every daemon reports its counters to the two relays of its zone,
@@ -44,15 +31,15 @@
 export class RelayNode {
   readonly peers: PeerTable
   private readonly news: NewsBoard
-  private readonly reporters = new Map<string, Reporter>()
-  private readonly sentStats = new Map<string, string>()
-  private readonly sentTotals = new Map<string, TargetCounters>()
+  private readonly views: ViewPublisher
+  private readonly zoneTotals: ZoneTotalsSender
+  private readonly fullParts = FullPartTracker.create()
   private reportedRelayIds = ''
   private hasChanges = false
   private isLeaving = false
   private hasReceivedView = false
   private cancelUrgent: CancelTimer | undefined
-  private readonly lastSentMs = { report: -Infinity, repeat: -Infinity, view: -Infinity, zone: -Infinity, zoneRepeat: -Infinity, members: -Infinity }
+  private readonly lastSentMs = { report: -Infinity, repeat: -Infinity }
   private unreadableDatagrams = 0
   private repeatCount = 0
   private readonly startedAtMs: number
@@ -61,7 +48,9 @@
     this.startedAtMs = options.clock.monotonicMs()
     this.news = NewsBoard.create(options.news)
     this.peers = PeerTable.create(options.self, options.clock)
-    options.datagrams.onDatagram(bytes => { this.receive(bytes) })
+    this.views = ViewPublisher.create(options, this.peers, this.news)
+    this.zoneTotals = ZoneTotalsSender.create(options, this.peers, this.news)
+    options.datagrams.onDatagram((bytes, host) => { this.receive(bytes, host) })
     options.localCounters.onChange(isUrgent => { this.onCountersChanged(isUrgent) })
     options.limits.onChange(() => { this.onCountersChanged(true) })
     this.news.onChange(isUrgent => { this.onCountersChanged(isUrgent) })
@@ -110,8 +99,12 @@
 
   private onCountersChanged (isUrgent: boolean): void {
     this.hasChanges = true
-    if (!isUrgent || this.isLeaving || this.cancelUrgent !== undefined) return
-    this.cancelUrgent = this.options.clock.after(URGENT_DELAY_MS, () => {
+    if (isUrgent) this.scheduleUrgent(URGENT_DELAY_MS)
+  }
+
+  private scheduleUrgent (delayMs: number): void {
+    if (this.isLeaving || this.cancelUrgent !== undefined) return
+    this.cancelUrgent = this.options.clock.after(delayMs, () => {
       this.cancelUrgent = undefined
       this.tick(true)
     })
@@ -121,8 +114,9 @@
     const nowMs = this.options.clock.monotonicMs()
     this.reportIfDue(nowMs)
     const rank = this.relayRank
-    if (this.reporters.size > 0 || rank >= 0) this.publishIfDue(nowMs, isUrgent)
-    if (rank === 0) this.sendZoneTotalsIfDue(nowMs, isUrgent)
+    const isViewWaiting = (this.views.hasReporters || rank >= 0) && this.views.publishIfDue(rank, isUrgent)
+    const areTotalsWaiting = rank === 0 && this.zoneTotals.sendIfDue(isUrgent)
+    if (isViewWaiting || areTotalsWaiting) this.scheduleUrgent(URGENT_RETRY_MS)
   }
 
   private reportIfDue (nowMs: number): void {
@@ -155,87 +149,13 @@
     fleetStats.applyDaemonReport(self.startId, counters, isFull, uptimeMs)
     this.options.limits.applyReport(self.startId, limits)
     const relays = this.peers.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
-    const bytes = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits })
-    for (const { instanceId, host } of relays) {
-      this.peers.recordRequest(instanceId)
-      datagrams.send(host, bytes)
-    }
-    if (this.peers.size === 1) for (const host of bootstrapHosts()) if (host !== self.host) datagrams.send(host, bytes)
-  }
-
-  private publishIfDue (nowMs: number, isUrgent: boolean): void {
-    const lastSent = this.lastSentMs
-    if (!isUrgent && nowMs - lastSent.view < VIEW_INTERVAL_MS) return
-    const stats = this.changedStats(nowMs)
-    if (!isUrgent && stats.length === 0 && nowMs - lastSent.view < IDLE_VIEW_INTERVAL_MS) return
-    lastSent.view = nowMs
-    this.options.localCounters.applyFleetStats(stats)
-    this.sendView(nowMs, stats)
-    this.options.fleetStats.sweep()
-  }
-
-  private sendView (nowMs: number, stats: PerTarget<FleetTargetStats>): void {
-    const { self, datagrams, heldVersions } = this.options
-    for (const [startId, { heardAtMs }] of this.reporters) if (nowMs - heardAtMs > REPORTER_TTL_MS) this.reporters.delete(startId)
-    const withMembers = nowMs - this.lastSentMs.members >= MEMBERS_INTERVAL_MS
-    const limits = this.options.limits.view({ isIssuer: this.isIssuer(), isRepeat: withMembers, reporters: [self.startId, ...this.reporters.keys()], zones: this.peers.zones() })
-    if (this.reporters.size === 0) return
-    if (withMembers) this.lastSentMs.members = nowMs
-    const view: RelayView = { type: 'view', from: self, heldVersions: heldVersions(), stats, members: withMembers ? this.peers.members() : [], news: this.news.collect('view', nowMs), limits }
-    const bytes = encodeMessage(view)
-    for (const { host } of this.reporters.values()) datagrams.send(host, bytes)
-  }
-
-  /** Whether this daemon issues the permits of its zone: it is the first relay, or those before it have fallen silent. */
-  private isIssuer (): boolean {
-    const rank = this.relayRank
-    const before = this.peers.relays(this.options.self.availabilityZone).slice(0, Math.max(0, rank))
-    return rank >= 0 && !before.some(({ instanceId }) => this.peers.hasHeardWithin(instanceId, ISSUER_SILENCE_MS))
+    const parts = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits }, this.repeatCount)
+    const bootstrap = this.peers.size === 1 ? bootstrapHosts().filter(host => host !== self.host) : []
+    for (const { instanceId } of relays) this.peers.recordRequest(instanceId)
+    for (const host of [...relays.map(relay => relay.host), ...bootstrap]) for (const bytes of parts) datagrams.send(host, bytes)
   }
 
-  /** Stats that differ from those last sent, after rounding; stats with requests in progress are also repeated periodically. */
-  private changedStats (nowMs: number): PerTarget<FleetTargetStats> {
-    const isRepeat = nowMs - this.lastSentMs.members >= MEMBERS_INTERVAL_MS
-    return this.options.fleetStats.targetStats().filter(([targetId, { inProgress, failingChance, refusalShare, latencyMs, idleMs }]) => {
-      const rounded = `${inProgress} ${failingChance.toFixed(1)} ${refusalShare.toFixed(1)} ${Math.round(latencyMs / 50)} ${Math.floor((nowMs - idleMs) / LAST_SENT_RESOLUTION_MS)}`
-      const isChanged = this.sentStats.get(targetId) !== rounded
-      this.sentStats.set(targetId, rounded)
-      return isChanged || (isRepeat && inProgress > 0)
-    })
-  }
-
-  /** Sends the totals of this zone to other zones: new failures and targets that are in use again at once, other changes once per interval. */
-  private sendZoneTotalsIfDue (nowMs: number, isUrgent: boolean): void {
-    const lastSent = this.lastSentMs
-    const isDue = nowMs - lastSent.zone >= ZONE_TOTALS_INTERVAL_MS
-    if (!isUrgent && !isDue) return
-    const isFull = isDue && nowMs - lastSent.zoneRepeat >= FULL_ZONE_TOTALS_INTERVAL_MS
-    const counters = this.options.fleetStats.ownZoneCounters().filter(([targetId, targetCounters]) => {
-      const previous = this.sentTotals.get(targetId)
-      const hasFailed = targetCounters.failed + targetCounters.failedEarly > (previous === undefined ? 0 : previous.failed + previous.failedEarly)
-      const isInUseAgain = previous?.inProgress === 0 && targetCounters.inProgress > 0
-      const isSent = isFull || hasFailed || isInUseAgain || (isDue && JSON.stringify(previous) !== JSON.stringify(targetCounters))
-      if (isSent) this.sentTotals.set(targetId, targetCounters)
-      return isSent
-    })
-    const limits = this.options.limits.zoneLimits(isFull)
-    const news = this.news.collect('zone', nowMs)
-    if (counters.length === 0 && limits.limits.length === 0 && Object.values(news).flat().length === 0 && !isFull) return
-    if (isDue) lastSent.zone = nowMs
-    if (isFull) lastSent.zoneRepeat = nowMs
-    this.sendZoneTotals({ counters, isFull, limits, news })
-  }
-
-  private sendZoneTotals (totals: Pick<ZoneTotals, 'counters' | 'isFull' | 'limits' | 'news'>): void {
-    const { self, datagrams } = this.options
-    const bytes = encodeMessage({ type: 'zone', from: self, ...totals })
-    for (const zone of this.peers.zones()) {
-      if (zone === self.availabilityZone) continue
-      for (const { host } of this.peers.relays(zone)) datagrams.send(host, bytes)
-    }
-  }
-
-  private receive (bytes: Uint8Array): void {
+  private receive (bytes: Uint8Array, host: string): void {
     const message = decodeMessage(bytes)
     if (message === undefined) {
       this.unreadableDatagrams++
@@ -245,6 +165,15 @@
     const handler = this.handlers[message.type] as (message: RelayMessage) => void
     if (this.peers.recordMessage(message.from)) this.handleNewPeer(message.from)
     handler(message)
+    if (message.type === 'zone' && host === message.from.host) this.passOn(bytes)
+  }
+
+  /** Sends totals of another zone to the standby relay of this one, so that they cross zones only once. */
+  private passOn (bytes: Uint8Array): void {
+    const { self, datagrams } = this.options
+    const [first, ...standbys] = this.peers.relays(self.availabilityZone)
+    if (first?.instanceId !== self.instanceId) return
+    for (const { host } of standbys) datagrams.send(host, Buffer.from(bytes))
   }
 
   private readonly handlers: { readonly [Type in RelayMessage['type']]: (message: Extract<RelayMessage, { readonly type: Type }>) => void } = {
@@ -258,24 +187,25 @@
     this.news.requestFull(availabilityZone === this.options.self.availabilityZone ? 'view' : 'zone')
   }
 
-  private handleReport ({ from, isFull, isLeaving, uptimeMs, counters, news, limits }: Report): void {
+  private handleReport (report: Report): void {
+    const { from, isLeaving, uptimeMs, counters, news, limits } = report
     const hasUrgentNews = this.news.apply(news, 'zone')
     if (isLeaving) {
-      this.reporters.delete(from.startId)
+      this.views.removeReporter(from.startId)
       this.peers.remove(from.instanceId)
       this.options.log.info('peer left', { peer: from.instanceId })
       return
     }
-    if (!this.reporters.has(from.startId)) this.onCountersChanged(true)
-    this.reporters.set(from.startId, { host: from.host, heardAtMs: this.options.clock.monotonicMs() })
+    if (this.views.recordReport(from)) this.onCountersChanged(true)
     const hasUrgentLimits = this.options.limits.applyReport(from.startId, limits)
-    if (this.options.fleetStats.applyDaemonReport(from.startId, counters, isFull, uptimeMs) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
+    if (this.options.fleetStats.applyDaemonReport(from.startId, counters, this.fullParts.isWhole(from.startId, report), uptimeMs) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
   }
 
-  private handleZoneTotals ({ from, isFull, counters, news, limits }: ZoneTotals): void {
+  private handleZoneTotals (totals: ZoneTotals): void {
+    const { from, counters, news, limits } = totals
     const hasUrgentNews = this.news.apply(news, 'fleet')
     const hasUrgentLimits = this.options.limits.applyZoneLimits(from.availabilityZone, limits)
-    if (this.options.fleetStats.applyZoneReport(`${from.availabilityZone} ${from.startId}`, counters, isFull) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
+    if (this.options.fleetStats.applyZoneReport(`${from.availabilityZone} ${from.startId}`, counters, this.fullParts.isWhole(from.startId, totals)) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
   }
 
   private handleView ({ from, heldVersions, stats, members, news, limits }: RelayView): void {
--- a/packages/targets/src/load/fleetStatsAggregator.ts
+++ b/packages/targets/src/load/fleetStatsAggregator.ts
@@ -20,6 +20,8 @@
 const RECENT_START_MS = 10_000
 /** Idle time after which a request to a target is reported at once, because all daemons are about to probe it. */
 export const REACTIVATION_IDLE_MS = 800
+/** Time since the last request of this zone after which a target counts as one that the zone does not use. */
+const UNUSED_HERE_MS = 5_000
 const ZERO_COUNTERS: TargetCounters = { inProgress: 0, succeeded: 0, failed: 0, failedLate: 0, failedEarly: 0, refused: 0, latencySquares: 0 }
 const NO_REFUSALS: RefusalShare = { share: 0, atMs: 0 }
 
@@ -61,6 +63,8 @@
   private readonly latencies = new Map<string, RecentMean>()
   private readonly refusals = new Map<string, RefusalShare>()
   private readonly lastSentAtMs = new Map<string, number>()
+  /** As above, for the requests of the own zone. */
+  private readonly usedHereAtMs = new Map<string, number>()
   /** Totals of the own zone's outcomes since this aggregator was created. */
   private readonly totals = new Map<string, TargetCounters>()
 
@@ -92,6 +96,7 @@
     const deltas = this.applyReport(this.daemons, startId, counters, isFull, uptimeMs)
     const hasReactivated = this.recordSent(deltas)
     for (const [targetId, delta] of deltas) {
+      if (sentSince(delta) > 0) this.usedHereAtMs.set(targetId, this.clock.monotonicMs())
       this.totals.set(targetId, sum(this.totals.get(targetId) ?? ZERO_COUNTERS, delta))
       this.recordOutcomes(this.ownZoneEstimator, targetId, delta)
     }
@@ -131,7 +136,8 @@
       failingChance: combineChances(this.ownZoneEstimator.failingChance(targetId), this.otherZonesEstimator.failingChance(targetId)),
       refusalShare: refusalShareAt(this.refusals.get(targetId) ?? NO_REFUSALS, nowMs),
       latencyMs: Math.sqrt(this.latencies.get(targetId)?.mean ?? 0),
-      idleMs: nowMs - (this.lastSentAtMs.get(targetId) ?? nowMs)
+      idleMs: nowMs - (this.lastSentAtMs.get(targetId) ?? nowMs),
+      isUsedHere: nowMs - (this.usedHereAtMs.get(targetId) ?? -Infinity) < UNUSED_HERE_MS
     }] as const)
   }
 
@@ -142,6 +148,7 @@
     this.latencies.delete(targetId)
     this.refusals.delete(targetId)
     this.lastSentAtMs.delete(targetId)
+    this.usedHereAtMs.delete(targetId)
     this.totals.delete(targetId)
     for (const source of [...this.daemons.values(), ...this.zones.values()]) source.counters.delete(targetId)
   }
--- a/packages/targets/src/load/targetStatsTracker.ts
+++ b/packages/targets/src/load/targetStatsTracker.ts
@@ -50,6 +50,8 @@
 const NO_OUTCOMES: RequestOutcomeCounts = { succeeded: 0, failed: 0, failedLate: 0, failedEarly: 0 }
 /** Age from which the statistics of the fleet no longer count for requests in progress. */
 const MAX_FLEET_STATS_AGE_MS = 1_500
+/** Time for which a target of another zone is assumed to go on without requests; relays repeat the stats of idle targets within it. */
+const MAX_ASSUMED_IDLE_MS = 1_000
 
 /** Tells whether failures to reach targets are evidence against them. */
 export type PathEvidence = Pick<PathMonitor, 'recordDisconnect' | 'recordWaiting' | 'afterConfirmation'>
@@ -154,7 +156,7 @@
       serviceTimeMs: this.serviceLatencyMs(target.service) * this.serviceTimeFactor(target.service, fleet, nowMs < warmAtMs),
       isOwnZone: target.availabilityZone === zone,
       isConnected,
-      idleMs: this.idleMs(entry),
+      idleMs: target.availabilityZone === zone ? this.idleMs(entry) : Math.min(this.idleMs(entry), (fleet?.idleMs ?? Infinity) + MAX_ASSUMED_IDLE_MS),
       isNew: own === undefined && fleet === undefined
     }
   }
