Bundle only the parts of undici that the gateway uses

Cause: the main module of undici loads proxies, caches, mocks, cookies and web sockets, a third of the bundle, none of which the gateway uses. Change: the bundle takes the client, the pool and the agent; documents are fetched from peers through a client that is closed afterwards.

--- a/packages/peers/src/relay/peerDocuments.ts
+++ b/packages/peers/src/relay/peerDocuments.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { request } from 'undici'
+import { Client } from 'undici'
 import type { Address, Clock } from '@lovagehoist/common'
 
 /** Name of a document that daemons fetch from each other. */
@@ -39,13 +39,15 @@
 export const fetchPeerDocument = async (clock: Clock, { host, port }: Address, name: PeerDocument): Promise<Result<string, string>> => {
   const timeout = new AbortController()
   const cancelTimeout = clock.after(FETCH_TIMEOUT_MS, () => { timeout.abort() })
+  const client = new Client(`http://${host}:${port}`)
   try {
-    const { statusCode, body } = await request(`http://${host}:${port}${PATH_PREFIX}${name}`, { signal: timeout.signal })
+    const { statusCode, body } = await client.request({ method: 'GET', path: `${PATH_PREFIX}${name}`, signal: timeout.signal })
     const text = await body.text()
     return statusCode === STATUS_OK ? ok(text) : err(`status ${statusCode}`)
   } catch (error) {
     return err(String(error))
   } finally {
     cancelTimeout()
+    await client.destroy()
   }
 }
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,5 +1,6 @@
 // Bundles the gateway daemon from its sources into one file, so that startup loads a single script without unused modules.
 // With --sizes, prints the number of bytes that each package contributes to the bundle.
+import { resolve } from 'node:path'
 import { build } from 'esbuild'
 
 const PACKAGES = ['common', 'store', 'peers', 'targets', 'callers', 'operators', 'daemon']
@@ -9,6 +10,14 @@
   ...PACKAGES.map(name => [`@lovagehoist/${name}`, `./packages/${name}/src/index.ts`])
 ])
 
+/** Replaces undici by the parts that the gateway uses. */
+const leanUndici = {
+  name: 'lean-undici',
+  setup ({ onResolve }) {
+    onResolve({ filter: /^undici$/ }, () => ({ path: resolve('scripts/undiciClient.js') }))
+  }
+}
+
 await build({
   entryPoints: ['packages/daemon/src/gateway/main.ts'],
   outfile: 'target/lovagehoistd.cjs',
@@ -17,6 +26,7 @@
   target: 'node20',
   format: 'cjs',
   alias,
+  plugins: [leanUndici],
   legalComments: 'none',
   minifySyntax: true,
   metafile: process.argv.includes('--sizes'),
