Let the first relay of a zone read the configuration and register daemons for all

Cause: each daemon watched the configuration, each start read configuration, listing and instance list and wrote its own row, and daemons that the store turned away, or that found no relay with a recent listing, all went on calling it. Change: all messages carry the versions that their sender holds and their ages; the first relay of a zone watches the configuration, the second takes over after 1.5 s, the others take turns after 2.5 s. Ages pass from readers to other zones and from relays to their zone only. A daemon that starts waits up to 0.2 s (0.8 s in the first start) for a daemon named in its settings before it calls the store; what a lagging peer told it is read anew at once. The first relay registers the daemons that report to it, in one transaction.

--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -112,8 +112,8 @@
   /** Waits for a change of the configuration, at most for `waitMs`; the signal cancels the watch. */
   readonly watchConfig: (afterStoreVersion: number, waitMs: number, signal: AbortSignal) => PlatformResult<ConfigWatchResult>
   readonly readInstances: () => PlatformResult<readonly InstanceRecord[]>
-  /** Registers an instance under its id. */
-  readonly putInstance: (instance: InstanceRecord) => PlatformResult<void>
+  /** Registers instances under their ids, at most 100 at once. */
+  readonly putInstances: (instances: readonly InstanceRecord[]) => PlatformResult<void>
   /** Decodes a configuration text received from another instance. */
   readonly decodeConfig: (text: string) => ConfigSnapshot
   readonly close: () => Promise<void>
--- /dev/null
+++ b/packages/common/src/fleet/readTurn.ts
@@ -0,0 +1,64 @@
+import type { Random } from '../random/random.js'
+import type { Clock } from '../time/clock.js'
+
+/** Place of a daemon among those that read the store. */
+type ReaderRole = 'first' | 'second' | 'other'
+
+/** Age and position that decide whether a daemon reads the store by itself. */
+export interface ReadTurnOptions {
+  readonly clock: Clock
+  readonly random: Random
+  /** Age of what is known from which a daemon reads the store, by its place among the relays of its zone. */
+  readonly maxAgeMs: Readonly<Record<ReaderRole, number>>
+  /** Rank of this daemon among the relays of its zone: 0 is the first relay, -1 means it is not a relay. */
+  readonly relayRank: () => number
+  /** Number of known daemons in the zone, including this one. */
+  readonly zoneSize: () => number
+  /** Whether a daemon that has just started should wait for other daemons to answer before it reads the store. */
+  readonly isAwaitingPeers: () => boolean
+}
+
+/** Daemons that are not relays read the store one by one, at this mean distance, so that an outage is not met by calls of all. */
+const TURN_INTERVAL_MS = 400
+
+const roleOf = (relayRank: number): ReaderRole => relayRank === 0 ? 'first' : relayRank > 0 ? 'second' : 'other'
+
+/** Decides when a daemon reads the store: the first relay of a zone does for all, the others if they hear nothing recent from it. */
+export class ReadTurn {
+  private turnAtMs: number | undefined
+  private hasBeenFresh = false
+
+  private constructor (private readonly options: ReadTurnOptions) {}
+
+  /**
+   * Creates the turn of a daemon that knows nothing yet.
+   *
+   * @param options - Ages, and the daemon's place in its zone.
+   * @returns The turn.
+   */
+  static create (options: ReadTurnOptions): ReadTurn {
+    return new ReadTurn(options)
+  }
+
+  /**
+   * Tells whether this daemon reads the store now; each time that it does, a daemon that is not a relay goes to the end of the line.
+   *
+   * @param confirmedAtMs - Monotonic time at which the store was last known to hold what this daemon knows; -Infinity if it knows nothing.
+   */
+  isDue (confirmedAtMs: number): boolean {
+    const { clock, random, maxAgeMs, relayRank, zoneSize, isAwaitingPeers } = this.options
+    const nowMs = clock.monotonicMs()
+    if (isAwaitingPeers()) return false
+    const role = roleOf(relayRank())
+    if (nowMs - confirmedAtMs < maxAgeMs[role]) {
+      this.hasBeenFresh = true
+      this.turnAtMs = undefined
+      return false
+    }
+    if (role !== 'other' || !this.hasBeenFresh) return true
+    this.turnAtMs ??= nowMs + random.next() * zoneSize() * TURN_INTERVAL_MS
+    if (nowMs < this.turnAtMs) return false
+    this.turnAtMs = undefined
+    return true
+  }
+}
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,14 +1,15 @@
 import { DrainWindow, FORWARDING_HEADER, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
 import type { GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
-import { Invariants, createRegistry } from '@lovagehoist/common'
+import { Invariants, ReadTurn, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, createPeerDocumentHandler, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
-import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
+import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, MAX_LISTING_AGE_MS, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
 import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
+import { InstanceRegistration } from './instanceRegistration.js'
 import type { LiveSettings } from './liveSettings.js'
 import { PeerDocumentSync } from './peerDocumentSync.js'
 import { createSuspensionWatcher } from './suspensionWatcher.js'
@@ -53,10 +54,11 @@
 /** Other daemons that do not accept a connection this soon are left out for a while. */
 const PEER_CONNECT_TIMEOUT_MS = 150
 const OVERDUE_CHECK_INTERVAL_MS = 250
-/** Mean time between two reads of the instance list. */
-const INSTANCES_POLL_MS = 15_000
-/** As above, while this instance is not registered or knows no peer. */
-const INITIAL_INSTANCES_POLL_MS = 1_000
+/** Time in which other daemons answer the first report; all machines of a fleet that starts for the first time do so within 0.3 s. */
+const PEER_ANSWER_MS = 200
+const FIRST_PEER_ANSWER_MS = 800
+/** Age of the configuration at which a daemon reads it from the store, by its place among the relays of its zone. */
+const MAX_CONFIG_AGE_MS = { first: 0, second: 1_500, other: 2_500 } as const
 /** Time between two reads of the settings file, which may change without a signal. */
 const SETTINGS_POLL_MS = 15_000
 
@@ -106,20 +108,6 @@
   }
 }
 
-const maintainRegistration = async ({ store, clock, random, log }: GatewayDependencies, self: InstanceRecord, relay: RelayNode, signal: AbortSignal): Promise<void> => {
-  let isRegistered = false
-  while (!signal.aborted) {
-    if (!isRegistered) {
-      const registration = await store.putInstance(self)
-      isRegistered = registration.isOk()
-      if (registration.isErr()) log.warn('registering this instance failed', { kind: registration.error.kind, detail: registration.error.message })
-    }
-    const read = relay.relayRank === 0 || relay.peers.size === 1 ? await store.readInstances() : undefined
-    read?.match(records => { relay.peers.addKnown(records) }, ({ kind, message }) => { log.warn('reading the instance list failed', { kind, detail: message }) })
-    await clock.sleepMs((isRegistered && relay.peers.size > 1 ? INSTANCES_POLL_MS : INITIAL_INSTANCES_POLL_MS) * (0.5 + random.next()), signal)
-  }
-}
-
 /** Creates the loops that mark overdue requests, detect suspensions and reload the settings file. */
 const createMaintenanceTasks = (dependencies: GatewayDependencies, { statsTracker, sender, targetRegistry }: ReturnType<typeof createTargetComponents>): GatewayComponents['tasks'] => {
   const { clock, uptimeMs, log } = dependencies
@@ -185,6 +173,12 @@
   }
 }
 
+/** Time in which daemons named in the settings answer one that has just started; without any, the store is read at once. */
+const peerAnswerMs = ({ settings, liveSettings }: GatewayDependencies): number => {
+  const hasOthers = liveSettings.current().bootstrapHosts.some(host => host !== settings.peers.host)
+  return !hasOthers ? 0 : settings.isFirstStart ? FIRST_PEER_ANSWER_MS : PEER_ANSWER_MS
+}
+
 /**
  * Creates the components of a gateway daemon.
  *
@@ -196,14 +190,19 @@
   const registry = createRegistry({ instance: settings.instanceId })
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let activeConfig: ActiveConfig | undefined
-  const config = GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), onConfig: next => { activeConfig = { config: next, routes: RouteIndex.create(next) } } })
+  const startedAtMs = clock.monotonicMs()
+  const isAwaitingPeers = (): boolean => relay.peers.size === 1 && clock.monotonicMs() - startedAtMs < peerAnswerMs(dependencies)
+  const createReadTurn = (maxAgeMs: typeof MAX_CONFIG_AGE_MS | typeof MAX_LISTING_AGE_MS): ReadTurn =>
+    ReadTurn.create({ clock, random, maxAgeMs, relayRank: () => relay.relayRank, zoneSize: () => relay.peers.zoneSize, isAwaitingPeers })
+  const config = GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), readTurn: createReadTurn(MAX_CONFIG_AGE_MS), onConfig: next => { activeConfig = { config: next, routes: RouteIndex.create(next) } } })
   const self = createInstanceRecord(dependencies)
   const targets = createTargetComponents(dependencies, self, registry, invariants)
-  const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry })
+  const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry, listingReadAtMs: () => listingPoller.lastReadAtMs, relayRank: () => relay.relayRank })
   const poisonDetector = PoisonRequestDetector.create(clock)
-  const relay = createRelayNode(dependencies, self, targets, documentSync, poisonDetector)
+  const relay: RelayNode = createRelayNode(dependencies, self, targets, documentSync, poisonDetector)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
-  const listingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, relayRank: () => relay.relayRank, clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
+  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: createReadTurn(MAX_LISTING_AGE_MS), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
+  const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
   const peerSender = ConnectionSender.create({ clock, connectTimeoutMs: () => PEER_CONNECT_TIMEOUT_MS })
   const forwarder = PeerForwarder.create({ clock, random, log: log.child('request'), headers: dependencies.headers, sender: peerSender, peers: () => relay.peers.others(), peerPort: settings.peers.port })
@@ -216,7 +215,7 @@
     isReady: () => activeConfig !== undefined && targets.targetRegistry.hasListing,
     tasks: [
       config.run.bind(config), listingPoller.run.bind(listingPoller), relay.run.bind(relay), targets.sender.run.bind(targets.sender), peerSender.run.bind(peerSender),
-      ...createMaintenanceTasks(dependencies, targets), async signal => { await maintainRegistration(dependencies, self, relay, signal) }
+      ...createMaintenanceTasks(dependencies, targets), registration.run.bind(registration)
     ],
     close: async () => {
       targets.path.close()
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -1,7 +1,7 @@
 import type { Clock, GatewaySettings, GatewayStore, InstanceRecord, Log, TargetListing } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
-import { fetchPeerDocument } from '@lovagehoist/peers'
-import type { HeldVersions, PeerDocument, PeerDocumentTexts } from '@lovagehoist/peers'
+import { UNKNOWN_AGE_MS, fetchPeerDocument } from '@lovagehoist/peers'
+import type { HeldVersions, PeerDocument, PeerDocumentTexts, RelayMessage } from '@lovagehoist/peers'
 import type { TargetRegistry } from '@lovagehoist/targets'
 
 /** Settings, clock, log and the holders of the documents to synchronise. */
@@ -12,14 +12,18 @@
   readonly store: Pick<GatewayStore, 'decodeConfig'>
   readonly config: GatewayConfigFollower
   readonly targetRegistry: TargetRegistry
+  /** Monotonic time of the last read of the listing by this daemon. */
+  readonly listingReadAtMs: () => number
+  /** Rank of this daemon among the relays of its zone: 0 is the first relay, -1 means it is not a relay. */
+  readonly relayRank: () => number
 }
 
-/** Time for which a daemon's configuration must be behind before it is fetched from a peer; usually the daemon's own watch of the store delivers it earlier. */
-const FETCH_DELAY_MS = 300
+/** Time for which the configuration must be behind before it is fetched from another zone; usually a watch of the store delivers it earlier. */
+const OTHER_ZONE_FETCH_DELAY_MS = 300
 /** Minimum time between two fetches of the same document. */
 const MIN_FETCH_INTERVAL_MS = 300
-/** Age reported for a listing that was never confirmed. */
-const NEVER_CONFIRMED_AGE_MS = 1_000_000_000
+/** Age of the own listing from which it is fetched from another zone; traffic between zones is expensive, and the relays here usually read the store. */
+const OTHER_ZONE_FETCH_AGE_MS = 1_000
 
 /** A target listing as one daemon sends it to another. */
 interface PeerListing {
@@ -45,13 +49,17 @@
   }
 
   /** Returns the versions of the documents that this daemon holds. */
-  readonly heldVersions = (): HeldVersions => {
-    const { config, targetRegistry } = this.options
+  readonly heldVersions = (ages: 'own' | 'known'): HeldVersions => {
+    const { config, targetRegistry, listingReadAtMs } = this.options
+    const listingAtMs = ages === 'own' ? listingReadAtMs() : targetRegistry.confirmedAtMs
+    // An open watch counts only while the store also answers reads of the listing, since its connection may be dead.
+    const configAtMs = Math.min(listingAtMs, ages === 'own' ? config.ownConfirmedAtMs : config.confirmedAtMs)
     return {
       configVersion: config.version,
       listingDigest: targetRegistry.digest,
       listingVersion: targetRegistry.current?.storeVersion ?? -1,
-      listingAgeMs: this.listingAgeMs()
+      listingAgeMs: this.ageOf(listingAtMs),
+      configAgeMs: this.ageOf(configAtMs)
     }
   }
 
@@ -60,26 +68,36 @@
     configuration: () => this.options.config.currentText(),
     targets: () => {
       const listing = this.options.targetRegistry.current
-      return listing === undefined ? undefined : JSON.stringify({ listing, ageMs: this.listingAgeMs() } satisfies PeerListing)
+      return listing === undefined ? undefined : JSON.stringify({ listing, ageMs: this.ageOf(this.options.targetRegistry.confirmedAtMs) } satisfies PeerListing)
     }
   }
 
   /** Compares the versions that a peer holds with those held here, and fetches what is newer. */
-  readonly handlePeerVersions = (peerVersions: HeldVersions, from: InstanceRecord): void => {
-    const { targetRegistry, clock } = this.options
-    if (peerVersions.listingDigest !== '' && peerVersions.listingDigest === targetRegistry.digest) targetRegistry.confirm(clock.monotonicMs() - peerVersions.listingAgeMs)
-    else if (peerVersions.listingVersion > (targetRegistry.current?.storeVersion ?? -1)) this.fetch('targets', from)
-    this.compareConfigVersions(peerVersions, from)
+  readonly handlePeerVersions = (peerVersions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']): void => {
+    const { targetRegistry, clock, settings } = this.options
+    const mayFetchListing = from.availabilityZone === settings.availabilityZone || this.ageOf(targetRegistry.confirmedAtMs) >= OTHER_ZONE_FETCH_AGE_MS
+    if (peerVersions.listingDigest !== '' && peerVersions.listingDigest === targetRegistry.digest) {
+      if (this.mayConfirm(message)) targetRegistry.confirm(clock.monotonicMs() - peerVersions.listingAgeMs)
+    } else if (mayFetchListing && peerVersions.listingVersion > (targetRegistry.current?.storeVersion ?? -1)) this.fetch('targets', from)
+    this.compareConfigVersions(peerVersions, from, message)
   }
 
-  private compareConfigVersions (peerVersions: HeldVersions, from: InstanceRecord): void {
-    const nowMs = this.options.clock.monotonicMs()
-    if (peerVersions.configVersion <= this.options.config.version) {
+  /** Ages pass from readers to other zones and from relays to their zone, never back, since each hop makes them look younger by its delay. */
+  private mayConfirm (message: RelayMessage['type']): boolean {
+    return message === 'zone' || (message === 'view' && this.options.relayRank() !== 0)
+  }
+
+  private compareConfigVersions (peerVersions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']): void {
+    const { config, clock, settings } = this.options
+    const nowMs = clock.monotonicMs()
+    if (peerVersions.configVersion <= config.version) {
       this.configBehindSinceMs = undefined
+      if (config.version > 0 && this.mayConfirm(message)) config.confirm(nowMs - peerVersions.configAgeMs)
       return
     }
     this.configBehindSinceMs ??= nowMs
-    if (nowMs - this.configBehindSinceMs >= FETCH_DELAY_MS) this.fetch('configuration', from)
+    const delayMs = from.availabilityZone === settings.availabilityZone ? 0 : OTHER_ZONE_FETCH_DELAY_MS
+    if (nowMs - this.configBehindSinceMs >= delayMs) this.fetch('configuration', from)
   }
 
   private fetch (name: PeerDocument, from: InstanceRecord): void {
@@ -104,8 +122,7 @@
     this.appliers[name](text, requestedAtMs)
   }
 
-  private listingAgeMs (): number {
-    const ageMs = this.options.clock.monotonicMs() - this.options.targetRegistry.confirmedAtMs
-    return Number.isFinite(ageMs) ? ageMs : NEVER_CONFIRMED_AGE_MS
+  private ageOf (atMs: number): number {
+    return Math.min(UNKNOWN_AGE_MS, this.options.clock.monotonicMs() - atMs)
   }
 }
--- a/packages/daemon/src/testing/crashSimulation.ts
+++ b/packages/daemon/src/testing/crashSimulation.ts
@@ -108,7 +108,7 @@
       fleetStats: { applyDaemonReport: () => false, applyZoneReport: () => false, ownZoneCounters: () => [], targetStats: () => [], sweep: () => {} },
       news: [detector.news],
       limits: { onChange: () => {}, report: () => ({ limits: [], demand: [], settled: [] }), applyReport: () => false, zoneLimits: () => ({ limits: [], demand: [] }), applyZoneLimits: () => false, view: () => ({ limits: [], permits: [] }), applyView: () => {} },
-      heldVersions: () => ({ configVersion: 0, listingDigest: '', listingVersion: -1, listingAgeMs: 0 }),
+      heldVersions: () => ({ configVersion: 0, listingDigest: '', listingVersion: -1, listingAgeMs: 0, configAgeMs: 0 }),
       onPeerVersions: () => {}
     })
     relay.peers.addKnown(known)
--- a/packages/daemon/src/testing/exchangeSimulation.ts
+++ b/packages/daemon/src/testing/exchangeSimulation.ts
@@ -124,7 +124,7 @@
       fleetStats: FleetStatsAggregator.create(this.clock),
       news: [],
       limits: noLimits,
-      heldVersions: () => ({ configVersion: 1, listingDigest: 'digest', listingVersion: 1, listingAgeMs: 0 }),
+      heldVersions: () => ({ configVersion: 1, listingDigest: 'digest', listingVersion: 1, listingAgeMs: 0, configAgeMs: 0 }),
       onPeerVersions: () => { if (relay.relayRank < 0) this.recordSilence(record) }
     })
     relay.peers.addKnown(known)
--- a/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
@@ -31,6 +31,7 @@
       clock,
       random: SeededRandom.create(1),
       log: silentLog,
+      readTurn: { isDue: () => true },
       onConfig: ({ version }) => { applied.push(version) }
     })
   })
@@ -59,6 +60,7 @@
       clock,
       random: SeededRandom.create(1),
       log: silentLog,
+      readTurn: { isDue: () => true },
       onConfig: ({ version }) => { applied.push(version) }
     })
     await run(500)
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -1,5 +1,5 @@
 import { backoffMs } from '@lovagehoist/common'
-import type { Clock, ConfigSnapshot, GatewayConfig, GatewayStore, Log, PlatformError, Random } from '@lovagehoist/common'
+import type { Clock, ConfigSnapshot, GatewayConfig, GatewayStore, Log, PlatformError, Random, ReadTurn } from '@lovagehoist/common'
 
 /** Store, clock and callback of the follower. */
 export interface GatewayConfigFollowerOptions {
@@ -7,6 +7,8 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
+  /** Decides whether this daemon reads the store or relies on others. */
+  readonly readTurn: Pick<ReadTurn, 'isDue'>
   /** Called with each newer configuration, before it is put in force. */
   readonly onConfig: (config: GatewayConfig) => void
 }
@@ -15,6 +17,8 @@
 const WATCH_TIMEOUT_MS = 10_000
 /** Pause between two watches, so that changes in quick succession arrive together. */
 const MIN_WATCH_INTERVAL_MS = 250
+/** Time between two checks whether this daemon has to read the store. */
+const TURN_CHECK_INTERVAL_MS = 100
 /** Delay after the first failure; doubled by each further one up to the maximum. */
 const FIRST_RETRY_DELAY_MS = 250
 const MAX_RETRY_DELAY_MS = 2_000
@@ -27,6 +31,9 @@
   private watchAbort = new AbortController()
   private failures = 0
   private refusals = 0
+  private isWatching = false
+  private readAtMs = -Infinity
+  private confirmedByOthersAtMs = -Infinity
 
   private constructor (private readonly options: GatewayConfigFollowerOptions) {}
 
@@ -48,6 +55,21 @@
     return this.config?.version ?? 0
   }
 
+  /** Monotonic time at which this daemon last found nothing newer in the store: now while a watch is open; -Infinity if never. */
+  get ownConfirmedAtMs (): number {
+    return this.isWatching && this.failures === 0 ? this.options.clock.monotonicMs() : this.readAtMs
+  }
+
+  /** As above, by this daemon or by another one. */
+  get confirmedAtMs (): number {
+    return Math.max(this.ownConfirmedAtMs, this.confirmedByOthersAtMs)
+  }
+
+  /** Records that another daemon found nothing newer than the configuration in force in the store at a monotonic time. */
+  confirm (atMs: number): void {
+    this.confirmedByOthersAtMs = Math.max(this.confirmedByOthersAtMs, atMs)
+  }
+
   /** Number of configurations refused because they could not be decoded. */
   get refusedCount (): number {
     return this.refusals
@@ -85,12 +107,19 @@
    * @param signal - Ends the loop.
    */
   async run (signal: AbortSignal): Promise<void> {
-    const { clock } = this.options
+    const { clock, readTurn } = this.options
     while (!signal.aborted) {
-      await clock.sleepMs(await this.readOrWatch(), signal)
+      const delayMs = readTurn.isDue(this.confirmedAtMs) ? await this.readOrWatch() : this.relyOnOthers()
+      await clock.sleepMs(delayMs, signal)
     }
   }
 
+  /** Leaves the store to others; the next own call reads the configuration, since the store's history may be gone by then. */
+  private relyOnOthers (): number {
+    this.storeVersion = undefined
+    return TURN_CHECK_INTERVAL_MS
+  }
+
   /** Performs one read or watch; returns the delay before the next in milliseconds. */
   private async readOrWatch (): Promise<number> {
     return this.storeVersion === undefined ? await this.read() : await this.watch(this.storeVersion)
@@ -108,7 +137,9 @@
   private async watch (afterVersion: number): Promise<number> {
     this.watchAbort = new AbortController()
     const { signal } = this.watchAbort
+    this.isWatching = true
     const watched = await this.options.store.watchConfig(afterVersion, WATCH_TIMEOUT_MS, signal)
+    this.isWatching = false
     if (signal.aborted) {
       this.storeVersion = undefined
       return 0
@@ -138,5 +169,6 @@
   private onStoreRecovered (): void {
     if (this.failures > 0) this.options.log.info('store regained for the configuration', { failures: this.failures })
     this.failures = 0
+    this.readAtMs = this.options.clock.monotonicMs()
   }
 }
--- a/packages/peers/src/relay/messages.fuzz.spec.ts
+++ b/packages/peers/src/relay/messages.fuzz.spec.ts
@@ -24,7 +24,7 @@
   fc.record({
     type: fc.constant('view' as const),
     from: instance,
-    heldVersions: fc.record({ configVersion: count, listingDigest: fc.string(), listingVersion: fc.integer({ min: -1, max: 1_000_000 }), listingAgeMs: count }),
+    heldVersions: fc.record({ configVersion: count, listingDigest: fc.string(), listingVersion: fc.integer({ min: -1, max: 1_000_000 }), listingAgeMs: count, configAgeMs: count }),
     stats: fc.array(fc.tuple(fc.string(), targetStats)),
     news,
     limits: fc.record({ limits, permits }),
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -17,8 +17,13 @@
   readonly listingVersion: number
   /** Time since the store was last confirmed to hold that listing. */
   readonly listingAgeMs: number
+  /** Time since the store was last confirmed to hold no newer configuration. */
+  readonly configAgeMs: number
 }
 
+/** Stands for an age that is not known. */
+export const UNKNOWN_AGE_MS = 1_000_000_000
+
 /** Sent by a daemon to the relays of its zone: its own counters by target. */
 export interface Report {
   readonly type: 'report'
@@ -33,6 +38,8 @@
   readonly counters: PerTarget<TargetCounters>
   readonly news: News
   readonly limits: LimitReport
+  /** Versions that the daemon holds; absent in messages of earlier builds. */
+  readonly heldVersions?: HeldVersions
 }
 
 /** Sent by the first relay of a zone to the relays of other zones: the zone's totals by target. */
@@ -45,6 +52,8 @@
   readonly counters: PerTarget<TargetCounters>
   readonly news: News
   readonly limits: ZoneLimits
+  /** Versions that the relay holds; absent in messages of earlier builds. */
+  readonly heldVersions?: HeldVersions
 }
 
 /** Sent by a relay to the daemons that report to it: stats aggregated over the fleet. */
@@ -93,13 +102,21 @@
   [id, { inProgress, failingChance: failing / PERCENT, refusalShare: refusal / PERCENT, latencyMs, idleMs }]
 
 const decodeHeldVersions = (value: unknown): HeldVersions => {
-  const [configVersion, listingDigest, listingVersion, listingAgeMs] = Array.isArray(value) ? value as readonly unknown[] : []
+  const [configVersion, listingDigest, listingVersion, listingAgeMs, configAgeMs] = Array.isArray(value) ? value as readonly unknown[] : []
   if (typeof configVersion !== 'number' || typeof listingDigest !== 'string' || typeof listingVersion !== 'number' || typeof listingAgeMs !== 'number') {
     throw new TypeError('facts must be a number, a string and two numbers')
   }
-  return { configVersion, listingDigest, listingVersion, listingAgeMs }
+  // Earlier builds do not tell the age of their configuration.
+  return { configVersion, listingDigest, listingVersion, listingAgeMs, configAgeMs: typeof configAgeMs === 'number' ? configAgeMs : UNKNOWN_AGE_MS }
 }
 
+const encodeHeldVersions = ({ configVersion, listingDigest, listingVersion, listingAgeMs, configAgeMs }: HeldVersions): readonly unknown[] =>
+  [configVersion, listingDigest, listingVersion, Math.round(listingAgeMs), Math.round(configAgeMs)]
+
+const encodeOptionalVersions = (versions: HeldVersions | undefined): { readonly facts?: readonly unknown[] } => versions === undefined ? {} : { facts: encodeHeldVersions(versions) }
+
+const decodeOptionalVersions = (facts: unknown): { readonly heldVersions?: HeldVersions } => facts === undefined ? {} : { heldVersions: decodeHeldVersions(facts) }
+
 const decodeFullPart = (value: unknown): { readonly fullPart?: FullPart } => {
   const [index, count, wholeId] = Array.isArray(value) ? value as readonly unknown[] : []
   return typeof index === 'number' && typeof count === 'number' && typeof wholeId === 'number' ? { fullPart: { index, count, wholeId } } : {}
@@ -120,21 +137,21 @@
 }
 
 const encoders: { readonly [Type in RelayMessage['type']]: (message: Extract<RelayMessage, { readonly type: Type }>) => Params } = {
-  report: ({ from, isFull, isLeaving, uptimeMs, counters, news, limits }) => ({ ...encodeNews(news), ...encodeLimitReport(limits), from: encodeInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: counters.map(encodeCounters) }),
-  zone: ({ from, isFull, counters, news, limits }) => ({ ...encodeNews(news), ...encodeZoneLimits(limits), from: encodeInstance(from), full: isFull, rows: counters.map(encodeCounters) }),
+  report: ({ from, isFull, isLeaving, uptimeMs, counters, news, limits, heldVersions }) => ({ ...encodeNews(news), ...encodeOptionalVersions(heldVersions), ...encodeLimitReport(limits), from: encodeInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: counters.map(encodeCounters) }),
+  zone: ({ from, isFull, counters, news, limits, heldVersions }) => ({ ...encodeNews(news), ...encodeOptionalVersions(heldVersions), ...encodeZoneLimits(limits), from: encodeInstance(from), full: isFull, rows: counters.map(encodeCounters) }),
   view: ({ from, heldVersions, stats, members, news, limits }) => ({
     ...encodeNews(news),
     ...encodeLimitView(limits),
     from: encodeInstance(from),
-    facts: [heldVersions.configVersion, heldVersions.listingDigest, heldVersions.listingVersion, Math.round(heldVersions.listingAgeMs)],
+    facts: encodeHeldVersions(heldVersions),
     rows: stats.map(encodeStats),
     ...(members.length === 0 ? {} : { members: members.map(encodeInstance) })
   })
 }
 
 const decoders: Readonly<Record<RelayMessage['type'], (params: Params) => RelayMessage>> = {
-  report: ({ from, full, part, leaving, uptime, rows, news, limits }) => ({ type: 'report', from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeLimitReport(limits) }),
-  zone: ({ from, full, part, rows, news, limits }) => ({ type: 'zone', from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeZoneLimits(limits) }),
+  report: ({ from, full, part, leaving, uptime, rows, news, limits, facts }) => ({ type: 'report', ...decodeOptionalVersions(facts), from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeLimitReport(limits) }),
+  zone: ({ from, full, part, rows, news, limits, facts }) => ({ type: 'zone', ...decodeOptionalVersions(facts), from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeZoneLimits(limits) }),
   view: ({ from, facts, rows, members, news, limits }) => ({
     type: 'view',
     from: decodeInstance(from),
--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -139,6 +139,18 @@
     return [...sameZone.slice(0, FITTEST_ANNOUNCED), ...inTurn].map(({ record }) => record)
   }
 
+  /** This daemon and the others of its zone that were heard from recently. */
+  heardInZone (): readonly InstanceRecord[] {
+    const oldestMs = this.clock.monotonicMs() - MEMBER_TTL_MS
+    const others = [...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone === this.self.availabilityZone && heardAtMs >= oldestMs)
+    return [this.self, ...others.map(({ record }) => record)]
+  }
+
+  /** Number of known daemons of this zone, including this one. */
+  get zoneSize (): number {
+    return 1 + [...this.peers.values()].filter(({ record }) => record.availabilityZone === this.self.availabilityZone).length
+  }
+
   /** Number of known daemons, including this one. */
   get size (): number {
     return this.peers.size + 1
--- a/packages/peers/src/relay/relayContracts.ts
+++ b/packages/peers/src/relay/relayContracts.ts
@@ -1,6 +1,6 @@
 import type { Clock, FleetTargetStats, InstanceRecord, LimitExchange, Log, NewsTopic, PerTarget, TargetCounters } from '@lovagehoist/common'
 import type { Datagrams } from './datagrams.js'
-import type { HeldVersions } from './messages.js'
+import type { HeldVersions, RelayMessage } from './messages.js'
 
 /** Per-target counters of the requests that this daemon sends. */
 export interface LocalCounters {
@@ -41,7 +41,8 @@
   /** Knowledge that all daemons share. */
   readonly news: readonly NewsTopic[]
   readonly limits: LimitExchange
-  readonly heldVersions: () => HeldVersions
-  /** Called with the versions that a relay holds, for each view received from it. */
-  readonly onPeerVersions: (versions: HeldVersions, from: InstanceRecord) => void
+  /** Versions that this daemon holds, with the ages of its own reads of the store or of the latest reads that it knows of. */
+  readonly heldVersions: (ages: 'own' | 'known') => HeldVersions
+  /** Called with the versions that another daemon holds, for each message received from it. */
+  readonly onPeerVersions: (versions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']) => void
 }
--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -76,7 +76,7 @@
         },
         applyView: () => {}
       },
-      heldVersions: () => ({ configVersion: 0, listingDigest: '', listingVersion: -1, listingAgeMs: 0 }),
+      heldVersions: () => ({ configVersion: 0, listingDigest: '', listingVersion: -1, listingAgeMs: 0, configAgeMs: 0 }),
       onPeerVersions: () => {}
     })
     this.relay.peers.addKnown(peers)
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -149,7 +149,7 @@
     fleetStats.applyDaemonReport(self.startId, counters, isFull, uptimeMs)
     this.options.limits.applyReport(self.startId, limits)
     const relays = this.peers.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
-    const parts = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits }, this.repeatCount)
+    const parts = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits, heldVersions: this.options.heldVersions('known') }, this.repeatCount)
     const bootstrap = this.peers.size === 1 ? bootstrapHosts().filter(host => host !== self.host) : []
     for (const { instanceId } of relays) this.peers.recordRequest(instanceId)
     for (const host of [...relays.map(relay => relay.host), ...bootstrap]) for (const bytes of parts) datagrams.send(host, bytes)
@@ -188,7 +188,7 @@
   }
 
   private handleReport (report: Report): void {
-    const { from, isLeaving, uptimeMs, counters, news, limits } = report
+    const { from, isLeaving, uptimeMs, counters, news, limits, heldVersions } = report
     const hasUrgentNews = this.news.apply(news, 'zone')
     if (isLeaving) {
       this.views.removeReporter(from.startId)
@@ -197,12 +197,14 @@
       return
     }
     if (this.views.recordReport(from)) this.onCountersChanged(true)
+    if (heldVersions !== undefined) this.options.onPeerVersions(heldVersions, from, 'report')
     const hasUrgentLimits = this.options.limits.applyReport(from.startId, limits)
     if (this.options.fleetStats.applyDaemonReport(from.startId, counters, this.fullParts.isWhole(from.startId, report), uptimeMs) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
   }
 
   private handleZoneTotals (totals: ZoneTotals): void {
-    const { from, counters, news, limits } = totals
+    const { from, counters, news, limits, heldVersions } = totals
+    if (heldVersions !== undefined) this.options.onPeerVersions(heldVersions, from, 'zone')
     const hasUrgentNews = this.news.apply(news, 'fleet')
     const hasUrgentLimits = this.options.limits.applyZoneLimits(from.availabilityZone, limits)
     if (this.options.fleetStats.applyZoneReport(`${from.availabilityZone} ${from.startId}`, counters, this.fullParts.isWhole(from.startId, totals)) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
@@ -214,6 +216,6 @@
     this.peers.addKnown(members)
     this.options.localCounters.applyFleetStats(stats)
     this.options.limits.applyView(limits)
-    this.options.onPeerVersions(heldVersions, from)
+    this.options.onPeerVersions(heldVersions, from, 'view')
   }
 }
--- a/packages/peers/src/relay/viewPublisher.ts
+++ b/packages/peers/src/relay/viewPublisher.ts
@@ -115,7 +115,7 @@
     const limits = this.options.limits.view({ isIssuer, isRepeat, reporters: [self.startId, ...this.reporters.keys()], zones: this.peers.zones() })
     if (this.reporters.size === 0) return
     if (isRepeat) this.lastRepeatAtMs = nowMs
-    const view: RelayView = { type: 'view', from: self, heldVersions: heldVersions(), stats, members: this.peers.nextMembers(), news: this.news.collect('view', nowMs), limits }
+    const view: RelayView = { type: 'view', from: self, heldVersions: heldVersions('known'), stats, members: this.peers.nextMembers(), news: this.news.collect('view', nowMs), limits }
     const parts = encodeMessage(view)
     this.pacer.recordSent(parts.length * this.reporters.size, relayRank > 0 && !isIssuer)
     for (const { host } of this.reporters.values()) for (const bytes of parts) datagrams.send(host, bytes)
--- a/packages/peers/src/relay/zoneTotalsSender.ts
+++ b/packages/peers/src/relay/zoneTotalsSender.ts
@@ -52,7 +52,7 @@
     this.lastSentAtMs = nowMs
     if (isDue) this.lastRegularAtMs = nowMs
     if (isFull) this.lastFullAtMs = nowMs
-    const parts = encodeMessage({ type: 'zone', from: this.options.self, counters, isFull, limits, news }, ++this.fullCount)
+    const parts = encodeMessage({ type: 'zone', from: this.options.self, counters, isFull, limits, news, heldVersions: this.options.heldVersions('own') }, ++this.fullCount)
     for (const zone of otherZones) for (const { host } of this.peers.zoneContacts(zone)) for (const bytes of parts) this.options.datagrams.send(host, bytes)
     return false
   }
--- a/packages/targets/src/registry/listingPoller.ts
+++ b/packages/targets/src/registry/listingPoller.ts
@@ -1,13 +1,13 @@
 import { backoffMs } from '@lovagehoist/common'
-import type { Clock, GatewayStore, Log, PlatformError, Random } from '@lovagehoist/common'
+import type { Clock, GatewayStore, Log, PlatformError, Random, ReadTurn } from '@lovagehoist/common'
 import type { TargetRegistry } from './targetRegistry.js'
 
 /** Dependencies of the poller. */
 export interface ListingPollerOptions {
   readonly store: Pick<GatewayStore, 'readTargets'>
   readonly registry: TargetRegistry
-  /** Rank of this daemon among the relays of its zone: 0 is the first relay, -1 means it is not a relay. */
-  readonly relayRank: () => number
+  /** Decides whether this daemon reads the store or relies on others. */
+  readonly readTurn: Pick<ReadTurn, 'isDue'>
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
@@ -15,8 +15,8 @@
   readonly onStoreRecovered?: () => void
 }
 
-/** Age of the listing at which a daemon reads it from the store. The first relay of a zone reads for all daemons; the others take over if it fails. */
-const MAX_LISTING_AGE_MS: Readonly<Record<'first' | 'second' | 'other', number>> = { first: 450, second: 800, other: 1_000 }
+/** Age of the listing at which a daemon reads it from the store, by its place among the relays of its zone. */
+export const MAX_LISTING_AGE_MS = { first: 450, second: 800, other: 1_000 } as const
 /** Time between two checks of the listing's age. */
 const CHECK_INTERVAL_MS = 100
 /** Backoff after failed reads, doubled from the minimum to the maximum. */
@@ -27,6 +27,7 @@
 export class ListingPoller {
   private failures = 0
   private retryAtMs = -Infinity
+  private readAtMs = -Infinity
 
   private constructor (private readonly options: ListingPollerOptions) {}
 
@@ -40,6 +41,11 @@
     return new ListingPoller(options)
   }
 
+  /** Monotonic time at which this daemon started its last read that succeeded; -Infinity if there was none. */
+  get lastReadAtMs (): number {
+    return this.readAtMs
+  }
+
   /**
    * Reads the listing whenever it is due, until stopped.
    *
@@ -54,11 +60,8 @@
   }
 
   private isDue (): boolean {
-    const { clock, registry, relayRank } = this.options
-    const nowMs = clock.monotonicMs()
-    const rank = relayRank()
-    const maxAgeMs = MAX_LISTING_AGE_MS[rank === 0 ? 'first' : rank > 0 ? 'second' : 'other']
-    return nowMs >= this.retryAtMs && nowMs - registry.confirmedAtMs >= maxAgeMs
+    const { clock, registry, readTurn } = this.options
+    return clock.monotonicMs() >= this.retryAtMs && readTurn.isDue(registry.confirmedAtMs)
   }
 
   private async readListing (): Promise<void> {
@@ -74,6 +77,7 @@
       this.options.onStoreRecovered?.()
     }
     this.failures = 0
+    this.readAtMs = startedAtMs
     registry.apply(read.value, startedAtMs)
   }
 
--- a/packages/targets/src/registry/targetRegistry.spec.ts
+++ b/packages/targets/src/registry/targetRegistry.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai'
 import { err, ok } from 'neverthrow'
-import { SeededRandom, silentLog } from '@lovagehoist/common'
+import { ReadTurn, SeededRandom, silentLog } from '@lovagehoist/common'
 import type { ListedTarget, PlatformError, TargetListing } from '@lovagehoist/common'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
-import { ListingPoller } from './listingPoller.js'
+import { ListingPoller, MAX_LISTING_AGE_MS } from './listingPoller.js'
 import { TargetRegistry } from './targetRegistry.js'
 
 const listed = (id: string, change: Partial<ListedTarget> = {}): ListedTarget => ({ ...fakeTarget(id), service: 's', coldForMs: 0, ...change })
@@ -89,7 +89,9 @@
       return error === undefined ? ok(listing(reads, [])) : err(error)
     }
     const stop = new AbortController()
-    ListingPoller.create({ store: { readTargets }, registry, relayRank: () => rank, clock, random: SeededRandom.create(1), log: silentLog }).run(stop.signal).catch(() => {})
+    const random = SeededRandom.create(1)
+    const readTurn = ReadTurn.create({ clock, random, maxAgeMs: MAX_LISTING_AGE_MS, relayRank: () => rank, zoneSize: () => 12, isAwaitingPeers: () => false })
+    ListingPoller.create({ store: { readTargets }, registry, readTurn, clock, random, log: silentLog }).run(stop.signal).catch(() => {})
     const confirm = async (): Promise<void> => {
       for (let passedMs = 0; passedMs < 10_000; passedMs += 100) {
         await clock.advanceMs(100)
