--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,7 +1,7 @@
 import { DrainWindow, FORWARDING_HEADER, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
 import type { GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, ReadTurn, createRegistry } from '@lovagehoist/common'
-import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
+import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, createPeerDocumentHandler, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams } from '@lovagehoist/peers'
@@ -179,6 +179,16 @@
   return !hasOthers ? 0 : settings.isFirstStart ? FIRST_PEER_ANSWER_MS : PEER_ANSWER_MS
 }
 
+/** Creates the turns in which this daemon reads the store. */
+const createReaders = (dependencies: GatewayDependencies, relay: () => RelayNode) => {
+  const { clock, random } = dependencies
+  const startedAtMs = clock.monotonicMs()
+  const isAwaitingPeers = (): boolean => relay().peers.size === 1 && clock.monotonicMs() - startedAtMs < peerAnswerMs(dependencies)
+  const createTurn = (maxAgeMs: ReadTurnOptions['maxAgeMs']): ReadTurn =>
+    ReadTurn.create({ clock, random, maxAgeMs, relayRank: () => relay().relayRank, zoneSize: () => relay().peers.zoneSize, isAwaitingPeers })
+  return { isAwaitingPeers, createTurn }
+}
+
 /**
  * Creates the components of a gateway daemon.
  *
@@ -190,19 +200,16 @@
   const registry = createRegistry({ instance: settings.instanceId })
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let activeConfig: ActiveConfig | undefined
-  const startedAtMs = clock.monotonicMs()
-  const isAwaitingPeers = (): boolean => relay.peers.size === 1 && clock.monotonicMs() - startedAtMs < peerAnswerMs(dependencies)
-  const createReadTurn = (maxAgeMs: typeof MAX_CONFIG_AGE_MS | typeof MAX_LISTING_AGE_MS): ReadTurn =>
-    ReadTurn.create({ clock, random, maxAgeMs, relayRank: () => relay.relayRank, zoneSize: () => relay.peers.zoneSize, isAwaitingPeers })
-  const config = GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), readTurn: createReadTurn(MAX_CONFIG_AGE_MS), onConfig: next => { activeConfig = { config: next, routes: RouteIndex.create(next) } } })
+  const readers = createReaders(dependencies, () => relay)
+  const config = GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), readTurn: readers.createTurn(MAX_CONFIG_AGE_MS), onConfig: next => { activeConfig = { config: next, routes: RouteIndex.create(next) } } })
   const self = createInstanceRecord(dependencies)
   const targets = createTargetComponents(dependencies, self, registry, invariants)
   const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry, listingReadAtMs: () => listingPoller.lastReadAtMs, relayRank: () => relay.relayRank })
   const poisonDetector = PoisonRequestDetector.create(clock)
   const relay: RelayNode = createRelayNode(dependencies, self, targets, documentSync, poisonDetector)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
-  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: createReadTurn(MAX_LISTING_AGE_MS), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
-  const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers })
+  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(MAX_LISTING_AGE_MS), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
+  const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
   const peerSender = ConnectionSender.create({ clock, connectTimeoutMs: () => PEER_CONNECT_TIMEOUT_MS })
   const forwarder = PeerForwarder.create({ clock, random, log: log.child('request'), headers: dependencies.headers, sender: peerSender, peers: () => relay.peers.others(), peerPort: settings.peers.port })
