Prefer connected targets, and let connected daemons probe idle ones first

Cause: a target that had been idle for 0.7 s was probed by the next request of any daemon, connected or not; with hundreds of daemons nearly none is connected. A connection cost as little as 100 ms of waiting, less than the spread of the choice under load. Change: daemons without a connection probe an idle target 0.4 s later than those with one, 0.2 s after many were lost; a new connection costs as much as another zone. Views announce the fittest daemons of each zone every second time, and all others in turn.

--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -16,15 +16,12 @@
 const MEMBER_TTL_MS = 3_000
 /** Time since the last message of another zone's relay after which another daemon of that zone is contacted. */
 const ZONE_CONTACT_TTL_MS = 1_500
-/** Daemons that one view announces: the fittest of the zone, and as many others in turn as fit into a packet with the stats. */
-const FITTEST_ANNOUNCED = 3
-const OTHERS_ANNOUNCED = 8
+/** Daemons of each zone that every second view announces, since relays are chosen among them. */
+const FITTEST_ANNOUNCED = 2
+/** Daemons that the other views announce, in turn; any of them may serve callers for a daemon that reaches no target. */
+const OTHERS_ANNOUNCED = 10
 /** Relays per zone; the second takes over without an election if the first fails. */
 const RELAYS_PER_ZONE = 2
-/** Daemons of each other zone that are announced in views: the fittest, since relays are chosen among them. */
-const MAX_MEMBERS_OF_OTHER_ZONE = 4
-/** Further daemons of each other zone that are announced in turn; any of them may serve callers for a daemon that reaches no target. */
-const MAX_OTHERS_OF_OTHER_ZONE = 4
 
 /** Orders daemons by descending relay fitness, then by instance id. */
 const byFitness = ({ record: a }: KnownPeer, { record: b }: KnownPeer): number =>
@@ -126,17 +123,17 @@
     return [...new Set([this.self, ...[...this.peers.values()].map(({ record }) => record)].map(({ availabilityZone }) => availabilityZone))]
   }
 
-  /** Daemons to announce in the next view: the fittest of this zone, and the others of this zone and some of other zones in turn. */
+  /** Daemons to announce in the next view: by turns the fittest of each zone, and the next few of all others. */
   nextMembers (): readonly InstanceRecord[] {
     const oldestMs = this.clock.monotonicMs() - MEMBER_TTL_MS
     const self: KnownPeer = { record: this.self, heardAtMs: Infinity, unansweredSinceMs: undefined }
-    const sameZone = [self, ...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone === this.self.availabilityZone && heardAtMs >= oldestMs).sort(byFitness)
-    const otherZones = this.zones().filter(zone => zone !== this.self.availabilityZone)
-      .flatMap(zone => this.chooseAnnounced([...this.peers.values()].filter(({ record }) => record.availabilityZone === zone).sort(byFitness)))
-    const others = [...sameZone.slice(FITTEST_ANNOUNCED), ...otherZones]
-    const offset = this.announcements++ * OTHERS_ANNOUNCED % Math.max(1, others.length)
-    const inTurn = [...others, ...others].slice(offset, offset + Math.min(OTHERS_ANNOUNCED, others.length))
-    return [...sameZone.slice(0, FITTEST_ANNOUNCED), ...inTurn].map(({ record }) => record)
+    const known = [self, ...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone !== this.self.availabilityZone || heardAtMs >= oldestMs).sort(byFitness)
+    const isFittestTurn = this.announcements++ % 2 === 0
+    const fittest = this.zones().flatMap(zone => known.filter(({ record }) => record.availabilityZone === zone).slice(0, FITTEST_ANNOUNCED))
+    if (isFittestTurn) return fittest.map(({ record }) => record)
+    const others = known.filter(peer => !fittest.includes(peer))
+    const offset = (this.announcements >> 1) * OTHERS_ANNOUNCED % Math.max(1, others.length)
+    return [...others, ...others].slice(offset, offset + Math.min(OTHERS_ANNOUNCED, others.length)).map(({ record }) => record)
   }
 
   /** This daemon and the others of its zone that were heard from recently. */
@@ -156,13 +153,6 @@
     return this.peers.size + 1
   }
 
-  /** The fittest daemons of a zone, and a few others in turn, so that all become known in time. */
-  private chooseAnnounced (sorted: readonly KnownPeer[]): readonly KnownPeer[] {
-    const others = sorted.slice(MAX_MEMBERS_OF_OTHER_ZONE)
-    const offset = others.length === 0 ? 0 : this.announcements % others.length
-    return [...sorted.slice(0, MAX_MEMBERS_OF_OTHER_ZONE), ...[...others, ...others].slice(offset, offset + Math.min(MAX_OTHERS_OF_OTHER_ZONE, others.length))]
-  }
-
   private isUnresponsive (unansweredSinceMs: number | undefined, nowMs: number): boolean {
     if (unansweredSinceMs === undefined) return false
     const elapsedMs = nowMs - unansweredSinceMs
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -16,7 +16,7 @@
 /** Traffic between zones is expensive: another zone is used only when the targets of the own zone are busy or failing. */
 const CROSS_ZONE_COST_MS = 200
 /** A new connection costs work at the target and a round trip, and connections are limited, so daemons prefer targets they are connected to. */
-const CONNECT_COST_MS = 100
+const CONNECT_COST_MS = 200
 /** Share of the service time that is added to the cost of a full target, so that load spreads. */
 const FULL_TARGET_PENALTY_SHARE = 0.5
 /**
--- a/packages/targets/src/placing/probing.ts
+++ b/packages/targets/src/placing/probing.ts
@@ -7,8 +7,9 @@
 const PROBE_IDLE_MS = 500
 /** Additional idle time for targets of other zones, in which the daemons there probe them and report that they did. */
 const OTHER_ZONE_DELAY_MS = 700
-/** Additional idle time in which daemons that are connected to the target may probe it. */
-const UNCONNECTED_DELAY_MS = 200
+/** Additional idle time in which daemons that are connected to the target may probe it, and the same while few are because many have been lost. */
+const UNCONNECTED_DELAY_MS = 400
+const SHORT_UNCONNECTED_DELAY_MS = 200
 /** Idle time from which a target that is probably failing gets a trial: a request that can be retried loses little there, another may be lost. */
 const RETRYABLE_TRIAL_IDLE_MS = 1_000
 const TRIAL_IDLE_MS = 1_700
@@ -66,7 +67,8 @@
 const probeChance = (candidate: Candidate, request: PlacementRequest, policy: ProbePolicy): number => {
   if (isSuspect(candidate)) return trialChance(candidate, request, policy)
   const minChance = isNewInOwnZone(candidate) ? NEW_TARGET_PROBE_SHARE / policy.newTargets : 0
-  const delayMs = (candidate.isOwnZone || policy.probesOtherZones ? 0 : OTHER_ZONE_DELAY_MS) + (candidate.isConnected ? 0 : UNCONNECTED_DELAY_MS)
+  const unconnectedDelayMs = policy.probesOtherZones ? SHORT_UNCONNECTED_DELAY_MS : UNCONNECTED_DELAY_MS
+  const delayMs = (candidate.isOwnZone || policy.probesOtherZones ? 0 : OTHER_ZONE_DELAY_MS) + (candidate.isConnected ? 0 : unconnectedDelayMs)
   return Math.max(minChance, rampUp(candidate.idleMs - PROBE_IDLE_MS - delayMs, PROBE_RAMP_MS))
 }
 
--- a/packages/targets/src/testing/simulatedFleet.ts
+++ b/packages/targets/src/testing/simulatedFleet.ts
@@ -48,7 +48,8 @@
 
 interface SimulatedDaemon extends DaemonPosition {
   readonly name: string
-  readonly connectedIds: Set<string>
+  /** Times of the last exchange on idle connections, by target. */
+  readonly idleConnections: Map<string, number[]>
   readonly path: PathMonitor
   readonly tracker: TargetStatsTracker
   readonly limits: FleetLimits
@@ -74,6 +75,9 @@
 const FAILING_SHARE = 0.75
 const FAST_FAILURE_MS = 10
 const CONNECT_MS = 3
+/** Time after which targets close idle connections, and after which they carry no request that can't be repeated. */
+const IDLE_CLOSE_MS = 10_000
+const MAX_UNCONFIRMED_MS = 2_000
 const MAX_TRIED_TARGETS = 5
 /** Window over which the platform's rules count requests to a limited target, and how far these may exceed the limit. */
 const LIMIT_WINDOW_MS = 4_000
@@ -89,6 +93,8 @@
   /** Failing chances of the targets that daemons chose which can reach them. */
   readonly chosenFailingChances: Array<{ readonly atMs: number, readonly failingChance: number }> = []
   failedCount = 0
+  /** Times at which daemons opened connections to targets. */
+  readonly connectedAtMs: number[] = []
   requestCount = 0
   private readonly clock = ManualClock.create()
   private readonly random: Random
@@ -184,16 +190,16 @@
 
   private createDaemon (zone: number, index: number, restarts: number): SimulatedDaemon {
     const { registry } = this
-    const connectedIds = new Set<string>()
+    const idleConnections = new Map<string, number[]>()
     const path = this.createPath(zone, index)
     const tracker = TargetStatsTracker.create(this.clock, registry.serviceOf, path)
     const name = `${zone}-${index}-${restarts}`
     const limits = FleetLimits.create({ clock: this.clock, random: this.random, log: silentLog, startId: name, availabilityZone: String(zone), headerName: LIMIT_HEADER, serviceOf: registry.serviceOf })
     const rests = TargetRests.create({ clock: this.clock, random: this.random, log: silentLog })
-    const selector = LowestCostSelector.create({ registry, rests, leaving: { has: () => false, isLastResort: () => false }, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), limits, floorShare: () => 0.7, hasIdle: id => connectedIds.has(id) })
+    const selector = LowestCostSelector.create({ registry, rests, leaving: { has: () => false, isLastResort: () => false }, statsTracker: tracker, clock: this.clock, random: this.random, availabilityZone: String(zone), limits, floorShare: () => 0.7, hasIdle: (id, isIdempotent) => this.findIdle(idleConnections, id, isIdempotent) >= 0 })
     tracker.onChange(isUrgent => { if (isUrgent) this.exchangeSoon(zone) })
     limits.onChange(() => { this.exchangeSoon(zone) })
-    return { name, zone, index, connectedIds, path, tracker, limits, selector }
+    return { name, zone, index, idleConnections, path, tracker, limits, selector }
   }
 
   private createPath (zone: number, index: number): PathMonitor {
@@ -256,7 +262,7 @@
   }
 
   private send (daemon: SimulatedDaemon, triedTargetIds: ReadonlySet<string> = new Set()): void {
-    const { selector, connectedIds, limits } = daemon
+    const { selector, idleConnections, limits } = daemon
     const { isIdempotent, errorShare, isFailing = () => false } = this.options
     const sentAtMs = this.clock.monotonicMs()
     const choice = selector.choose({ service: SERVICE, isIdempotent, hasHigherPriorityTraffic: false, triedTargetIds, deadlineAtMs: sentAtMs + TIME_LIMIT_MS })
@@ -270,7 +276,7 @@
       return
     }
     this.chosenFailingChances.push({ atMs: sentAtMs, failingChance: choice.inputs.failingChance })
-    connectedIds.add(choice.target.id)
+    this.takeConnection(idleConnections, choice.target.id, isIdempotent)
     this.arrivals.get(choice.target.id)?.push(sentAtMs)
     const isFastFailure = isFailing(choice.target.id, sentAtMs) && this.random.next() < FAILING_SHARE
     const outcome: AttemptOutcome = isFastFailure || this.random.next() < errorShare ? 'failed' : 'succeeded'
@@ -281,9 +287,22 @@
       const limit = this.options.limitOf?.(choice.target.id, this.clock.monotonicMs())
       limits.recordAnswer(choice.target.id, limit === undefined ? [] : [LIMIT_HEADER, String(limit)], sentAtMs)
       choice.attempt.end(outcome, this.clock.monotonicMs() - sentAtMs)
+      idleConnections.set(choice.target.id, [...idleConnections.get(choice.target.id) ?? [], this.clock.monotonicMs()])
     })
   }
 
+  /** Index of the idle connection to a target that suits a request and was used last, or -1. */
+  private findIdle (idleConnections: ReadonlyMap<string, readonly number[]>, targetId: string, isIdempotent: boolean): number {
+    const oldestMs = this.clock.monotonicMs() - (isIdempotent ? IDLE_CLOSE_MS : MAX_UNCONFIRMED_MS)
+    return (idleConnections.get(targetId) ?? []).findLastIndex(atMs => atMs >= oldestMs)
+  }
+
+  private takeConnection (idleConnections: Map<string, number[]>, targetId: string, isIdempotent: boolean): void {
+    const index = this.findIdle(idleConnections, targetId, isIdempotent)
+    if (index < 0) this.connectedAtMs.push(this.clock.monotonicMs())
+    else idleConnections.get(targetId)?.splice(index, 1)
+  }
+
   private exchangeSoon (zone: number): void {
     if (this.urgentZones.has(zone)) return
     this.urgentZones.add(zone)
