Read the configuration soon where the relays of a zone are turned away by the store

What callers saw: machines handled requests by an old configuration, up to 2.7 s after a newer one had been accepted (CONFIG), while the store turned away some machines, the relays of a zone among them. Cause: since the first relay reads the configuration for its zone, the second one waited for 1.5 s, and the others for 2.5 s and then for their turn, which in a zone of 36 comes after 14 s. Other zones told their versions only with their next regular totals. Change: both relays of a zone watch the configuration; the others read it when it is 1 s old, spread over 0.4 s. A new version is announced to the zone and to other zones at once; a relay whose own configuration is old fetches it from another zone without delay; totals without rows carry the ages.

--- a/packages/common/src/fleet/readTurn.ts
+++ b/packages/common/src/fleet/readTurn.ts
@@ -12,14 +12,12 @@
   readonly maxAgeMs: Readonly<Record<ReaderRole, number>>
   /** Rank of this daemon among the relays of its zone: 0 is the first relay, -1 means it is not a relay. */
   readonly relayRank: () => number
-  /** Number of known daemons in the zone, including this one. */
-  readonly zoneSize: () => number
   /** Whether a daemon that has just started should wait for other daemons to answer before it reads the store. */
   readonly isAwaitingPeers: () => boolean
 }
 
-/** Daemons that are not relays read the store one by one, at this mean distance, so that an outage is not met by calls of all. */
-const TURN_INTERVAL_MS = 400
+/** Daemons that are not relays spread their reads over this time; what the first ones read reaches the others meanwhile. */
+const TURN_SPREAD_MS = 400
 
 const roleOf = (relayRank: number): ReaderRole => relayRank === 0 ? 'first' : relayRank > 0 ? 'second' : 'other'
 
@@ -41,12 +39,12 @@
   }
 
   /**
-   * Tells whether this daemon reads the store now; each time that it does, a daemon that is not a relay goes to the end of the line.
+   * Tells whether this daemon reads the store now.
    *
    * @param confirmedAtMs - Monotonic time at which the store was last known to hold what this daemon knows; -Infinity if it knows nothing.
    */
   isDue (confirmedAtMs: number): boolean {
-    const { clock, random, maxAgeMs, relayRank, zoneSize, isAwaitingPeers } = this.options
+    const { clock, random, maxAgeMs, relayRank, isAwaitingPeers } = this.options
     const nowMs = clock.monotonicMs()
     if (isAwaitingPeers()) return false
     const role = roleOf(relayRank())
@@ -56,7 +54,7 @@
       return false
     }
     if (role !== 'other' || !this.hasBeenFresh) return true
-    this.turnAtMs ??= nowMs + random.next() * zoneSize() * TURN_INTERVAL_MS
+    this.turnAtMs ??= nowMs + random.next() * TURN_SPREAD_MS
     if (nowMs < this.turnAtMs) return false
     this.turnAtMs = undefined
     return true
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -58,7 +58,7 @@
 const PEER_ANSWER_MS = 200
 const FIRST_PEER_ANSWER_MS = 800
 /** Age of the configuration at which a daemon reads it from the store, by its place among the relays of its zone. */
-const MAX_CONFIG_AGE_MS = { first: 0, second: 1_500, other: 2_500 } as const
+const MAX_CONFIG_AGE_MS = { first: 0, second: 0, other: 1_000 } as const
 /** Time between two reads of the settings file, which may change without a signal. */
 const SETTINGS_POLL_MS = 15_000
 
@@ -185,10 +185,19 @@
   const startedAtMs = clock.monotonicMs()
   const isAwaitingPeers = (): boolean => relay().peers.size === 1 && clock.monotonicMs() - startedAtMs < peerAnswerMs(dependencies)
   const createTurn = (maxAgeMs: ReadTurnOptions['maxAgeMs']): ReadTurn =>
-    ReadTurn.create({ clock, random, maxAgeMs, relayRank: () => relay().relayRank, zoneSize: () => relay().peers.zoneSize, isAwaitingPeers })
+    ReadTurn.create({ clock, random, maxAgeMs, relayRank: () => relay().relayRank, isAwaitingPeers })
   return { isAwaitingPeers, createTurn }
 }
 
+const createForwarder = ({ clock, random, log, headers, settings }: GatewayDependencies, relay: RelayNode) => {
+  const peerSender = ConnectionSender.create({ clock, connectTimeoutMs: () => PEER_CONNECT_TIMEOUT_MS })
+  const forwarder = PeerForwarder.create({ clock, random, log: log.child('request'), headers, sender: peerSender, peers: () => relay.peers.others(), peerPort: settings.peers.port })
+  return { peerSender, forwarder }
+}
+
+const createConfigFollower = ({ store, clock, random, log }: GatewayDependencies, readTurn: ReadTurn, onConfig: (config: GatewayConfig) => void): GatewayConfigFollower =>
+  GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), readTurn, onConfig })
+
 /**
  * Creates the components of a gateway daemon.
  *
@@ -201,7 +210,10 @@
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let activeConfig: ActiveConfig | undefined
   const readers = createReaders(dependencies, () => relay)
-  const config = GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), readTurn: readers.createTurn(MAX_CONFIG_AGE_MS), onConfig: next => { activeConfig = { config: next, routes: RouteIndex.create(next) } } })
+  const config = createConfigFollower(dependencies, readers.createTurn(MAX_CONFIG_AGE_MS), next => {
+    activeConfig = { config: next, routes: RouteIndex.create(next) }
+    relay.announceVersions()
+  })
   const self = createInstanceRecord(dependencies)
   const targets = createTargetComponents(dependencies, self, registry, invariants)
   const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry, listingReadAtMs: () => listingPoller.lastReadAtMs, relayRank: () => relay.relayRank })
@@ -211,8 +223,7 @@
   const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(MAX_LISTING_AGE_MS), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
-  const peerSender = ConnectionSender.create({ clock, connectTimeoutMs: () => PEER_CONNECT_TIMEOUT_MS })
-  const forwarder = PeerForwarder.create({ clock, random, log: log.child('request'), headers: dependencies.headers, sender: peerSender, peers: () => relay.peers.others(), peerPort: settings.peers.port })
+  const { peerSender, forwarder } = createForwarder(dependencies, relay)
   const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder })
   return {
     handler: async (request, response) => { await serveGateway(serveOptions, request, response) },
@@ -221,8 +232,8 @@
     drainWindow,
     isReady: () => activeConfig !== undefined && targets.targetRegistry.hasListing,
     tasks: [
-      config.run.bind(config), listingPoller.run.bind(listingPoller), relay.run.bind(relay), targets.sender.run.bind(targets.sender), peerSender.run.bind(peerSender),
-      ...createMaintenanceTasks(dependencies, targets), registration.run.bind(registration)
+      ...[config, listingPoller, relay, targets.sender, peerSender, registration].map(loop => async (signal: AbortSignal) => { await loop.run(signal) }),
+      ...createMaintenanceTasks(dependencies, targets)
     ],
     close: async () => {
       targets.path.close()
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -22,7 +22,9 @@
 const OTHER_ZONE_FETCH_DELAY_MS = 300
 /** Minimum time between two fetches of the same document. */
 const MIN_FETCH_INTERVAL_MS = 300
-/** Age of the own listing from which it is fetched from another zone; traffic between zones is expensive, and the relays here usually read the store. */
+/** Age of the listing from which an open watch of the configuration no longer counts: its connection may be dead. */
+const MAX_SILENCE_MS = 1_500
+/** Age of the own listing, or configuration, from which it is fetched from another zone; traffic between zones is expensive, and the relays here usually read the store. */
 const OTHER_ZONE_FETCH_AGE_MS = 1_000
 
 /** A target listing as one daemon sends it to another. */
@@ -52,8 +54,8 @@
   readonly heldVersions = (ages: 'own' | 'known'): HeldVersions => {
     const { config, targetRegistry, listingReadAtMs } = this.options
     const listingAtMs = ages === 'own' ? listingReadAtMs() : targetRegistry.confirmedAtMs
-    // An open watch counts only while the store also answers reads of the listing, since its connection may be dead.
-    const configAtMs = Math.min(listingAtMs, ages === 'own' ? config.ownConfirmedAtMs : config.confirmedAtMs)
+    const watchedAtMs = ages === 'own' ? config.ownConfirmedAtMs : config.confirmedAtMs
+    const configAtMs = this.ageOf(listingAtMs) <= MAX_SILENCE_MS ? watchedAtMs : Math.min(listingAtMs, watchedAtMs)
     return {
       configVersion: config.version,
       listingDigest: targetRegistry.digest,
@@ -96,7 +98,8 @@
       return
     }
     this.configBehindSinceMs ??= nowMs
-    const delayMs = from.availabilityZone === settings.availabilityZone ? 0 : OTHER_ZONE_FETCH_DELAY_MS
+    const isOwnCurrent = this.ageOf(config.confirmedAtMs) < OTHER_ZONE_FETCH_AGE_MS
+    const delayMs = from.availabilityZone === settings.availabilityZone || !isOwnCurrent ? 0 : OTHER_ZONE_FETCH_DELAY_MS
     if (nowMs - this.configBehindSinceMs >= delayMs) this.fetch('configuration', from)
   }
 
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -90,6 +90,11 @@
     return this.hasReceivedView
   }
 
+  /** Tells other daemons at once that this one holds a new version of the configuration or the listing. */
+  announceVersions (): void {
+    this.onCountersChanged(true)
+  }
+
   /** Rank of this daemon among the relays of its zone: 0 for the first, -1 if it is not a relay. */
   get relayRank (): number {
     const { availabilityZone, instanceId } = this.options.self
--- a/packages/peers/src/relay/zoneTotalsSender.ts
+++ b/packages/peers/src/relay/zoneTotalsSender.ts
@@ -1,5 +1,6 @@
 import type { PerTarget, TargetCounters } from '@lovagehoist/common'
 import { encodeMessage } from './messages.js'
+import type { HeldVersions } from './messages.js'
 import type { NewsBoard } from './newsBoard.js'
 import type { PeerTable } from './peerTable.js'
 import type { RelayNodeOptions } from './relayContracts.js'
@@ -14,9 +15,11 @@
 export class ZoneTotalsSender {
   private readonly sentTotals = new Map<string, TargetCounters>()
   private lastSentAtMs = -Infinity
+  private lastUrgentAtMs = -Infinity
   private lastRegularAtMs = -Infinity
   private lastFullAtMs = -Infinity
   private fullCount = 0
+  private sentVersions: HeldVersions | undefined
 
   private constructor (private readonly options: RelayNodeOptions, private readonly peers: PeerTable, private readonly news: NewsBoard) {}
 
@@ -33,7 +36,7 @@
   }
 
   /**
-   * Sends new failures and targets that are in use again at once, other changes once per interval.
+   * Sends new failures, new versions and targets that are in use again at once; other changes, and the ages of what this zone reads, once per interval.
    *
    * @param isUrgent - Whether something has changed that other zones should know at once.
    * @returns Whether an urgent message has to wait.
@@ -43,16 +46,21 @@
     const otherZones = this.peers.zones().filter(zone => zone !== this.options.self.availabilityZone)
     const isDue = nowMs - this.lastRegularAtMs >= INTERVAL_MS
     if (!isUrgent && !isDue) return false
-    if (!isDue && nowMs - this.lastSentAtMs < otherZones.length * URGENT_INTERVAL_PER_ZONE_MS) return true
+    if (!isDue && nowMs - this.lastUrgentAtMs < otherZones.length * URGENT_INTERVAL_PER_ZONE_MS) return true
     const isFull = isDue && nowMs - this.lastFullAtMs >= FULL_INTERVAL_MS
     const counters = this.changedCounters(isDue, isFull)
     const limits = this.options.limits.zoneLimits(isFull)
     const news = this.news.collect('zone', nowMs)
-    if (counters.length === 0 && limits.limits.length === 0 && Object.values(news).flat().length === 0 && !isFull) return false
+    const heldVersions = this.options.heldVersions('own')
+    const hasNewVersions = heldVersions.configVersion !== this.sentVersions?.configVersion || heldVersions.listingDigest !== this.sentVersions.listingDigest
+    const isEmpty = counters.length === 0 && limits.limits.length === 0 && Object.values(news).flat().length === 0 && !isFull
+    if (isEmpty && !hasNewVersions && nowMs - this.lastSentAtMs < INTERVAL_MS) return false
     this.lastSentAtMs = nowMs
-    if (isDue) this.lastRegularAtMs = nowMs
+    this.sentVersions = heldVersions
+    if (!isDue) this.lastUrgentAtMs = nowMs
+    if (isDue && !isEmpty) this.lastRegularAtMs = nowMs
     if (isFull) this.lastFullAtMs = nowMs
-    const parts = encodeMessage({ type: 'zone', from: this.options.self, counters, isFull, limits, news, heldVersions: this.options.heldVersions('own') }, ++this.fullCount)
+    const parts = encodeMessage({ type: 'zone', from: this.options.self, counters, isFull, limits, news, heldVersions }, ++this.fullCount)
     for (const zone of otherZones) for (const { host } of this.peers.zoneContacts(zone)) for (const bytes of parts) this.options.datagrams.send(host, bytes)
     return false
   }
