Survive malformed messages of other daemons, and drop messages that waited while a process was paused

Cause: a row that counts 1e300 failures kept the estimate of a target computing without end, so one message stopped the process; an exception while a message is applied ended it. A listing of a peer that lacks a field raised the version of the listing in use without replacing it, so that newer ones were ignored and the old one counted as fresh. Views that waited in the socket while the process was paused were taken for new, and permits outlived a suspension of the machine. Change: an update counts at most 256 outcomes; errors in messages are logged and counted; the listing of a peer is checked, and fields that only newer builds know are ignored; messages are ignored for 0.15 s after a gap of 1 s in the send loop or a suspension, which also drops the permits held.

--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -12,6 +12,7 @@
 import { InstanceRegistration } from './instanceRegistration.js'
 import type { LiveSettings } from './liveSettings.js'
 import { PeerDocumentSync } from './peerDocumentSync.js'
+import type { BackgroundTask } from './runTask.js'
 import { createSuspensionWatcher } from './suspensionWatcher.js'
 
 /** Settings, clock, randomness, store and transport of a gateway daemon; tests replace them. */
@@ -39,7 +40,7 @@
   readonly isReady: () => boolean
   readonly drainWindow: DrainWindow
   /** Background loops that run until their signal aborts. */
-  readonly tasks: ReadonlyArray<(signal: AbortSignal) => Promise<void>>
+  readonly tasks: readonly BackgroundTask[]
   readonly close: () => Promise<void>
 }
 
@@ -109,11 +110,13 @@
 }
 
 /** Creates the loops that mark overdue requests, detect suspensions and reload the settings file. */
-const createMaintenanceTasks = (dependencies: GatewayDependencies, { statsTracker, sender, targetRegistry }: ReturnType<typeof createTargetComponents>): GatewayComponents['tasks'] => {
+const createMaintenanceTasks = (dependencies: GatewayDependencies, { statsTracker, sender, targetRegistry, limits }: ReturnType<typeof createTargetComponents>, relay: RelayNode): GatewayComponents['tasks'] => {
   const { clock, uptimeMs, log } = dependencies
   const onSuspended = (durationMs: number): void => {
     sender.closeAllIdle()
     targetRegistry.addMissedTime(durationMs)
+    limits.dropPermits()
+    relay.handlePause()
   }
   return [createOverdueTask(clock, statsTracker), createSuspensionWatcher({ clock, uptimeMs, log, onSuspended }), async signal => { await pollSettings(dependencies, signal) }]
 }
@@ -232,8 +235,8 @@
     drainWindow,
     isReady: () => activeConfig !== undefined && targets.targetRegistry.hasListing,
     tasks: [
-      ...[config, listingPoller, relay, targets.sender, peerSender, registration].map(loop => async (signal: AbortSignal) => { await loop.run(signal) }),
-      ...createMaintenanceTasks(dependencies, targets)
+      ...[config, listingPoller, relay, targets.sender, peerSender, registration].map((loop): BackgroundTask => async signal => { await loop.run(signal) }),
+      ...createMaintenanceTasks(dependencies, targets, relay)
     ],
     close: async () => {
       targets.path.close()
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -1,8 +1,10 @@
-import type { Clock, GatewaySettings, GatewayStore, InstanceRecord, Log, TargetListing } from '@lovagehoist/common'
+import type { Clock, GatewaySettings, GatewayStore, InstanceRecord, Log } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
 import { UNKNOWN_AGE_MS, fetchPeerDocument } from '@lovagehoist/peers'
 import type { HeldVersions, PeerDocument, PeerDocumentTexts, RelayMessage } from '@lovagehoist/peers'
 import type { TargetRegistry } from '@lovagehoist/targets'
+import { decodePeerListing } from './peerListing.js'
+import type { PeerListing } from './peerListing.js'
 
 /** Settings, clock, log and the holders of the documents to synchronise. */
 export interface PeerDocumentSyncOptions {
@@ -27,12 +29,6 @@
 /** Age of the own listing, or configuration, from which it is fetched from another zone; traffic between zones is expensive, and the relays here usually read the store. */
 const OTHER_ZONE_FETCH_AGE_MS = 1_000
 
-/** A target listing as one daemon sends it to another. */
-interface PeerListing {
-  readonly listing: TargetListing
-  readonly ageMs: number
-}
-
 /** Compares the versions of configuration and target listing with those of peers and fetches newer documents from them. */
 export class PeerDocumentSync {
   private configBehindSinceMs: number | undefined
@@ -116,8 +112,9 @@
   private readonly appliers: Readonly<Record<PeerDocument, (text: string, requestedAtMs: number) => void>> = {
     configuration: text => { this.options.config.applySnapshot(this.options.store.decodeConfig(text), 'peer') },
     targets: (text, requestedAtMs) => {
-      const { listing, ageMs } = JSON.parse(text) as PeerListing
-      this.options.targetRegistry.apply(listing, requestedAtMs - ageMs)
+      decodePeerListing(text).match(
+        ({ listing, ageMs }) => { this.options.targetRegistry.apply(listing, requestedAtMs - ageMs) },
+        reason => { this.options.log.warn('listing of a peer refused', { reason }) })
     }
   }
 
--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -3,7 +3,7 @@
 import type { PerTarget, FleetTargetStats, InstanceRecord, IssuerRole, TargetCounters } from '@lovagehoist/common'
 import { silentLog } from '@lovagehoist/common'
 import type { Datagrams } from './datagrams.js'
-import { decodeMessage } from './messages.js'
+import { decodeMessage, encodeMessage } from './messages.js'
 import { RelayNode } from './relayNode.js'
 
 type Listener = (bytes: Uint8Array, host: string) => void
@@ -202,6 +202,18 @@
     expect(network.sentBytes).to.equal(0)
   })
 
+  it('does not take messages for recent ones that waited while the process was paused', async () => {
+    start()
+    await clock.advanceMs(2_000)
+    const waiting = encodeMessage({ type: 'report', from: daemon('a3').self, isFull: false, isLeaving: false, uptimeMs: 1, counters: [['t1', targetCounters({ inProgress: 1 })]], news: {}, limits: { limits: [], demand: [], settled: [] } })
+    clock.jumpMs(4_000)
+    const before = daemon('a1').reports.length
+    for (const bytes of waiting) network.at('10.0.0.3').send('10.0.0.1', bytes)
+    expect(daemon('a1').reports.slice(before).filter(({ startId }) => startId === 'start-a3')).to.deep.equal([])
+    await clock.advanceMs(1_000)
+    expect(daemon('a1').reports.slice(before).some(({ startId }) => startId === 'start-a3')).to.equal(true)
+  })
+
   it('rejects undecodable datagrams', () => {
     expect(decodeMessage(Buffer.from('{"method":"report","params":{"from":[1]}}'))).to.equal(undefined)
     expect(decodeMessage(Buffer.from('{"method":"constructor","params":{}}'))).to.equal(undefined)
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -11,6 +11,9 @@
 
 /** Period of the send loop; changes within one period are batched. */
 const TICK_MS = 100
+/** Time without a tick from which the process counts as paused, and the time after it in which messages that waited for it are read. */
+const MAX_TICK_GAP_MS = 1_000
+const AFTER_PAUSE_MS = 150
 /** Delay before a failure is sent, so that simultaneous failures are batched. */
 const URGENT_DELAY_MS = 5
 /** Delay after which an urgent message that had to wait for others is tried again. */
@@ -55,11 +58,14 @@
   private cancelUrgent: CancelTimer | undefined
   private readonly lastSentMs = { report: -Infinity, standby: -Infinity, repeat: -Infinity }
   private unreadableDatagrams = 0
+  private lastTickAtMs: number
+  private ignoresUntilMs = -Infinity
   private repeatCount = 0
   private readonly startedAtMs: number
 
   private constructor (private readonly options: RelayNodeOptions) {
     this.startedAtMs = options.clock.monotonicMs()
+    this.lastTickAtMs = this.startedAtMs
     this.news = NewsBoard.create(options.news)
     this.peers = PeerTable.create(options.self, options.clock)
     this.views = ViewPublisher.create(options, this.peers, this.news)
@@ -95,6 +101,12 @@
     this.onCountersChanged(true)
   }
 
+  /** Ignores messages for a moment after this process was paused: those that have waited for it look newer than they are. */
+  handlePause (): void {
+    this.ignoresUntilMs = this.options.clock.monotonicMs() + AFTER_PAUSE_MS
+    this.options.log.warn('messages ignored after a pause of this process', { forMs: AFTER_PAUSE_MS })
+  }
+
   /** Rank of this daemon among the relays of its zone: 0 for the first, -1 if it is not a relay. */
   get relayRank (): number {
     const { availabilityZone, instanceId } = this.options.self
@@ -131,6 +143,8 @@
 
   private tick (isUrgent = false): void {
     const nowMs = this.options.clock.monotonicMs()
+    if (nowMs - this.lastTickAtMs > MAX_TICK_GAP_MS) this.handlePause()
+    this.lastTickAtMs = nowMs
     this.reportIfDue(nowMs, isUrgent)
     const rank = this.relayRank
     const isViewWaiting = (this.views.hasReporters || rank >= 0) && this.views.publishIfDue(rank, isUrgent)
@@ -180,6 +194,17 @@
   }
 
   private receive (bytes: Uint8Array, host: string): void {
+    const nowMs = this.options.clock.monotonicMs()
+    if (nowMs < this.ignoresUntilMs || nowMs - this.lastTickAtMs > MAX_TICK_GAP_MS) return
+    try {
+      this.apply(bytes, host)
+    } catch (error) {
+      this.unreadableDatagrams++
+      this.options.log.error('message of another daemon could not be applied', { host, error: error instanceof Error ? error.stack : String(error) })
+    }
+  }
+
+  private apply (bytes: Uint8Array, host: string): void {
     const message = decodeMessage(bytes)
     if (message === undefined) {
       this.unreadableDatagrams++
--- a/packages/targets/src/condition/failureEstimate.ts
+++ b/packages/targets/src/condition/failureEstimate.ts
@@ -32,6 +32,8 @@
 const FAILURE_RATE_WHEN_HEALTHY = 1 - LIKELIHOODS.succeeded.healthy
 
 const RELAXATION_MS = 1 / (1 / MEAN_HEALTHY_MS + 1 / MEAN_FAILING_MS)
+/** Outcomes of one kind that an update counts; the estimate reaches its bounds with fewer, and counts of other daemons may be wrong. */
+const MAX_COUNTED_OUTCOMES = 256
 /** Prior probability that a target is failing, used when no outcome is known. */
 export const PRIOR_CHANCE = MEAN_FAILING_MS / (MEAN_HEALTHY_MS + MEAN_FAILING_MS)
 /** Lower bound, because a target may have begun to fail since its last success. */
@@ -65,7 +67,7 @@
 export const updateChance = (chance: number, counts: RequestOutcomeCounts): number => {
   let next = chance
   for (const kind of ['succeeded', 'failed', 'failedLate', 'failedEarly'] as const) {
-    for (let index = 0; index < counts[kind]; index++) next = applyBayes(next, LIKELIHOODS[kind])
+    for (let index = 0; index < Math.min(counts[kind], MAX_COUNTED_OUTCOMES); index++) next = applyBayes(next, LIKELIHOODS[kind])
   }
   return next
 }
--- a/packages/targets/src/limits/fleetLimits.ts
+++ b/packages/targets/src/limits/fleetLimits.ts
@@ -94,6 +94,11 @@
     return MIN_RETRY_DELAY_MS + this.options.random.next() * (spreadMs - MIN_RETRY_DELAY_MS)
   }
 
+  /** Drops the permits of this daemon after its machine was suspended: others may have been issued in their place meanwhile. */
+  dropPermits (): void {
+    this.permits.drop()
+  }
+
   /** Drops the limit of a target that was removed or restarted. */
   forget (targetId: string): void {
     this.targetLimits.forget(targetId)
--- a/packages/targets/src/limits/permitHolder.ts
+++ b/packages/targets/src/limits/permitHolder.ts
@@ -48,6 +48,12 @@
     this.settle(targetId, { used: 1, unused: 0 })
   }
 
+  /** Drops all permits, since it is not known how old they are; they count as unused. */
+  drop (): void {
+    for (const [targetId, arrivals] of this.arrivals) if (arrivals.length > 0) this.settle(targetId, { used: 0, unused: arrivals.length })
+    this.arrivals.clear()
+  }
+
   /** Permits that were used or have expired since the start of this process, by target. */
   settledPermits (): PerTarget<SettledPermits> {
     for (const targetId of [...this.arrivals.keys()]) if (this.valid(targetId).length === 0) this.arrivals.delete(targetId)
