Start background tasks again after an error, and drain a daemon that is stopped while it starts

A background task that failed stayed away for the life of the process: a daemon went on with the listing or the configuration that it had. An error that nobody handled ended the process. A SIGTERM between the first accepted connection and the end of the start ended it at once, with the requests that it had just accepted. Evidence: robustness.spec.ts; the code before has no such handling. Change: tasks start again after 1 s; errors that nobody handled are logged; the handler of SIGTERM is there before anything listens.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -4,6 +4,7 @@
 import type { Address } from '@lovagehoist/common'
 import { composeGateway } from './gatewayComponents.js'
 import type { GatewayComponents, GatewayDependencies } from './gatewayComponents.js'
+import { runTask } from './runTask.js'
 import { serveMetrics, serveReadiness } from './readinessServer.js'
 
 /** Listening options of a gateway daemon that its settings do not hold. */
@@ -94,14 +95,14 @@
   }
 
   private async start ({ readinessPath, metrics }: GatewayListenOptions): Promise<void> {
-    const { settings, log } = this.dependencies
+    const { settings, log, clock } = this.dependencies
     const { components } = this
     this.servers = [
       await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown),
       ...(metrics === undefined ? [] : [await serveMetrics(metrics, components.registry)])
     ]
     for (const task of components.tasks) {
-      task(this.stopController.signal).catch((error: unknown) => { log.error('background task failed', { error: error instanceof Error ? error.stack : String(error) }) })
+      runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
     log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port })
   }
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -10,6 +10,7 @@
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
 import { GatewayDaemon } from './gatewayDaemon.js'
 import { LiveSettings } from './liveSettings.js'
+import { StopHandler } from './stopHandler.js'
 
 const EXIT_OK = 0
 const EXIT_FAILURE = 1
@@ -48,6 +49,12 @@
   const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
   const sink = LineSink.create({ clock, linesPerSecond: MAX_LOG_LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
   const log = createLog({ level: 'info', format: 'json', clock, write: sink.write, fields: { instance: settings.value.instanceId } })
+  // Last resort: what one request or message broke must not end all others.
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, (error: unknown) => { log.error('unexpected error', { event, error: error instanceof Error ? error.stack : String(error) }) })
+  }
+  const stopHandler = StopHandler.create(log)
+  process.on('SIGTERM', stopHandler.request)
   const store = RowStore.create(settings.value.store, clock)
   const liveSettings = LiveSettings.create(settings.value, readSettings, log.child('settings'))
   const datagrams = await openDatagrams(settings.value.peers, log.child('peers'))
@@ -55,7 +62,7 @@
     { settings: settings.value, liveSettings, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams },
     { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT } })
   process.on('SIGHUP', () => { liveSettings.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
-  process.on('SIGTERM', () => { daemon.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) })
+  stopHandler.attach(daemon)
   await daemon.done
   await sink.close()
   process.exit(EXIT_OK)
--- /dev/null
+++ b/packages/daemon/src/gateway/robustness.spec.ts
@@ -0,0 +1,45 @@
+import { expect } from 'chai'
+import { silentLog } from '@lovagehoist/common'
+import { ManualClock } from '@lovagehoist/common/testing'
+import { runTask } from './runTask.js'
+import { StopHandler } from './stopHandler.js'
+
+describe('background tasks', () => {
+  it('run again after an unexpected error instead of staying away for the life of the process', async () => {
+    const clock = ManualClock.create()
+    const stop = new AbortController()
+    let runs = 0
+    const task = async (): Promise<void> => {
+      if (++runs < 3) throw new Error('unexpected')
+      await new Promise(() => {})
+    }
+    runTask(task, { clock, log: silentLog }, stop.signal).catch(() => {})
+    await clock.advanceMs(2_500)
+    expect(runs).to.equal(3)
+  })
+
+  it('end with their signal', async () => {
+    const clock = ManualClock.create()
+    const stop = new AbortController()
+    let runs = 0
+    const task = async (): Promise<void> => {
+      runs++
+      throw new Error('unexpected')
+    }
+    runTask(task, { clock, log: silentLog }, stop.signal).catch(() => {})
+    await clock.advanceMs(100)
+    stop.abort()
+    await clock.advanceMs(5_000)
+    expect(runs).to.equal(1)
+  })
+})
+
+describe('StopHandler', () => {
+  it('drains a daemon that was asked to stop while it was starting, so that requests it has just accepted are answered', () => {
+    const handler = StopHandler.create(silentLog)
+    let drains = 0
+    handler.request()
+    handler.attach({ drain: async () => { drains++ } })
+    expect(drains).to.equal(1)
+  })
+})
