--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -77,11 +77,14 @@
 /** Length up to which a message fits into one packet; a longer datagram is lost with any of its packets. */
 const MAX_MESSAGE_BYTES = 1_200
 
+const INSTANCE_ELEMENTS = 5
+
 const encodeInstance = ({ instanceId, startId, host, availabilityZone, relayFitness }: InstanceRecord): readonly unknown[] =>
   [instanceId, startId, host, availabilityZone, relayFitness]
 
 const decodeInstance = (value: unknown): InstanceRecord => {
-  if (!Array.isArray(value) || value.length !== 5) throw new TypeError('an instance must be an array of 5 elements')
+  // Newer builds may add elements.
+  if (!Array.isArray(value) || value.length < INSTANCE_ELEMENTS) throw new TypeError(`an instance must be an array of at least ${INSTANCE_ELEMENTS} elements`)
   const strings = value.slice(0, 4) as readonly unknown[]
   const relayFitness: unknown = value[4]
   if (!strings.every(part => typeof part === 'string') || typeof relayFitness !== 'number') throw new TypeError('an instance must consist of 4 strings and a number')
