--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -56,7 +56,7 @@
 const PEER_CONNECT_TIMEOUT_MS = 150
 const OVERDUE_CHECK_INTERVAL_MS = 250
 /** Time in which other daemons answer the first report; all machines of a fleet that starts for the first time do so within 0.3 s. */
-const PEER_ANSWER_MS = 200
+const PEER_ANSWER_MS = 100
 const FIRST_PEER_ANSWER_MS = 800
 /** Age of the configuration at which a daemon reads it from the store, by its place among the relays of its zone. */
 const MAX_CONFIG_AGE_MS = { first: 0, second: 0, other: 1_000 } as const
