Let each zone of a large service see to it that its own targets are in use

Cause, as read in the code: probably failing targets get trials only while too few targets are in use. Views carry the stats of other zones' targets last, and a target that is not mentioned counts as idle for a second at most, so that all targets elsewhere seemed to be in use, and those here were left alone. Change: where the own zone has eight targets of the service or more, their use alone decides.

--- a/packages/targets/src/placing/placement.spec.ts
+++ b/packages/targets/src/placing/placement.spec.ts
@@ -126,6 +126,14 @@
     expect(few).to.deep.equal({ better: DRAWS })
   })
 
+  it('risks them at targets of its zone when too few of these are in use, although those of other zones seem to be', () => {
+    const used = Array.from({ length: 4 }, (_, index) => candidate(`used-${index}`))
+    const elsewhere = Array.from({ length: 40 }, (_, index) => candidate(`elsewhere-${index}`, { isOwnZone: false }))
+    const suspects = Array.from({ length: 4 }, (_, index) => candidate(`suspect-${index}`, { failingChance: 0.5, idleMs: 4_000 }))
+    const tried = Object.entries(shares([...used, ...elsewhere, ...suspects])).filter(([id]) => id.startsWith('suspect')).reduce((sum, [, count]) => sum + count, 0)
+    expect(tried).to.equal(DRAWS)
+  })
+
   it('tries a probably failing target with one request at a time, and not with retries', () => {
     const suspect = candidate('suspect', { failingChance: 0.9, idleMs: 2_500 })
     expect(shares([candidate('a'), { ...suspect, inProgress: 1 }])).to.deep.equal({ a: DRAWS })
--- a/packages/targets/src/placing/probing.ts
+++ b/packages/targets/src/placing/probing.ts
@@ -17,6 +17,8 @@
 const DEFAULT_MIN_USED_SHARE = 0.8
 /** Idle time from which a target is not in use. One that failed more recently is expected to fail still, and does not count. */
 const UNUSED_IDLE_MS = 2_000
+/** Targets of the own zone from which their use alone counts; what is known of the use of other zones' targets may be seconds old in a large fleet. */
+const MIN_OWN_ZONE_TARGETS = 8
 /** Time over which the share of requests that probe an idle target rises to all, so that a busy service needs few of them and a small one still sends one. */
 const PROBE_RAMP_MS = 500
 /** As above, for trials of targets that are probably failing. */
@@ -50,8 +52,10 @@
 /** Rises over a time, from 0 to 1. */
 const rampUp = (elapsedMs: number, rampMs: number): number => Math.min(1, Math.max(0, elapsedMs) / rampMs) ** 2
 
-/** Whether too few targets are in use for those that probably fail to be left alone. */
-const needsTrials = (candidates: readonly Candidate[], minUsedShare: number): boolean => {
+/** Whether too few targets are in use for those that probably fail to be left alone; in a large service each zone looks after its own targets. */
+const needsTrials = (allCandidates: readonly Candidate[], minUsedShare: number): boolean => {
+  const ownZone = allCandidates.filter(({ isOwnZone }) => isOwnZone)
+  const candidates = ownZone.length >= MIN_OWN_ZONE_TARGETS ? ownZone : allCandidates
   const unused = candidates.filter(({ idleMs }) => idleMs >= UNUSED_IDLE_MS).length
   const used = candidates.filter(candidate => candidate.idleMs < UNUSED_IDLE_MS && !isSuspect(candidate)).length
   return used < minUsedShare * (used + unused)
