Keep the known load of a target while views mention others

Cause: views carry 28 stats, the most important first, so that on a fleet of 480 targets some are not mentioned for seconds. After 1.5 s without an update a target counted as empty, and drew the load of whole zones. Evidence: targetStatsTracker.spec.ts, whose new case fails on the code before. Change: the load of a target counts for 6 s while any stats arrive, and for 1.5 s when none do; a relay of full fitness sends 1,300 datagrams a second.

--- a/packages/peers/src/relay/sendPacer.ts
+++ b/packages/peers/src/relay/sendPacer.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@lovagehoist/common'
 
 /** Datagrams per second that a machine of full fitness may send to the daemons of its zone. */
-const DATAGRAMS_PER_SECOND = 1_000
+const DATAGRAMS_PER_SECOND = 1_300
 /** The standby relay sends this share of the first one's views while that one is heard from. */
 const STANDBY_SHARE = 0.25
 const MS_PER_SECOND = 1_000
--- a/packages/targets/src/load/targetStatsTracker.spec.ts
+++ b/packages/targets/src/load/targetStatsTracker.spec.ts
@@ -20,6 +20,17 @@
     expect(tracker.estimate('t1').failingChance).to.be.closeTo(0.01, 0.001)
   })
 
+  it('does not take a busy target for an empty one because the views of a large fleet have not mentioned it for a while', () => {
+    tracker.applyFleetStats([['t1', { ...FLEET_STATS, inProgress: 4 }]])
+    for (let passedMs = 0; passedMs < 4_000; passedMs += 200) {
+      clock.jumpMs(200)
+      tracker.applyFleetStats([['t2', FLEET_STATS]])
+    }
+    expect(tracker.estimate('t1').inProgress).to.equal(4)
+    clock.jumpMs(1_600)
+    expect(tracker.estimate('t1').inProgress).to.equal(0)
+  })
+
   it('keeps its own evidence of failure whatever others report', () => {
     tracker.startAttempt('t1', 's').end('failed', 1)
     tracker.applyFleetStats([['t1', FLEET_STATS]])
--- a/packages/targets/src/load/targetStatsTracker.ts
+++ b/packages/targets/src/load/targetStatsTracker.ts
@@ -48,8 +48,9 @@
 /** A failure within this share of the mean latency came before the work could have finished. */
 const EARLY_FAILURE_SHARE = 0.2
 const NO_OUTCOMES: RequestOutcomeCounts = { succeeded: 0, failed: 0, failedLate: 0, failedEarly: 0 }
-/** Age from which the statistics of the fleet no longer count for requests in progress. */
-const MAX_FLEET_STATS_AGE_MS = 1_500
+/** Time without any statistics of the fleet after which they no longer count for requests in progress, and the same for one target: while others are updated, it waits for its turn. */
+const MAX_FLEET_SILENCE_MS = 1_500
+const MAX_FLEET_STATS_AGE_MS = 6_000
 /** Time for which a target of another zone is assumed to go on without requests; relays repeat the stats of idle targets within it. */
 const MAX_ASSUMED_IDLE_MS = 1_000
 
@@ -64,6 +65,7 @@
   private readonly fleetStats = new Map<string, TimedFleetStats>()
   private readonly serviceLatencies = new Map<string, RecentMean>()
   private readonly estimator: FailureEstimator
+  private fleetHeardAtMs = -Infinity
   private notify: (isUrgent: boolean) => void = () => {}
 
   private constructor (private readonly clock: Clock, private readonly serviceOf: (targetId: string) => string | undefined, private readonly path: PathEvidence) {
@@ -113,6 +115,7 @@
    */
   applyFleetStats (changes: PerTarget<FleetTargetStats>): void {
     const atMs = this.clock.monotonicMs()
+    this.fleetHeardAtMs = atMs
     for (const [targetId, stats] of changes) {
       this.fleetStats.set(targetId, { ...stats, atMs })
       const service = this.serviceOf(targetId)
@@ -267,7 +270,7 @@
   }
 
   private inProgressElsewhere (own: OwnStats | undefined, fleet: TimedFleetStats | undefined, nowMs: number): number {
-    if (fleet === undefined || nowMs - fleet.atMs > MAX_FLEET_STATS_AGE_MS) return 0
+    if (fleet === undefined || nowMs - this.fleetHeardAtMs > MAX_FLEET_SILENCE_MS || nowMs - fleet.atMs > MAX_FLEET_STATS_AGE_MS) return 0
     return Math.max(0, fleet.inProgress - (own?.reportedInProgress ?? 0))
   }
 
