Do not count a silent watch of the configuration while other zones confirm the listing

Cause: the connections of both relays of the zone to the store had gone silent. The watch of the first relay counted as a confirmation as long as its listing was recent, and that was confirmed by other zones, so that it neither read again nor noticed that its own connections were dead.

--- a/packages/common/src/fleet/readTurn.ts
+++ b/packages/common/src/fleet/readTurn.ts
@@ -38,6 +38,11 @@
     return new ReadTurn(options)
   }
 
+  /** Whether this daemon is the first relay of its zone, which reads for all. */
+  get isFirst (): boolean {
+    return this.options.relayRank() === 0
+  }
+
   /**
    * Tells whether this daemon reads the store now.
    *
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -24,7 +24,7 @@
 const OTHER_ZONE_FETCH_DELAY_MS = 300
 /** Minimum time between two fetches of the same document. */
 const MIN_FETCH_INTERVAL_MS = 300
-/** Age of the listing from which an open watch of the configuration no longer counts: its connection may be dead. */
+/** Time since the last own read of the listing from which an open watch of the configuration no longer counts: its connection may be dead. */
 const MAX_SILENCE_MS = 1_500
 /** Age of the own listing, or configuration, from which it is fetched from another zone; traffic between zones is expensive, and the relays here usually read the store. */
 const OTHER_ZONE_FETCH_AGE_MS = 1_000
@@ -50,8 +50,7 @@
   readonly heldVersions = (ages: 'own' | 'known'): HeldVersions => {
     const { config, targetRegistry, listingReadAtMs } = this.options
     const listingAtMs = ages === 'own' ? listingReadAtMs() : targetRegistry.confirmedAtMs
-    const watchedAtMs = ages === 'own' ? config.ownConfirmedAtMs : config.confirmedAtMs
-    const configAtMs = this.ageOf(listingAtMs) <= MAX_SILENCE_MS ? watchedAtMs : Math.min(listingAtMs, watchedAtMs)
+    const configAtMs = ages === 'own' ? this.ownConfigAtMs() : Math.max(this.ownConfigAtMs(), config.confirmedByOthersAtMs)
     return {
       configVersion: config.version,
       listingDigest: targetRegistry.digest,
@@ -82,7 +81,14 @@
 
   /** Ages pass from readers to other zones and from relays to their zone, never back, since each hop makes them look younger by its delay. */
   private mayConfirm (message: RelayMessage['type']): boolean {
-    return message === 'zone' || (message === 'view' && this.options.relayRank() !== 0)
+    if (message === 'zone') return this.ageOf(this.options.listingReadAtMs()) >= OTHER_ZONE_FETCH_AGE_MS
+    return message === 'view' && this.options.relayRank() !== 0
+  }
+
+  /** Monotonic time at which this daemon itself last found that the store held no newer configuration. */
+  private ownConfigAtMs (): number {
+    const { config, listingReadAtMs } = this.options
+    return this.ageOf(listingReadAtMs()) <= MAX_SILENCE_MS ? config.ownConfirmedAtMs : Math.min(listingReadAtMs(), config.ownConfirmedAtMs)
   }
 
   private compareConfigVersions (peerVersions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']): void {
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -33,7 +33,7 @@
   private refusals = 0
   private isWatching = false
   private readAtMs = -Infinity
-  private confirmedByOthersAtMs = -Infinity
+  private othersConfirmedAtMs = -Infinity
 
   private constructor (private readonly options: GatewayConfigFollowerOptions) {}
 
@@ -60,14 +60,19 @@
     return this.isWatching && this.failures === 0 ? this.options.clock.monotonicMs() : this.readAtMs
   }
 
-  /** As above, by this daemon or by another one. */
+  /** Monotonic time at which another daemon last did. */
+  get confirmedByOthersAtMs (): number {
+    return this.othersConfirmedAtMs
+  }
+
+  /** Monotonic time at which this daemon or another one last did. */
   get confirmedAtMs (): number {
-    return Math.max(this.ownConfirmedAtMs, this.confirmedByOthersAtMs)
+    return Math.max(this.ownConfirmedAtMs, this.othersConfirmedAtMs)
   }
 
   /** Records that another daemon found nothing newer than the configuration in force in the store at a monotonic time. */
   confirm (atMs: number): void {
-    this.confirmedByOthersAtMs = Math.max(this.confirmedByOthersAtMs, atMs)
+    this.othersConfirmedAtMs = Math.max(this.othersConfirmedAtMs, atMs)
   }
 
   /** Number of configurations refused because they could not be decoded. */
--- a/packages/targets/src/registry/listingPoller.ts
+++ b/packages/targets/src/registry/listingPoller.ts
@@ -7,7 +7,7 @@
   readonly store: Pick<GatewayStore, 'readTargets'>
   readonly registry: TargetRegistry
   /** Decides whether this daemon reads the store or relies on others. */
-  readonly readTurn: Pick<ReadTurn, 'isDue'>
+  readonly readTurn: Pick<ReadTurn, 'isDue' | 'isFirst'>
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
@@ -61,7 +61,8 @@
 
   private isDue (): boolean {
     const { clock, registry, readTurn } = this.options
-    return clock.monotonicMs() >= this.retryAtMs && readTurn.isDue(registry.confirmedAtMs)
+    // The first relay reads whatever others confirm: its reads also show whether its watch of the configuration can still be trusted.
+    return clock.monotonicMs() >= this.retryAtMs && readTurn.isDue(readTurn.isFirst ? this.readAtMs : registry.confirmedAtMs)
   }
 
   private async readListing (): Promise<void> {
