--- a/packages/peers/src/relay/fullPartTracker.ts
+++ b/packages/peers/src/relay/fullPartTracker.ts
@@ -34,11 +34,6 @@
     this.pending.delete(sender)
     return true
   }
-
-  /** Drops what is known of processes that are no longer heard from. */
-  keepOnly (isHeard: (sender: string) => boolean): void {
-    for (const sender of this.pending.keys()) if (!isHeard(sender)) this.pending.delete(sender)
-  }
 }
 
 /** Bound of the parts of one message, against malformed counts. */
