Decode client accounts, public routes, quota bounds and the machine's memory

The gateway read neither tenants nor public routes, so an account's key reached targets and no quota could be held. Only the configuration, the settings and their types change here; nothing uses them yet.

--- a/packages/callers/src/gateway/gatewayParts.spec.ts
+++ b/packages/callers/src/gateway/gatewayParts.spec.ts
@@ -9,11 +9,11 @@
 import { TrafficSplitter } from './trafficSplitter.js'
 
 const route = (name: string, pathPrefix: string, change: Partial<GatewayRoute> = {}): GatewayRoute => ({
-  name, host: 'h', pathPrefix, isIdempotent: true, timeoutMs: 1_000, objectiveMs: 500, priority: 1, maxAttempts: 2, weightedServices: [{ service: 's', weight: 1 }], ...change
+  name, host: 'h', pathPrefix, isIdempotent: true, timeoutMs: 1_000, objectiveMs: 500, priority: 1, maxAttempts: 2, isPublic: false, weightedServices: [{ service: 's', weight: 1 }], ...change
 })
 
 const config = (routes: readonly GatewayRoute[]): GatewayConfig =>
-  ({ version: 1, routes, services: [], limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 } })
+  ({ version: 1, routes, services: [], limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 }, accounts: undefined })
 
 describe('RouteIndex', () => {
   const index = RouteIndex.create(config([route('short', '/a/'), route('long', '/a/b/'), route('root', '/', { host: 'other' })]))
@@ -52,7 +52,7 @@
 })
 
 describe('WindowedRetryBudget', () => {
-  const BOUNDS = { graceMs: 1, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000, floorShare: 0.7 }
+  const BOUNDS = { graceMs: 1, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
   const FLEET = 36
   const REQUEST_MS = 300
 
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -31,6 +31,21 @@
   readonly weightedServices: readonly WeightedService[]
   /** Maximum number of targets that one request may be sent to. */
   readonly maxAttempts: number
+  /** Whether requests need no key of a client account. */
+  readonly isPublic: boolean
+}
+
+/** A client account of the gateway's configuration: a customer of the operator with its own keys, priority and quota. */
+export interface ClientAccount {
+  readonly name: string
+  /** Secrets that callers present; never logged or exported. */
+  readonly keys: readonly string[]
+  /** Overrides the priority of the account's routes; 0 is the highest. */
+  readonly priority: number | undefined
+  /** Requests per second over all daemons; 0 for no limit. */
+  readonly requestsPerSecond: number
+  /** Requests beyond the rate that may be made at once, over all daemons. */
+  readonly burst: number
 }
 
 /** A service of the gateway's configuration. */
@@ -55,6 +70,8 @@
   readonly routes: readonly GatewayRoute[]
   readonly services: readonly GatewayService[]
   readonly limits: CallerLimits
+  /** Client accounts, whose keys requests must carry; undefined if the configuration knows no accounts. */
+  readonly accounts: readonly ClientAccount[] | undefined
 }
 
 /** A target as its own row in the store describes it. */
@@ -134,6 +151,8 @@
   readonly leaving: string
   /** In a response: requests per second that the target takes from the whole fleet. */
   readonly limit: string
+  /** In a request to a target: name of the client account that makes it. */
+  readonly account: string
 }
 
 /** Limits on shutdown time and retries that the deployment sets. */
@@ -148,12 +167,30 @@
   readonly retryWindowMs: number
   /** Share of a service's healthy targets that must get requests while a part of its requests fails. */
   readonly floorShare: number
+  /** Time within which a removed key of a client account must be refused. */
+  readonly keyRevocationMs: number
+  /** Whether that also binds a daemon that reaches neither the store nor other daemons, which must then refuse all keys. */
+  readonly isKeyRevocationStrict: boolean
+  /** Quotas of client accounts. */
+  readonly quota: QuotaBounds
+}
+
+/** Window and tolerance of the quotas of client accounts, over the whole fleet. */
+export interface QuotaBounds {
+  /** Length of the sliding window in which requests are counted. */
+  readonly windowMs: number
+  /** Tolerated share of requests beyond rate x window + burst. */
+  readonly overageShare: number
+  /** Tolerated requests in a window beyond that share. */
+  readonly slackRequests: number
 }
 
 /** Settings of a gateway daemon. */
 export interface GatewaySettings {
   readonly instanceId: string
   readonly availabilityZone: string
+  /** All availability zones of the deployment, this daemon's own included. */
+  readonly availabilityZones: readonly string[]
   /** Whether the whole fleet starts for the first time, so that no process replaces an earlier one. */
   readonly isFirstStart: boolean
   /** Address on which callers are served. */
@@ -168,6 +205,8 @@
   readonly maxDescriptors: number
   /** CPU time available per second, in standard cores. */
   readonly cores: number
+  /** Memory that the process may use before it is killed, in megabytes. */
+  readonly memoryMb: number
   /** Bandwidth of the machine's network link. */
   readonly linkMbps: number
   readonly bounds: DeploymentLimits
--- a/packages/daemon/src/gateway/unexpectedInput.spec.ts
+++ b/packages/daemon/src/gateway/unexpectedInput.spec.ts
@@ -15,6 +15,7 @@
 const settings: GatewaySettings = {
   instanceId: 'gate-0',
   availabilityZone: 'a',
+  availabilityZones: ['a'],
   isFirstStart: true,
   callers: { host: '127.0.0.1', port: 1 },
   readiness: { host: '127.0.0.1', port: 2 },
@@ -24,7 +25,8 @@
   maxDescriptors: 4_096,
   cores: 1,
   linkMbps: 1_000,
-  bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7 }
+  memoryMb: 350,
+  bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
 }
 const from: InstanceRecord = { instanceId: 'gate-1', startId: 'start-1', host: '127.0.0.2', availabilityZone: 'a', relayFitness: 1 }
 const listing: TargetListing = { storeVersion: 7, targets: [{ ...fakeTarget('t-1'), coldForMs: 0 }], skipped: [] }
--- a/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
@@ -5,7 +5,7 @@
 import { ManualClock } from '@lovagehoist/common/testing'
 import { GatewayConfigFollower } from './gatewayConfigFollower.js'
 
-const config = (version: number): GatewayConfig => ({ version, routes: [], services: [], limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 } })
+const config = (version: number): GatewayConfig => ({ version, routes: [], services: [], limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 }, accounts: undefined })
 const snapshot = (version: number, storeVersion: number): ConfigSnapshot => ({ storeVersion, config: config(version), text: `r${version}`, error: undefined })
 
 describe('GatewayConfigFollower', () => {
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -133,6 +133,7 @@
     const settings: GatewaySettings = {
       instanceId: `gate-${number}`,
       availabilityZone: zone,
+      availabilityZones: [...new Set(['a', zone])],
       isFirstStart,
       callers,
       readiness,
@@ -142,7 +143,8 @@
       maxDescriptors: 4_096,
       cores: 1,
       linkMbps: 1_000,
-      bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7 }
+      memoryMb: 350,
+      bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
     }
     const write = (line: string): void => {
       this.logText += line
