Identify client accounts by their keys, and name them to targets

Cause: the gateway decoded no accounts and passed Authorization on as an end-to-end field.

Change: keys are looked up in the configuration in force; the field is removed and the account's name set, whatever the caller sent. Forwarded requests carry the account's name. Without accounts nothing changes.

--- a/packages/callers/src/gateway/acceptGatewayRequest.ts
+++ b/packages/callers/src/gateway/acceptGatewayRequest.ts
@@ -1,7 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import type { Clock, GatewayConfig, GatewayHeaders, GatewayRoute, RawHeaders } from '@lovagehoist/common'
+import type { ClientAccount, Clock, GatewayConfig, GatewayHeaders, GatewayRoute, RawHeaders } from '@lovagehoist/common'
+import type { AccountIndex } from '../accounts/accountIndex.js'
+import { AUTHORIZATION_HEADER } from '../accounts/bearerKey.js'
+import { identifyClientAccount } from '../accounts/identifyClientAccount.js'
+import type { KeyVerifier } from '../accounts/keyVerifier.js'
 import { disconnectSignalOf, hostOf, notRunProblem, parseTimeoutMs } from '../accept/callerRequest.js'
 import { readBody } from '../accept/readBody.js'
 import type { BodyError } from '../accept/readBody.js'
@@ -21,7 +25,10 @@
   /** Set for a request that another daemon forwarded. */
   readonly forwarding: Forwarding | undefined
   readonly requestId: string
+  /** Route, with the priority of the client account if it has one. */
   readonly route: GatewayRoute
+  /** Client account that makes the request; undefined where the configuration asks for none. */
+  readonly account: ClientAccount | undefined
   /** Service selected by the route's weighted traffic split. */
   readonly service: string
   readonly configVersion: number
@@ -41,11 +48,20 @@
   readonly disconnectSignal: AbortSignal
 }
 
+/** The configuration in force and the lookup tables built from it. */
+export interface ActiveConfig {
+  readonly config: GatewayConfig
+  readonly routes: RouteIndex
+  /** Undefined if the configuration has no client accounts. */
+  readonly accounts: AccountIndex | undefined
+}
+
 /** Dependencies for accepting requests. */
 export interface GatewayAcceptOptions {
   readonly clock: Clock
   readonly headers: GatewayHeaders
-  readonly config: () => { readonly config: GatewayConfig, readonly routes: RouteIndex } | undefined
+  readonly config: () => ActiveConfig | undefined
+  readonly keyVerifier: KeyVerifier
   readonly trafficSplitter: TrafficSplitter
   /** Delays requests until the daemon has finished starting. */
   readonly readinessGate: ReadinessGate
@@ -82,6 +98,18 @@
 /** Requests of other daemons are refused from the start of a drain on: others can take them. */
 const isLeaving = ({ isForPeers, drainWindow }: GatewayAcceptOptions): boolean => isForPeers ? drainWindow.isDraining : !drainWindow.isAccepting
 
+/** Gives the route the priority of the account, which has precedence. */
+const applyAccountPriority = (route: GatewayRoute, account: ClientAccount | undefined): GatewayRoute =>
+  account?.priority === undefined ? route : { ...route, priority: account.priority }
+
+/** Header fields for the target: where the configuration has accounts, the key stays here and the name of the account is set anew, whatever the caller sent. */
+const targetHeaders = ({ headers: names }: GatewayAcceptOptions, { accounts }: ActiveConfig, request: IncomingMessage, account: ClientAccount | undefined): RawHeaders => {
+  const omitted = [names.deadline, names.expectedTarget, FORWARDING_HEADER]
+  if (accounts === undefined) return endToEndHeaders(request, new Set(omitted))
+  const fields = endToEndHeaders(request, new Set([...omitted, AUTHORIZATION_HEADER, names.account]))
+  return account === undefined ? fields : [...fields, names.account, account.name]
+}
+
 /** Counts the targets to which the first daemon has already sent the request. */
 const limitAttempts = (route: GatewayRoute, forwarded: Forwarding | undefined): GatewayRoute =>
   forwarded === undefined ? route : { ...route, maxAttempts: Math.min(route.maxAttempts, forwarded.attempts) }
@@ -92,17 +120,30 @@
   return isKept ? forwarded.service : trafficSplitter.nextService(route)
 }
 
-/** The problem with a configuration that is missing, or older than that of the daemon which forwarded the request. */
-const findConfigProblem = (config: GatewayConfig | undefined, forwarded: Forwarding | undefined): Problem | undefined => {
-  if (config === undefined) return notRunProblem('not-ready', 'no configuration is in force here yet', NOT_READY_RETRY_AFTER_MS)
-  const isOlder = forwarded !== undefined && config.version < forwarded.configVersion
-  return isOlder ? notRunProblem('not-ready', 'a newer configuration than that of this instance is in force', NOT_READY_RETRY_AFTER_MS) : undefined
+/** A request on a known route. */
+interface MatchedRequest {
+  readonly active: ActiveConfig
+  readonly route: GatewayRoute
+  /** Path with query. */
+  readonly path: string
+}
+
+/** Matches the route of a request against the configuration in force, which must not be older than that of a daemon which forwarded the request. */
+const matchRoute = (options: GatewayAcceptOptions, request: IncomingMessage, forwarding: Forwarding | undefined): Result<MatchedRequest, Problem> => {
+  const active = options.config()
+  if (active === undefined) return err(notRunProblem('not-ready', 'no configuration is in force here yet', NOT_READY_RETRY_AFTER_MS))
+  if (active.config.version < (forwarding?.configVersion ?? 0)) return err(notRunProblem('not-ready', 'a newer configuration than that of this instance is in force', NOT_READY_RETRY_AFTER_MS))
+  const path = parseRequestPath(request.url)
+  if (path.isErr()) return err(notRunProblem('malformed-request', path.error))
+  const route = active.routes.find(hostOf(request), path.value.path)
+  if (route === undefined) return err(notRunProblem('unknown-route', 'the configuration has no such route'))
+  return ok({ active, route, path: path.value.full })
 }
 
 /**
- * Accepts a request: matches its route, selects a service and reads the whole body.
+ * Accepts a request: matches its route, identifies the client account, reads the whole body and selects a service.
  *
- * @param options - Configuration, traffic split and startup and shutdown state.
+ * @param options - Configuration, keys, traffic split and startup and shutdown state.
  * @param request - Request of the caller.
  * @param response - Response to the caller.
  * @returns The accepted request; a problem to respond with; an undefined error when the caller has disconnected.
@@ -116,32 +157,31 @@
   const requestedTimeoutMs = parseTimeoutMs(request, options.headers.deadline)
   await options.readinessGate.waitUntilReady(requestedTimeoutMs.unwrapOr(undefined) ?? DEFAULT_TIMEOUT_MS, disconnectSignal)
   if (disconnectSignal.aborted) return err(undefined)
-  const activeConfig = options.config()
-  const configProblem = findConfigProblem(activeConfig?.config, forwarding.value)
-  if (activeConfig === undefined || configProblem !== undefined) return err(configProblem)
-  const { config, routes } = activeConfig
-  const path = parseRequestPath(request.url)
-  if (path.isErr()) return err(notRunProblem('malformed-request', path.error))
-  const route = routes.find(hostOf(request), path.value.path)
-  if (route === undefined) return err(notRunProblem('unknown-route', 'the configuration has no such route'))
+  const matched = matchRoute(options, request, forwarding.value)
+  if (matched.isErr()) return err(matched.error)
   if (requestedTimeoutMs.isErr()) return err(requestedTimeoutMs.error)
+  const { active, path } = matched.value
+  const account = await identifyClientAccount(options.keyVerifier, { headers: request.rawHeaders, route: matched.value.route, forwarding: forwarding.value, accounts: active.accounts, disconnectSignal })
+  if (account.isErr()) return err(account.error)
+  const route = limitAttempts(applyAccountPriority(matched.value.route, account.value), forwarding.value)
   const timeoutMs = Math.min(requestedTimeoutMs.value ?? Infinity, route.timeoutMs)
-  const body = await readBody(request, { clock: options.clock, maxBytes: config.limits.maxBodyBytes, timeoutMs })
+  const body = await readBody(request, { clock: options.clock, maxBytes: active.config.limits.maxBodyBytes, timeoutMs })
   if (body.isErr()) return err(PROBLEM_OF_BODY_ERROR[body.error])
   const service = selectService(options, route, forwarding.value)
   return ok({
     response,
     forwarding: forwarding.value,
     requestId: gatewayRequestId(request, options.headers),
-    route: limitAttempts(route, forwarding.value),
+    route,
+    account: account.value,
     service,
-    configVersion: config.version,
-    hasHigherPriorityTraffic: routes.isOutranked(service, route.priority),
+    configVersion: active.config.version,
+    hasHigherPriorityTraffic: active.routes.isOutranked(service, route.priority),
     callerAddress: forwarding.value?.callerAddress ?? request.socket.remoteAddress ?? '',
     method: request.method ?? 'GET',
-    path: path.value.full,
+    path,
     body: body.value,
-    headers: endToEndHeaders(request, new Set([options.headers.deadline, options.headers.expectedTarget, FORWARDING_HEADER])),
+    headers: targetHeaders(options, active, request, account.value),
     receivedAtMs,
     deadlineAtMs: receivedAtMs + timeoutMs,
     disconnectSignal
--- a/packages/callers/src/gateway/forwarding.ts
+++ b/packages/callers/src/gateway/forwarding.ts
@@ -14,14 +14,16 @@
   readonly attempts: number
   /** IP address of the caller. */
   readonly callerAddress: string
+  /** Name of the client account whose key the first daemon has verified; undefined where none applies, or from earlier builds. */
+  readonly account: string | undefined
 }
 
 const MAX_LENGTH = 1_000
 const DIGITS = /^\d{1,15}$/
 
 /** Encodes the value of the forwarding header field. */
-export const encodeForwarding = ({ service, configVersion, attempts, callerAddress }: Forwarding): string =>
-  new URLSearchParams({ service, config: String(configVersion), attempts: String(attempts), caller: callerAddress }).toString()
+export const encodeForwarding = ({ service, configVersion, attempts, callerAddress, account }: Forwarding): string =>
+  new URLSearchParams({ service, config: String(configVersion), attempts: String(attempts), caller: callerAddress, ...(account === undefined ? {} : { account }) }).toString()
 
 /**
  * Decodes the value of the forwarding header field.
@@ -32,7 +34,7 @@
 export const decodeForwarding = (value: string | readonly string[] | undefined): Result<Forwarding, string> => {
   if (typeof value !== 'string' || value.length > MAX_LENGTH) return err(`${FORWARDING_HEADER} must be one field of at most ${MAX_LENGTH} characters`)
   const fields = new URLSearchParams(value)
-  const [service, config, attempts, caller] = ['service', 'config', 'attempts', 'caller'].map(name => fields.get(name) ?? '')
+  const [service, config, attempts, caller, account = ''] = ['service', 'config', 'attempts', 'caller', 'account'].map(name => fields.get(name) ?? '')
   if (service === undefined || service === '' || !DIGITS.test(config ?? '') || !DIGITS.test(attempts ?? '')) return err(`${FORWARDING_HEADER} must name a service, a configuration version and a number of attempts`)
-  return ok({ service, configVersion: Number(config), attempts: Number(attempts), callerAddress: caller ?? '' })
+  return ok({ service, configVersion: Number(config), attempts: Number(attempts), callerAddress: caller ?? '', account: account === '' ? undefined : account })
 }
--- a/packages/callers/src/gateway/peerForwarder.ts
+++ b/packages/callers/src/gateway/peerForwarder.ts
@@ -130,7 +130,7 @@
   private async forwardTo (peer: InstanceRecord, accepted: AcceptedGatewayRequest, attempts: number): Promise<PeerResult> {
     const { clock, headers, sender } = this.options
     const remainingMs = Math.max(1, Math.floor(accepted.deadlineAtMs - clock.monotonicMs()))
-    const forwarding = encodeForwarding({ service: accepted.service, configVersion: accepted.configVersion, attempts, callerAddress: accepted.callerAddress })
+    const forwarding = encodeForwarding({ service: accepted.service, configVersion: accepted.configVersion, attempts, callerAddress: accepted.callerAddress, account: accepted.account?.name })
     const sent = await sender.send(this.targetOf(peer), {
       method: accepted.method,
       path: accepted.path,
--- a/packages/callers/src/gateway/routeIndex.ts
+++ b/packages/callers/src/gateway/routeIndex.ts
@@ -16,11 +16,12 @@
   static create (config: GatewayConfig): RouteIndex {
     const hosts = new Map<string, Map<string, GatewayRoute>>()
     const topPriorities = new Map<string, number>()
+    const topAccountPriority = Math.min(...(config.accounts ?? []).map(({ priority }) => priority ?? Infinity))
     for (const route of config.routes) {
       const prefixes = hosts.get(route.host) ?? new Map<string, GatewayRoute>()
       prefixes.set(route.pathPrefix, route)
       hosts.set(route.host, prefixes)
-      for (const { service } of route.weightedServices) topPriorities.set(service, Math.min(route.priority, topPriorities.get(service) ?? Infinity))
+      for (const { service } of route.weightedServices) topPriorities.set(service, Math.min(route.priority, route.isPublic ? Infinity : topAccountPriority, topPriorities.get(service) ?? Infinity))
     }
     return new RouteIndex(hosts, topPriorities)
   }
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -169,6 +169,7 @@
 
 const respondWithProblem = (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, service: string, problem: Problem): void => {
   const requestId = gatewayRequestId(request, options.headers)
+  if (problem.kind === 'unknown-account' && !response.destroyed) response.setHeader('www-authenticate', 'Bearer')
   options.metrics.countRequest(service, problem.verdict, problem.kind)
   options.log.info('answered by the gateway', { requestId, service, status: statusOf(problem).status, problem: problem.kind, verdict: problem.verdict, detail: problem.detail, retryAfterMs: problem.retryAfterMs })
   if (response.destroyed) return
@@ -206,5 +207,5 @@
   const totalMs = Math.round(options.clock.monotonicMs() - accepted.receivedAtMs)
   options.metrics.countRequest(service, 'ran', delivery)
   options.metrics.observeLatency(service, totalMs)
-  options.log.info('answered', { requestId, service, status: reply.response.status, delivery, configVersion: accepted.configVersion, totalMs, objectiveMs: accepted.route.objectiveMs })
+  options.log.info('answered', { requestId, service, status: reply.response.status, delivery, configVersion: accepted.configVersion, account: accepted.account?.name, totalMs, objectiveMs: accepted.route.objectiveMs })
 }
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,5 +1,5 @@
-import { DrainWindow, FORWARDING_HEADER, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
-import type { GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
+import { AccountIndex, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
+import type { ActiveConfig, GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, ReadTurn, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
@@ -44,12 +44,6 @@
   readonly close: () => Promise<void>
 }
 
-/** The configuration in force and the routes built from it. */
-interface ActiveConfig {
-  readonly config: GatewayConfig
-  readonly routes: RouteIndex
-}
-
 /** Connections within or between zones open within milliseconds; trying another target is faster than waiting for a retransmitted packet. */
 const CONNECT_TIMEOUT_MS = 400
 /** Other daemons that do not accept a connection this soon are left out for a while. */
@@ -121,6 +115,9 @@
   return [createOverdueTask(clock, statsTracker), createSuspensionWatcher({ clock, uptimeMs, log, onSuspended }), async signal => { await pollSettings(dependencies, signal) }]
 }
 
+const createActiveConfig = (config: GatewayConfig): ActiveConfig =>
+  ({ config, routes: RouteIndex.create(config), accounts: config.accounts === undefined ? undefined : AccountIndex.create(config.accounts) })
+
 /** Creates the record by which this daemon registers itself and that it sends to peers. */
 const createInstanceRecord = ({ settings, random }: GatewayDependencies): InstanceRecord => ({
   instanceId: settings.instanceId,
@@ -139,13 +136,27 @@
   readonly registry: Registry
   readonly invariants: Invariants
   readonly forwarder: PeerForwarder
+  readonly documentSync: PeerDocumentSync
 }
 
-const createServeOptions = ({ settings, clock, headers, random, liveSettings, log }: GatewayDependencies, { activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder }: ServeComponents): GatewayServeOptions => ({
+const createKeyVerifier = ({ clock, liveSettings, log }: Pick<GatewayDependencies, 'clock' | 'liveSettings' | 'log'>, activeConfig: () => ActiveConfig | undefined, documentSync: PeerDocumentSync): KeyVerifier =>
+  KeyVerifier.create({
+    clock,
+    log: log.child('accounts'),
+    accounts: () => {
+      const active = activeConfig()
+      return active?.accounts === undefined ? undefined : { version: active.config.version, index: active.accounts }
+    },
+    configAgeMs: () => documentSync.heldVersions('known').configAgeMs,
+    bounds: () => liveSettings.current().bounds
+  })
+
+const createServeOptions = ({ settings, clock, headers, random, liveSettings, log }: GatewayDependencies, { activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync }: ServeComponents): GatewayServeOptions => ({
   clock,
   headers,
   invariants,
   config: activeConfig,
+  keyVerifier: createKeyVerifier({ clock, liveSettings, log }, activeConfig, documentSync),
   trafficSplitter: TrafficSplitter.create(random),
   drainWindow,
   isForPeers: false,
@@ -214,7 +225,7 @@
   let activeConfig: ActiveConfig | undefined
   const readers = createReaders(dependencies, () => relay)
   const config = createConfigFollower(dependencies, readers.createTurn(MAX_CONFIG_AGE_MS), next => {
-    activeConfig = { config: next, routes: RouteIndex.create(next) }
+    activeConfig = createActiveConfig(next)
     relay.announceVersions()
   })
   const self = createInstanceRecord(dependencies)
@@ -227,7 +238,7 @@
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
   const { peerSender, forwarder } = createForwarder(dependencies, relay)
-  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder })
+  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync })
   return {
     handler: async (request, response) => { await serveGateway(serveOptions, request, response) },
     peerHandler: createPeerHandler(serveOptions, documentSync),
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -19,6 +19,16 @@
   readonly timeoutMs?: number
   readonly priority?: number
   readonly maxAttempts?: number
+  readonly isPublic?: boolean
+}
+
+/** A client account of the configuration that the fleet writes. */
+export interface AccountOptions {
+  readonly name: string
+  readonly keys: readonly string[]
+  readonly priority?: number
+  readonly requestsPerSecond?: number
+  readonly burst?: number
 }
 
 /** A caller's request; what is absent gets a default. */
@@ -32,6 +42,8 @@
   readonly signal?: AbortSignal
   /** Loopback address that the request comes from; chosen by the system by default. */
   readonly callerHost?: string
+  /** Further header fields. */
+  readonly headers?: Readonly<Record<string, string | string[]>>
 }
 
 /** Response that a caller received. */
@@ -93,13 +105,13 @@
     return new GatewayFleet(await RowStoreStandin.create(SystemClock.create()), seed)
   }
 
-  /** Writes the next version of the configuration to the store. */
-  configure (routes: readonly RouteOptions[]): void {
+  /** Writes the next version of the configuration to the store; without accounts it lists none. */
+  configure (routes: readonly RouteOptions[], accounts?: readonly AccountOptions[]): void {
     this.configVersion += 2
     const services = new Set(routes.flatMap(({ service, split }) => [...(service === undefined ? [] : [service]), ...(split ?? []).map(part => part.service)]))
     this.store.put('op', 'config', {
       version: `r${this.configVersion}`,
-      routes: routes.map(({ prefix, kind, service, split, timeoutMs = 4_000, priority = 1, maxAttempts = 2 }, index) => ({
+      routes: routes.map(({ prefix, kind, service, split, timeoutMs = 4_000, priority = 1, maxAttempts = 2, isPublic = false }, index) => ({
         name: `route-${index}`,
         host: HOST_NAME,
         path_prefix: prefix,
@@ -108,10 +120,12 @@
         target_latency: '1000ms',
         priority,
         max_attempts: maxAttempts,
+        public: isPublic,
         ...(split === undefined ? { service } : { traffic_split: split })
       })),
       services: [...services].map(name => ({ name, health_path: '/health', max_connections: 300, protocol: 'h1', tls: false })),
-      limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout: '3000ms', idle_timeout: '15000ms' }
+      limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout: '3000ms', idle_timeout: '15000ms' },
+      ...(accounts === undefined ? {} : { tenants: accounts.map(({ name, keys, priority, requestsPerSecond = 0, burst = 0 }) => ({ name, api_keys: keys, priority, rate_per_s: requestsPerSecond, burst })) })
     })
   }
 
@@ -175,7 +189,7 @@
     if (callerHost !== undefined) return await this.callFrom(callerHost, call)
     const { host = '', port = 0 } = this.daemons[daemon]?.callerAddress ?? {}
     const requestId = call.requestId ?? `req-${this.nextRequestId++}`
-    const headers = { host: HOST_NAME, [PLATFORM_HEADERS.requestId]: requestId, [PLATFORM_HEADERS.deadline]: String(deadlineMs) }
+    const headers = { host: HOST_NAME, [PLATFORM_HEADERS.requestId]: requestId, [PLATFORM_HEADERS.deadline]: String(deadlineMs), ...call.headers }
     const response = await request(`http://${host}:${port}${path}`, { method, headers, ...(body === undefined ? {} : { body }), ...(signal === undefined ? {} : { signal }), ...(dispatcher === undefined ? {} : { dispatcher }) })
     const text = await response.body.text()
     return { status: response.statusCode, body: text, header: name => response.headers[name]?.toString() }
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -13,6 +13,8 @@
   readonly requestId: string
   readonly path: string
   readonly body: string
+  /** Header fields as received, names and values by turns. */
+  readonly rawHeaders: readonly string[]
   /** Deadline that the request carried, in milliseconds. */
   readonly deadlineMs: number
   /** Monotonic time at which the run began. */
@@ -121,7 +123,7 @@
       response.writeHead(STATUS_OVERLOADED, { [PLATFORM_HEADERS.notRun]: '1' }).end()
       return
     }
-    const run: TargetRun = { requestId, path: request.url ?? '', body: body.toString(), deadlineMs: Number(headers[PLATFORM_HEADERS.deadline]), atMs: this.clock.monotonicMs(), isAborted: false }
+    const run: TargetRun = { requestId, path: request.url ?? '', body: body.toString(), rawHeaders: request.rawHeaders, deadlineMs: Number(headers[PLATFORM_HEADERS.deadline]), atMs: this.clock.monotonicMs(), isAborted: false }
     this.runs.push(run)
     response.once('close', () => { if (!response.writableFinished) run.isAborted = true })
     await this.clock.sleepMs(this.workMs)
