Keep client accounts within their quotas over all daemons

Accounts of the configuration have a rate and a burst over the whole fleet. Each daemon reports what accounts demanded and got to the relays of its zone; these exchange sums and tell daemons which fraction to admit.

--- /dev/null
+++ b/packages/callers/src/accounts/fleetRole.ts
@@ -0,0 +1,53 @@
+import type { FleetReach } from './accountBucket.js'
+
+/** Role of this daemon in the fleet, as the exchange between daemons knows it. */
+export interface FleetRole {
+  /** Rank among the relays of the zone: 0 for the first, -1 if it is not a relay. */
+  readonly relayRank: () => number
+  /** Availability zones of the deployment, the own one included. */
+  readonly zones: () => readonly string[]
+  /** Time since any daemon of a zone was heard from, in milliseconds. */
+  readonly zoneSilenceMs: (zone: string) => number
+  /** Time since a relay's view arrived, in milliseconds. */
+  readonly viewAgeMs: () => number
+  /** Daemons of the fleet that are known, this one included. */
+  readonly knownDaemons: () => number
+  /** Daemons of the own zone that are known, and those among them that were heard from lately. */
+  readonly zoneDaemons: () => { readonly known: number, readonly heard: number }
+}
+
+/** Silence of a zone after which it counts as cut off; zones send a message every 0.8 s. */
+const CUT_OFF_MS = 2_600
+/** The same for accounts that are limited, whose usage zones tell every 0.2 s. */
+const LIMITED_CUT_OFF_MS = 1_200
+/** Silence up to which what is known of a zone counts as recent. */
+const RECENT_MS = 250
+/** Part of a zone's daemons below which a relay counts as separated from the rest of its zone. */
+const MINORITY = 0.5
+
+/**
+ * Derives which parts of the fleet a relay hears from.
+ *
+ * @param role - Role in the fleet.
+ * @param ownZone - Availability zone of this daemon.
+ * @param nowMs - Source of monotonic time.
+ */
+export const createFleetReach = (role: FleetRole, ownZone: string, nowMs: () => number): FleetReach => {
+  const startedAtMs = nowMs()
+  let cache = { atMs: -Infinity, silences: [] as ReadonlyArray<readonly [zone: string, silenceMs: number]>, ownPart: 1 }
+  const current = (): typeof cache => {
+    const atMs = nowMs()
+    if (cache.atMs === atMs) return cache
+    const { known, heard } = role.zoneDaemons()
+    // A zone that was never heard from is silent since this process started.
+    const silences = role.zones().filter(zone => zone !== ownZone).map(zone => [zone, Math.min(role.zoneSilenceMs(zone), atMs - startedAtMs)] as const)
+    cache = { atMs, silences, ownPart: heard < MINORITY * known ? heard / known : 1 }
+    return cache
+  }
+  return {
+    get zones () { return Math.max(1, role.zones().length) },
+    heardZones: needsRecent => current().silences.filter(([, silenceMs]) => silenceMs <= (needsRecent ? LIMITED_CUT_OFF_MS : CUT_OFF_MS)).map(([zone]) => zone),
+    isRecent: () => current().silences.every(([, silenceMs]) => silenceMs <= RECENT_MS),
+    ownPart: () => current().ownPart
+  }
+}
--- a/packages/callers/src/responses/problem.ts
+++ b/packages/callers/src/responses/problem.ts
@@ -15,6 +15,7 @@
   | 'head-too-large'
   | 'request-too-slow'
   | 'overload'
+  | 'over-quota'
   | 'no-target'
   | 'isolated'
   | 'deadline'
@@ -36,6 +37,7 @@
   'head-too-large': 431,
   'request-too-slow': 408,
   overload: 503,
+  'over-quota': 429,
   'no-target': 503,
   isolated: 503,
   deadline: 504,
--- a/packages/common/src/contracts/fleetNews.ts
+++ b/packages/common/src/contracts/fleetNews.ts
@@ -10,6 +10,8 @@
 /** One kind of knowledge that daemons share. Applying rows is idempotent, and neither their order nor their route matters. */
 export interface NewsTopic {
   readonly name: string
+  /** Whether reports repeat all rows for at least half a second, so that the standby relay of a large zone need not get each report; false by default. */
+  readonly isRepeated?: boolean
   /** Sets the listener for changes made by this daemon. */
   readonly onChange: (listener: (isUrgent: boolean) => void) => void
   /** Returns the rows that changed since the last message of this kind, or all of them. */
--- a/packages/daemon/src/testing/exchangeSimulation.ts
+++ b/packages/daemon/src/testing/exchangeSimulation.ts
@@ -2,8 +2,8 @@
 import type { InstanceRecord } from '@lovagehoist/common'
 import { ManualClock } from '@lovagehoist/common/testing'
 import { RelayNode } from '@lovagehoist/peers'
-import type { Datagrams } from '@lovagehoist/peers'
 import { FleetStatsAggregator, TargetStatsTracker } from '@lovagehoist/targets'
+import { SimulatedNetwork } from './simulatedNetwork.js'
 
 /** Size and load of a simulated fleet. */
 export interface ExchangeSimulationOptions {
@@ -56,13 +56,14 @@
 const SUSPECT_CHANCE = 0.2
 const MAX_FAILURE_DELAY_MS = 2_000
 
-const noLimits = { onChange: () => {}, report: () => ({ limits: [], demand: [], settled: [] }), applyReport: () => false, zoneLimits: () => ({ limits: [], demand: [] }), applyZoneLimits: () => false, view: () => ({ limits: [], permits: [] }), applyView: () => {} }
+/** Exchange of limits that targets name, without any. */
+export const noLimits = { onChange: () => {}, report: () => ({ limits: [], demand: [], settled: [] }), applyReport: () => false, zoneLimits: () => ({ limits: [], demand: [] }), applyZoneLimits: () => false, view: () => ({ limits: [], permits: [] }), applyView: () => {} }
 
 /** Runs the exchange of load and failures between all daemons of a fleet in virtual time. */
 export class ExchangeSimulation {
   private readonly clock = ManualClock.create()
   private readonly random: SeededRandom
-  private readonly listeners = new Map<string, { readonly record: InstanceRecord, readonly receive: (bytes: Uint8Array, host: string) => void }>()
+  private readonly network: SimulatedNetwork
   private readonly received = new Map<string, number>()
   private readonly receivedBytes = new Map<string, number>()
   private readonly sent = new Map<string, number>()
@@ -75,6 +76,7 @@
 
   private constructor (private readonly options: ExchangeSimulationOptions) {
     this.random = SeededRandom.create(options.seed)
+    this.network = this.createNetwork()
     const records = options.daemons.flatMap((count, zone) => Array.from({ length: count }, (_, index) => this.createRecord(zone, index)))
     this.daemons = records.map(record => this.createDaemon(record, records))
   }
@@ -119,7 +121,7 @@
       bootstrapHosts: () => [],
       clock: this.clock,
       log: silentLog,
-      datagrams: this.datagramsOf(record),
+      datagrams: this.network.datagramsOf(record),
       localCounters: tracker,
       fleetStats: FleetStatsAggregator.create(this.clock),
       news: [],
@@ -136,25 +138,22 @@
     return this.options.isDown?.(record, this.clock.monotonicMs() - WARM_UP_MS) === true
   }
 
-  private datagramsOf (from: InstanceRecord): Datagrams {
-    return {
-      send: (to, bytes) => {
-        const receiver = this.listeners.get(to)
-        if (receiver === undefined || this.isDown(from)) return
-        const isCrossZone = receiver.record.availabilityZone !== from.availabilityZone
-        this.sent.set(from.host, (this.sent.get(from.host) ?? 0) + 1)
-        this.longestBytes = Math.max(this.longestBytes, bytes.length)
-        if (isCrossZone) this.crossZoneBytes += bytes.length
-        this.clock.after(isCrossZone ? CROSS_ZONE_DELAY_MS : IN_ZONE_DELAY_MS, () => {
-          if (this.isDown(receiver.record)) return
-          this.received.set(to, (this.received.get(to) ?? 0) + 1)
-          this.receivedBytes.set(to, (this.receivedBytes.get(to) ?? 0) + bytes.length)
-          receiver.receive(bytes, from.host)
-        })
+  private createNetwork (): SimulatedNetwork {
+    return SimulatedNetwork.create({
+      clock: this.clock,
+      inZoneDelayMs: IN_ZONE_DELAY_MS,
+      crossZoneDelayMs: CROSS_ZONE_DELAY_MS,
+      isDown: record => this.isDown(record),
+      onSent: ({ from: { host }, bytes, isCrossZone }) => {
+        this.sent.set(host, (this.sent.get(host) ?? 0) + 1)
+        this.longestBytes = Math.max(this.longestBytes, bytes)
+        if (isCrossZone) this.crossZoneBytes += bytes
       },
-      onDatagram: receive => { this.listeners.set(from.host, { record: from, receive }) },
-      close: () => {}
-    }
+      onReceived: ({ to: { host }, bytes }) => {
+        this.received.set(host, (this.received.get(host) ?? 0) + 1)
+        this.receivedBytes.set(host, (this.receivedBytes.get(host) ?? 0) + bytes)
+      }
+    })
   }
 
   /** Records the time since the previous view of a daemon that runs. */
--- a/packages/peers/src/relay/newsBoard.ts
+++ b/packages/peers/src/relay/newsBoard.ts
@@ -37,6 +37,11 @@
     return Object.fromEntries(this.topics.map(topic => [topic.name, topic.collect(message, isFull)]))
   }
 
+  /** Whether news contain rows that no later report repeats. */
+  hasUnrepeated (news: News): boolean {
+    return this.topics.some(({ name, isRepeated }) => isRepeated !== true && (news[name] ?? []).length > 0)
+  }
+
   /** Applies the news of a message; returns whether any of them are urgent. */
   apply (news: News, source: NewsSource): boolean {
     return this.topics.map(topic => topic.apply(news[topic.name] ?? [], source)).some(isUrgent => isUrgent)
--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -145,6 +145,13 @@
     return [this.self, ...others.map(({ record }) => record)]
   }
 
+  /** Time since a message of any daemon of a zone arrived; infinite if none ever did. */
+  zoneSilenceMs (zone: string): number {
+    let heardAtMs = -Infinity
+    for (const peer of this.peers.values()) if (peer.record.availabilityZone === zone) heardAtMs = Math.max(heardAtMs, peer.heardAtMs)
+    return this.clock.monotonicMs() - heardAtMs
+  }
+
   /** Number of known daemons of this zone, including this one. */
   get zoneSize (): number {
     return 1 + [...this.peers.values()].filter(({ record }) => record.availabilityZone === this.self.availabilityZone).length
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -3,7 +3,6 @@
 import { decodeMessage, encodeMessage } from './messages.js'
 import type { RelayView, RelayMessage, Report, ZoneTotals } from './messages.js'
 import { NewsBoard } from './newsBoard.js'
-import type { News } from './newsMessages.js'
 import { LARGE_ZONE_SIZE, PeerTable } from './peerTable.js'
 import type { RelayNodeOptions } from './relayContracts.js'
 import { ViewPublisher } from './viewPublisher.js'
@@ -39,8 +38,6 @@
   readonly isForStandby: boolean
 }
 
-const hasNews = (news: News): boolean => Object.values(news).some(rows => rows.length > 0)
-
 /**
  * Aggregates load and failures over the fleet: every daemon reports its counters to the two relays of its zone,
  * the first relay of each zone exchanges totals with the other zones, and relays send the aggregated view back.
@@ -54,7 +51,7 @@
   private reportedRelayIds = ''
   private hasChanges = false
   private isLeaving = false
-  private hasReceivedView = false
+  private viewAtMs = -Infinity
   private cancelUrgent: CancelTimer | undefined
   private readonly lastSentMs = { report: -Infinity, standby: -Infinity, repeat: -Infinity }
   private unreadableDatagrams = 0
@@ -93,7 +90,12 @@
 
   /** Whether a relay has told this daemon what the fleet knows. */
   get hasView (): boolean {
-    return this.hasReceivedView
+    return this.viewAtMs > -Infinity
+  }
+
+  /** Time since a relay's view arrived; infinite before the first one. */
+  get viewAgeMs (): number {
+    return this.options.clock.monotonicMs() - this.viewAtMs
   }
 
   /** Tells other daemons at once that this one holds a new version of the configuration or the listing. */
@@ -188,7 +190,7 @@
     const relays = this.peers.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
     const parts = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits, heldVersions: this.options.heldVersions('known') }, this.repeatCount)
     const bootstrap = this.peers.size === 1 ? bootstrapHosts().filter(host => host !== self.host) : []
-    const receivers = isForStandby || hasNews(news) || limits.limits.length > 0 ? relays : relays.slice(0, 1)
+    const receivers = isForStandby || this.news.hasUnrepeated(news) || limits.limits.length > 0 ? relays : relays.slice(0, 1)
     for (const { instanceId } of receivers) this.peers.recordRequest(instanceId)
     for (const host of [...receivers.map(relay => relay.host), ...bootstrap]) for (const bytes of parts) datagrams.send(host, bytes)
   }
@@ -260,7 +262,7 @@
   }
 
   private handleView ({ from, heldVersions, stats, members, news, limits }: RelayView): void {
-    this.hasReceivedView = true
+    this.viewAtMs = this.options.clock.monotonicMs()
     this.news.apply(news, 'fleet')
     this.peers.addKnown(members)
     this.options.localCounters.applyFleetStats(stats)
