Compose the allowances of client accounts into the gateway

The exchange between daemons carries their rows, and metrics show limited accounts and refusals with at most 64 and 20 label values. Requests are not decided yet: serveGateway has to call admit and settle.

--- a/packages/callers/src/accounts/accountAllowances.ts
+++ b/packages/callers/src/accounts/accountAllowances.ts
@@ -38,8 +38,8 @@
   readonly limitedCount: number
   /** The limited accounts with the highest demand as a relay knows them; empty at other daemons. */
   readonly limited: readonly LimitedAccount[]
-  /** Requests refused since the start of the process. */
-  readonly refused: number
+  /** Requests refused since the start of the process, by account; those of further accounts are counted together. */
+  readonly refused: ReadonlyArray<readonly [account: string, count: number]>
 }
 
 /** Time without a relay's view after which this daemon applies its own share of the quotas. */
@@ -48,6 +48,9 @@
 const MAX_DEMAND_FACTOR = 5
 const MAX_REPORT_DELAY_MS = 1_000
 const MAX_SUMMARIZED = 20
+/** Accounts whose refusals are counted by name, which bounds the label values of metrics. */
+const MAX_COUNTED = 64
+const OTHER_ACCOUNTS = '(other)'
 const MS_PER_SECOND = 1_000
 const TOPIC = 'accounts'
 
@@ -64,7 +67,7 @@
   private readonly startedAtMs: number
   private notify: (isUrgent: boolean) => void = () => {}
   private isLocal = false
-  private refused = 0
+  private readonly refused = new Map<string, number>()
 
   private constructor (private readonly options: AccountAllowancesOptions) {
     const { clock, random, log, role, availabilityZone } = options
@@ -99,7 +102,7 @@
     this.counters.recordDemand(name)
     const retryDelayMs = this.appliesOwnShare() ? this.localBuckets.take(name, quota) : this.fractions.take(name)
     if (retryDelayMs > 0) {
-      this.refused++
+      this.countRefused(name)
       // Refused requests change nothing else that is reported.
       this.notify(false)
       return { type: 'over-allowance', retryDelayMs }
@@ -111,7 +114,12 @@
   /** Returns the state for metrics and dumps. */
   summarize (): AllowanceSummary {
     const limited = this.relay.limited()
-    return { isLocal: this.isLocal, limitedCount: Math.max(limited.length, this.fractions.limited().length), limited: limited.slice(0, MAX_SUMMARIZED), refused: this.refused }
+    return { isLocal: this.isLocal, limitedCount: Math.max(limited.length, this.fractions.limited().length), limited: limited.slice(0, MAX_SUMMARIZED), refused: [...this.refused] }
+  }
+
+  private countRefused (account: string): void {
+    const label = this.refused.has(account) || this.refused.size < MAX_COUNTED ? account : OTHER_ACCOUNTS
+    this.refused.set(label, (this.refused.get(label) ?? 0) + 1)
   }
 
   private createSettle (account: string): (ran: boolean) => void {
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,5 +1,5 @@
 import { AccountIndex, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
-import type { ActiveConfig, GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
+import type { AccountAllowances, ActiveConfig, GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, ReadTurn, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
@@ -8,6 +8,7 @@
 import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, MAX_LISTING_AGE_MS, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
 import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
+import { createAllowances, registerAllowanceMetrics } from './gatewayAllowances.js'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import { InstanceRegistration } from './instanceRegistration.js'
 import type { LiveSettings } from './liveSettings.js'
@@ -83,10 +84,19 @@
   return { path, crashConfirmer, rests, leaving, statsTracker, fleetStats, limits, sender, targetRegistry, selector }
 }
 
-const createRelayNode = (dependencies: GatewayDependencies, self: InstanceRecord, targets: ReturnType<typeof createTargetComponents>, documentSync: PeerDocumentSync, poisonDetector: PoisonRequestDetector): RelayNode => {
+/** The exchange between daemons, and the quotas that depend on it. */
+interface ExchangeComponents {
+  readonly relay: RelayNode
+  readonly allowances: AccountAllowances
+}
+
+const createExchange = (dependencies: GatewayDependencies, self: InstanceRecord, targets: ReturnType<typeof createTargetComponents>, documentSync: PeerDocumentSync, poisonDetector: PoisonRequestDetector, registry: Registry, config: () => GatewayConfig | undefined): ExchangeComponents => {
   const { liveSettings, clock, log, datagrams } = dependencies
   const { statsTracker, fleetStats, limits } = targets
-  return RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, news: [poisonDetector.news, targets.leaving.news], limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
+  const allowances = createAllowances(dependencies, self, () => relay, config)
+  const relay: RelayNode = RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, news: [poisonDetector.news, targets.leaving.news, allowances.news], limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
+  registerAllowanceMetrics(registry, allowances)
+  return { relay, allowances }
 }
 
 const createOverdueTask = (clock: Clock, statsTracker: TargetStatsTracker) => async (signal: AbortSignal): Promise<void> => {
@@ -232,7 +242,7 @@
   const targets = createTargetComponents(dependencies, self, registry, invariants)
   const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry, listingReadAtMs: () => listingPoller.lastReadAtMs, relayRank: () => relay.relayRank })
   const poisonDetector = PoisonRequestDetector.create(clock)
-  const relay: RelayNode = createRelayNode(dependencies, self, targets, documentSync, poisonDetector)
+  const { relay }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
   const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(MAX_LISTING_AGE_MS), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
