Answer requests over their account's quota with 429

The allowances decide after a request is accepted and learn at the end whether a target ran it; a forwarded request is counted by the daemon that received it from its caller.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { joinVerdicts, murmurHash } from '@lovagehoist/common'
 import type { TargetChoice, Invariants, ListedTarget, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
+import { notRunProblem } from '../accept/callerRequest.js'
+import type { AccountAllowances, AllowanceDecision } from '../accounts/accountAllowances.js'
 import { deliver } from '../responses/deliver.js'
 import { fractionalSeconds, sendProblem, statusOf } from '../responses/problem.js'
 import type { Problem } from '../responses/problem.js'
@@ -35,6 +37,8 @@
   readonly confirmCrash: (target: ListedTarget, onCrashed: () => void) => Promise<void>
   /** Whether this daemon reaches targets. */
   readonly path: OwnPath
+  /** Quotas of client accounts. */
+  readonly allowances: Pick<AccountAllowances, 'admit'>
   readonly forwarder: PeerForwarder
   readonly metrics: RequestMetrics
   readonly invariants: Invariants
@@ -167,6 +171,10 @@
   return problemReply('isolated', 'not-run', `this instance reaches no target, and ${result.detail}`, MIN_RETRY_AFTER_MS)
 }
 
+/** Decides whether the request is within its account's quota; a forwarded one was counted by the daemon that received it from its caller. */
+const admitAccount = ({ allowances }: GatewayServeOptions, { account, forwarding }: AcceptedGatewayRequest): AllowanceDecision =>
+  account === undefined || forwarding !== undefined ? { type: 'admitted', settle: () => {} } : allowances.admit(account)
+
 const respondWithProblem = (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, service: string, problem: Problem): void => {
   const requestId = gatewayRequestId(request, options.headers)
   if (problem.kind === 'unknown-account' && !response.destroyed) response.setHeader('www-authenticate', 'Bearer')
@@ -193,7 +201,13 @@
   }
   const accepted = acceptance.value
   const { requestId, service, method } = accepted
+  const allowance = admitAccount(options, accepted)
+  if (allowance.type === 'over-allowance') {
+    respondWithProblem(options, request, response, service, notRunProblem('over-quota', 'the client account is over its quota', allowance.retryDelayMs))
+    return
+  }
   const reply = await forward(options, accepted)
+  allowance.settle(reply.type === 'answer' || reply.problem.verdict !== 'not-run')
   if (accepted.disconnectSignal.aborted) {
     options.metrics.countRequest(service, 'none', 'caller-gone')
     options.log.info('caller left', { requestId, service, afterMs: Math.round(options.clock.monotonicMs() - accepted.receivedAtMs) })
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -147,6 +147,7 @@
   readonly invariants: Invariants
   readonly forwarder: PeerForwarder
   readonly documentSync: PeerDocumentSync
+  readonly allowances: AccountAllowances
 }
 
 const createKeyVerifier = ({ clock, liveSettings, log }: Pick<GatewayDependencies, 'clock' | 'liveSettings' | 'log'>, activeConfig: () => ActiveConfig | undefined, documentSync: PeerDocumentSync): KeyVerifier =>
@@ -161,11 +162,12 @@
     bounds: () => liveSettings.current().bounds
   })
 
-const createServeOptions = ({ settings, clock, headers, random, liveSettings, log }: GatewayDependencies, { activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync }: ServeComponents): GatewayServeOptions => ({
+const createServeOptions = ({ settings, clock, headers, random, liveSettings, log }: GatewayDependencies, { activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync, allowances }: ServeComponents): GatewayServeOptions => ({
   clock,
   headers,
   invariants,
   config: activeConfig,
+  allowances,
   keyVerifier: createKeyVerifier({ clock, liveSettings, log }, activeConfig, documentSync),
   trafficSplitter: TrafficSplitter.create(random),
   drainWindow,
@@ -242,13 +244,13 @@
   const targets = createTargetComponents(dependencies, self, registry, invariants)
   const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry, listingReadAtMs: () => listingPoller.lastReadAtMs, relayRank: () => relay.relayRank })
   const poisonDetector = PoisonRequestDetector.create(clock)
-  const { relay }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
+  const { relay, allowances }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
   const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(MAX_LISTING_AGE_MS), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
   const { peerSender, forwarder } = createForwarder(dependencies, relay)
-  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync })
+  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync, allowances })
   return {
     handler: async (request, response) => { await serveGateway(serveOptions, request, response) },
     peerHandler: createPeerHandler(serveOptions, documentSync),
