Reserve room for bodies before they are read and deliver responses at the caller's pace

What callers saw: nothing limited the bytes of bodies and responses, so uploads or callers that do not read could take the daemon's memory, and a caller that read nothing held its response until its connection ended. The time limit of a body counts from the arrival of the request.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { joinVerdicts, murmurHash } from '@lovagehoist/common'
 import type { TargetChoice, Invariants, ListedTarget, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
+import { closeHoldAfter } from '../buffering/closeHoldAfter.js'
+import type { BufferHold } from '../buffering/bufferHold.js'
 import { deliver } from '../responses/deliver.js'
 import { fractionalSeconds, sendProblem, statusOf } from '../responses/problem.js'
 import type { Problem } from '../responses/problem.js'
@@ -177,6 +179,11 @@
   sendProblem(response, problem, fractionalSeconds)
 }
 
+const recordStalledCaller = ({ log, metrics }: GatewayServeOptions, { requestId, service, callerAddress }: AcceptedGatewayRequest): void => {
+  metrics.countStalledCaller(service)
+  log.warn('caller disconnected: it reads nothing', { requestId, service, callerAddress })
+}
+
 /**
  * Serves one request: accepts it, chooses a target, sends it, classifies the outcome, and retries or responds.
  *
@@ -185,7 +192,16 @@
  * @param response - Response to the caller.
  */
 export const serveGateway = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse): Promise<void> => {
-  const acceptance = await acceptGatewayRequest(options, request, response)
+  const hold = options.bufferBudget.open()
+  try {
+    await serveWithin(options, request, response, hold)
+  } finally {
+    closeHoldAfter(response, hold)
+  }
+}
+
+const serveWithin = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, hold: BufferHold): Promise<void> => {
+  const acceptance = await acceptGatewayRequest(options, request, response, { receivedAtMs: options.clock.monotonicMs(), bufferHold: hold })
   if (acceptance.isErr()) {
     if (acceptance.error !== undefined) respondWithProblem(options, request, response, NO_SERVICE, acceptance.error)
     return
@@ -193,6 +209,7 @@
   const accepted = acceptance.value
   const { requestId, service, method } = accepted
   const reply = await forward(options, accepted)
+  hold.releaseBody()
   if (accepted.disconnectSignal.aborted) {
     options.metrics.countRequest(service, 'none', 'caller-gone')
     options.log.info('caller left', { requestId, service, afterMs: Math.round(options.clock.monotonicMs() - accepted.receivedAtMs) })
@@ -202,7 +219,7 @@
     respondWithProblem(options, request, response, service, reply.problem)
     return
   }
-  const delivery = await deliver({ response, requestId, method, invariants: options.invariants }, reply.response)
+  const delivery = await deliver({ response, requestId, method, invariants: options.invariants, pacing: { clock: options.clock, hold, onStalled: () => { recordStalledCaller(options, accepted) } } }, reply.response)
   const totalMs = Math.round(options.clock.monotonicMs() - accepted.receivedAtMs)
   options.metrics.countRequest(service, 'ran', delivery)
   options.metrics.observeLatency(service, totalMs)
