--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -96,7 +96,7 @@
   }
 
   /** Writes the next version of the configuration to the store. */
-  configure (routes: readonly RouteOptions[]): void {
+  configure (routes: readonly RouteOptions[], maxBodyBytes = 1_000_000): void {
     this.configVersion += 2
     const services = new Set(routes.flatMap(({ service, split }) => [...(service === undefined ? [] : [service]), ...(split ?? []).map(part => part.service)]))
     this.store.put('op', 'config', {
@@ -113,7 +113,7 @@
         ...(split === undefined ? { service } : { traffic_split: split })
       })),
       services: [...services].map(name => ({ name, health_path: '/health', max_connections: 300, protocol: 'h1', tls: false })),
-      limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout: '3000ms', idle_timeout: '15000ms' }
+      limits: { max_header_bytes: 16_384, max_body_bytes: maxBodyBytes, header_timeout: '3000ms', idle_timeout: '15000ms' }
     })
   }
 
