--- a/packages/callers/src/accounts/accountAllowances.ts
+++ b/packages/callers/src/accounts/accountAllowances.ts
@@ -152,7 +152,7 @@
     const report = { startId: this.options.startId, uptimeMs: this.uptimeMs(), counts: this.counters.collect(isFull, account => this.reportDelayMs(account)) }
     if (this.options.role.relayRank() >= 0) {
       // A relay does not receive its own report.
-      this.relay.applyReport(report)
+      if (this.relay.applyReport(report)) this.notify(true)
       this.refreshFractions()
     }
     return encodeReport(report)
--- a/packages/daemon/src/testing/accountSimulation.ts
+++ b/packages/daemon/src/testing/accountSimulation.ts
@@ -69,6 +69,8 @@
 const BOUNDS: QuotaBounds = { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 }
 /** A restarted daemon holds requests back until its first view, for this long at most. */
 const STARTUP_MS = 1_000
+/** Daemons don't tick at the same moments. */
+const MAX_START_DELAY_MS = 100
 const GATE_POLL_MS = 10
 const WORK_MS = 150
 const heldVersions = { configVersion: 1, listingDigest: 'digest', listingVersion: 1, listingAgeMs: 0, configAgeMs: 0 }
@@ -179,7 +181,7 @@
     })
     relay.peers.addKnown(this.records)
     const stopping = new AbortController()
-    relay.run(stopping.signal).catch(() => {})
+    this.clock.after(this.random.next() * MAX_START_DELAY_MS, () => { relay.run(stopping.signal).catch(() => {}) })
     return { record, index, relay, allowances, stopping, startedAtMs: this.clock.monotonicMs(), notifyCounters }
   }
 
