Keep quotas when relays restart or zones lose each other as an account's demand rises

Daemons took the fraction of the relay that they heard last, which may have just started, and zones counted on silent ones for 1.2 s and more. Daemons now take the smallest recent fraction; accounts near their limit count a zone as cut off after 0.6 s and then use their own share, less what they spent since.

--- a/packages/callers/src/accounts/accountAllowances.ts
+++ b/packages/callers/src/accounts/accountAllowances.ts
@@ -114,7 +114,7 @@
   /** Returns the state for metrics and dumps. */
   summarize (): AllowanceSummary {
     const limited = this.relay.limited()
-    return { isLocal: this.isLocal, limitedCount: Math.max(limited.length, this.fractions.limited().length), limited: limited.slice(0, MAX_SUMMARIZED), refused: [...this.refused] }
+    return { isLocal: this.isLocal, limitedCount: Math.max(limited.length, this.fractions.countLimited()), limited: limited.slice(0, MAX_SUMMARIZED), refused: [...this.refused] }
   }
 
   private countRefused (account: string): void {
@@ -141,7 +141,7 @@
   private readonly collectors: Readonly<Record<NewsMessage, (isFull: boolean) => readonly NewsRow[]>> = {
     report: isFull => this.collectReport(isFull),
     zone: () => encodeZone({ zone: this.options.availabilityZone, startId: this.options.startId, uptimeMs: this.uptimeMs(), usages: this.relay.zoneUsages() }),
-    view: () => encodeView(this.refreshFractions())
+    view: () => encodeView(this.options.startId, this.refreshFractions())
   }
 
   private collect (message: NewsMessage, isFull: boolean): readonly NewsRow[] {
@@ -166,15 +166,15 @@
 
   private refreshFractions (): ReturnType<RelayAllowances['fractions']> {
     const fractions = this.relay.fractions()
-    for (const fraction of fractions) this.fractions.set(fraction)
+    for (const fraction of fractions) this.fractions.set(this.options.startId, fraction)
     return fractions
   }
 
   private readonly handlers: { readonly [Type in AllowanceRow['type']]: (row: Extract<AllowanceRow, { readonly type: Type }>) => boolean } = {
     report: ({ report }) => this.relay.applyReport(report),
     zone: ({ report }) => report.zone !== this.options.availabilityZone && this.relay.applyZone(report),
-    view: ({ fractions }) => {
-      for (const fraction of fractions) if (this.quotaOf(fraction.account) !== undefined) this.fractions.set(fraction)
+    view: ({ startId, fractions }) => {
+      for (const fraction of fractions) if (this.quotaOf(fraction.account) !== undefined) this.fractions.set(startId, fraction)
       return false
     }
   }
--- a/packages/callers/src/accounts/accountBucket.ts
+++ b/packages/callers/src/accounts/accountBucket.ts
@@ -27,8 +27,10 @@
 const MS_PER_SECOND = 1_000
 /** Time in which a level above or below zero is spent or made up for; below the delay of the feedback it would oscillate. */
 const LEVEL_SPREAD_S = 1
-/** Time for which an account has been limited from which silent zones count as cut off early, since limited accounts are exchanged urgently. */
-const SETTLED_LIMIT_MS = 1_200
+/** Time for which an account has been near its limit from which silent zones count as cut off early, since all zones tell their usage of it every 0.2 s. */
+const SETTLED_MS = 400
+/** Time for which a zone tells its usage urgently after another one did. */
+const ANSWER_MS = 600
 /** Zones tell their usage for this long after it was last needed, so that the others learn of its end. */
 const SHARED_LINGER_MS = 2_000
 /** Part of the difference between two zones' levels that a relay makes up with each report. */
@@ -45,7 +47,8 @@
   private share: number | undefined
   private snapshot: Snapshot | undefined
   private latestFraction = 1
-  private limitedSinceMs: number | undefined
+  private nearSinceMs: number | undefined
+  private answersUntilMs = -Infinity
   private sharedUntilMs = -Infinity
 
   private constructor (readonly account: string, private quota: AccountQuota, private level: number, private updatedAtMs: number) {
@@ -91,6 +94,7 @@
     this.remotes.set(report.zone, remote)
     this.level -= remote.apply(report, usage, nowMs, this.latestFraction)
     if (this.share === 1) this.level += LEVEL_CONVERGENCE * (Math.min(usage.level, this.quota.depth) - this.level)
+    if (this.isNear(usage.demandPerSecond, usage.level, reach)) this.answersUntilMs = nowMs + ANSWER_MS
     this.evaluate(nowMs, reach)
   }
 
@@ -111,11 +115,8 @@
   }
 
   /** Whether other zones need to know it at once. */
-  isUrgent (nowMs: number, reach: FleetReach): boolean {
-    if (!this.isShared(nowMs)) return false
-    const own = this.ownDemand.perSecond(nowMs)
-    const { perSecond, depth, unknownRequests } = this.quota
-    return this.latestFraction < 1 || this.level < depth / 2 || own > URGENT_SHARE_FACTOR * perSecond / reach.zones + unknownRequests || this.demand(nowMs, reach) > perSecond + unknownRequests
+  isUrgent (nowMs: number): boolean {
+    return this.nearSinceMs !== undefined || nowMs <= this.answersUntilMs
   }
 
   /** Usage of the own zone. */
@@ -132,6 +133,12 @@
     return { account: this.account, fraction: this.latestFraction, retryDelayMs, demandPerSecond, level: this.level }
   }
 
+  /** Whether the demand and the level of one zone show that the account may soon be limited. */
+  private isNear (ownDemand: number, level: number, reach: FleetReach): boolean {
+    const { perSecond, depth, unknownRequests } = this.quota
+    return level < (this.share ?? 1) * depth / 2 || ownDemand > URGENT_SHARE_FACTOR * perSecond / reach.zones + unknownRequests
+  }
+
   private demand (nowMs: number, reach: FleetReach): number {
     return this.heardRemotes(nowMs, reach).reduce((sum, [, remote]) => sum + remote.perSecond(nowMs), this.ownDemand.perSecond(nowMs))
   }
@@ -143,7 +150,7 @@
   }
 
   private needsRecent (nowMs: number): boolean {
-    return this.limitedSinceMs !== undefined && nowMs - this.limitedSinceMs >= SETTLED_LIMIT_MS
+    return this.nearSinceMs !== undefined && nowMs - this.nearSinceMs >= SETTLED_MS
   }
 
   private advance (nowMs: number, reach: FleetReach): void {
@@ -162,7 +169,12 @@
     const share = (reach.ownPart() + heard.length) / reach.zones
     const previous = this.share
     this.share = share
-    if (previous === undefined || share >= previous) return
+    if (previous === undefined || share === previous) return
+    if (share > previous) {
+      // Zones that come back have spent about as much as this one while nobody knew of the others.
+      this.level = Math.min(this.level, this.level * share / previous)
+      return
+    }
     const { snapshot } = this
     const ratio = share / previous
     if (snapshot === undefined || nowMs - snapshot.atMs > MAX_SNAPSHOT_AGE_MS) {
@@ -174,15 +186,15 @@
   }
 
   private evaluate (nowMs: number, reach: FleetReach): void {
-    const { perSecond, depth, unknownRequests } = this.quota
+    const { perSecond, unknownRequests } = this.quota
     const share = this.share ?? 1
     const demand = this.demand(nowMs, reach)
     const capacity = Math.max(0, share * perSecond + this.level / LEVEL_SPREAD_S)
     this.latestFraction = demand <= capacity ? 1 : capacity / demand
-    if (this.latestFraction === 1) this.limitedSinceMs = undefined
-    else this.limitedSinceMs ??= nowMs
     const own = this.ownDemand.perSecond(nowMs)
-    const isNear = own > perSecond / reach.zones + unknownRequests || demand > perSecond + unknownRequests || this.level < depth * share / 2
-    if (isNear) this.sharedUntilMs = nowMs + SHARED_LINGER_MS
+    const isNear = this.latestFraction < 1 || demand > perSecond + unknownRequests || this.isNear(own, this.level, reach)
+    if (!isNear) this.nearSinceMs = undefined
+    else this.nearSinceMs ??= nowMs
+    if (isNear || nowMs <= this.answersUntilMs || own > perSecond / reach.zones + unknownRequests) this.sharedUntilMs = nowMs + SHARED_LINGER_MS
   }
 }
--- a/packages/callers/src/accounts/allowanceRows.ts
+++ b/packages/callers/src/accounts/allowanceRows.ts
@@ -7,7 +7,7 @@
 export type AllowanceRow =
   | { readonly type: 'report', readonly report: DaemonReport }
   | { readonly type: 'zone', readonly report: ZoneReport }
-  | { readonly type: 'view', readonly fractions: readonly AdmittedFraction[] }
+  | { readonly type: 'view', readonly startId: string, readonly fractions: readonly AdmittedFraction[] }
 
 type Field = string | number
 
@@ -32,8 +32,8 @@
   inRows(usages, some => ['zone', zone, startId, Math.round(uptimeMs), ...some.flatMap(({ account, demandPerSecond, admitted, level }) => [account, round(demandPerSecond), round(admitted), round(level)])])
 
 /** Encodes the shares that the daemons of a zone admit. */
-export const encodeView = (fractions: readonly AdmittedFraction[]): readonly NewsRow[] =>
-  inRows(fractions, some => ['view', ...some.flatMap(({ account, fraction, retryDelayMs }) => [account, round(fraction), Math.round(retryDelayMs)])])
+export const encodeView = (startId: string, fractions: readonly AdmittedFraction[]): readonly NewsRow[] =>
+  inRows(fractions, some => ['view', startId, ...some.flatMap(({ account, fraction, retryDelayMs }) => [account, round(fraction), Math.round(retryDelayMs)])])
 
 /** Splits fields into groups that begin with a string and continue with numbers; undefined if any of them is malformed. */
 const decodeGroups = (fields: readonly Field[], size: number): ReadonlyArray<readonly [account: string, numbers: readonly number[]]> | undefined => {
@@ -62,11 +62,11 @@
   return usages.every(({ demandPerSecond }) => demandPerSecond >= 0) ? { type: 'zone', report: { zone, startId, uptimeMs, usages } } : undefined
 }
 
-const decodeView = (fields: readonly Field[]): AllowanceRow | undefined => {
+const decodeView = ([startId, ...fields]: readonly Field[]): AllowanceRow | undefined => {
   const groups = decodeGroups(fields, VIEW_FIELDS)
-  if (groups === undefined) return undefined
+  if (typeof startId !== 'string' || groups === undefined) return undefined
   const fractions = groups.map(([account, [fraction = 1, retryDelayMs = 0]]) => ({ account, fraction, retryDelayMs }))
-  return fractions.every(({ fraction, retryDelayMs }) => fraction >= 0 && fraction <= 1 && retryDelayMs >= 0) ? { type: 'view', fractions } : undefined
+  return fractions.every(({ fraction, retryDelayMs }) => fraction >= 0 && fraction <= 1 && retryDelayMs >= 0) ? { type: 'view', startId, fractions } : undefined
 }
 
 const DECODERS: Readonly<Record<AllowanceRow['type'], (fields: readonly Field[]) => AllowanceRow | undefined>> = { report: decodeReport, zone: decodeZone, view: decodeView }
--- a/packages/callers/src/accounts/fleetRole.ts
+++ b/packages/callers/src/accounts/fleetRole.ts
@@ -18,8 +18,8 @@
 
 /** Silence of a zone after which it counts as cut off; zones send a message every 0.8 s. */
 const CUT_OFF_MS = 2_600
-/** The same for accounts that are limited, whose usage zones tell every 0.2 s. */
-const LIMITED_CUT_OFF_MS = 1_200
+/** The same for accounts that are near their limit, whose usage zones tell every 0.2 s. */
+const NEAR_CUT_OFF_MS = 600
 /** Silence up to which what is known of a zone counts as recent. */
 const RECENT_MS = 250
 /** Part of a zone's daemons below which a relay counts as separated from the rest of its zone. */
@@ -46,7 +46,7 @@
   }
   return {
     get zones () { return Math.max(1, role.zones().length) },
-    heardZones: needsRecent => current().silences.filter(([, silenceMs]) => silenceMs <= (needsRecent ? LIMITED_CUT_OFF_MS : CUT_OFF_MS)).map(([zone]) => zone),
+    heardZones: needsRecent => current().silences.filter(([, silenceMs]) => silenceMs <= (needsRecent ? NEAR_CUT_OFF_MS : CUT_OFF_MS)).map(([zone]) => zone),
     isRecent: () => current().silences.every(([, silenceMs]) => silenceMs <= RECENT_MS),
     ownPart: () => current().ownPart
   }
--- a/packages/callers/src/accounts/fractionAdmission.ts
+++ b/packages/callers/src/accounts/fractionAdmission.ts
@@ -9,23 +9,33 @@
   readonly retryDelayMs: number
 }
 
-interface FractionState {
-  fraction: number
-  retryDelayMs: number
-  receivedAtMs: number
+interface ToldFraction {
+  readonly fraction: number
+  readonly retryDelayMs: number
+  readonly receivedAtMs: number
+}
+
+interface AccountState {
+  /** Latest fraction of each relay, by its start ID. */
+  readonly told: Map<string, ToldFraction>
   /** Error of the admitted share so far, between 0 and 1; a request is admitted when it reaches 1. */
   error: number
 }
 
 /** Time after which a fraction that is not repeated no longer applies. */
 const FRACTION_TTL_MS = 2_000
+/** Time after which it no longer applies if another relay tells one. */
+const OUTDATED_MS = 800
 /** Refused callers return spread over this range of the expected delay, so that they don't return all at once. */
 const MIN_DELAY_SHARE = 0.75
 const DELAY_SPREAD = 0.5
 
-/** Admits the share of each account's requests that the relay names; requests of accounts that it does not mention are all admitted. */
+/**
+ * Admits the share of each account's requests that the relays of the zone name, the smaller one if they differ: a relay that has just started knows
+ * less. Requests of accounts that they do not mention are all admitted.
+ */
 export class FractionAdmission {
-  private readonly states = new Map<string, FractionState>()
+  private readonly states = new Map<string, AccountState>()
 
   private constructor (private readonly clock: Clock, private readonly random: Random) {}
 
@@ -40,34 +50,49 @@
     return new FractionAdmission(clock, random)
   }
 
-  /** Sets the share of an account; the latest one applies. */
-  set ({ account, fraction, retryDelayMs }: AdmittedFraction): void {
-    const receivedAtMs = this.clock.monotonicMs()
+  /**
+   * Sets the share of an account.
+   *
+   * @param startId - Start ID of the relay that tells it.
+   * @param admitted - Share, and the delay for those that are refused.
+   */
+  set (startId: string, { account, fraction, retryDelayMs }: AdmittedFraction): void {
     const known = this.states.get(account)
-    if (fraction >= 1) this.states.delete(account)
-    else if (known === undefined) this.states.set(account, { fraction, retryDelayMs, receivedAtMs, error: this.random.next() })
-    else Object.assign(known, { fraction, retryDelayMs, receivedAtMs })
+    if (known === undefined && fraction >= 1) return
+    const state = known ?? { told: new Map<string, ToldFraction>(), error: this.random.next() }
+    state.told.set(startId, { fraction, retryDelayMs, receivedAtMs: this.clock.monotonicMs() })
+    this.states.set(account, state)
   }
 
   /** Decides on a request; returns 0 if it is admitted, or the delay after which its caller may return. */
   take (account: string): number {
     const state = this.states.get(account)
     if (state === undefined) return 0
-    if (this.clock.monotonicMs() - state.receivedAtMs > FRACTION_TTL_MS) {
-      this.states.delete(account)
-      return 0
-    }
-    state.error += state.fraction
+    const limit = this.limitOf(account, state)
+    if (limit === undefined) return 0
+    state.error += limit.fraction
     if (state.error >= 1) {
       state.error--
       return 0
     }
-    return state.retryDelayMs * (MIN_DELAY_SHARE + DELAY_SPREAD * this.random.next())
+    return limit.retryDelayMs * (MIN_DELAY_SHARE + DELAY_SPREAD * this.random.next())
   }
 
-  /** Accounts of which less than everything is admitted. */
-  limited (): readonly AdmittedFraction[] {
-    const oldestMs = this.clock.monotonicMs() - FRACTION_TTL_MS
-    return [...this.states].filter(([, { receivedAtMs }]) => receivedAtMs >= oldestMs).map(([account, { fraction, retryDelayMs }]) => ({ account, fraction, retryDelayMs }))
+  /** Number of accounts of which less than everything is admitted. */
+  countLimited (): number {
+    return [...this.states].filter(([account, state]) => this.limitOf(account, state) !== undefined).length
+  }
+
+  /** The smallest fraction that applies; undefined if all requests are admitted. */
+  private limitOf (account: string, { told }: AccountState): ToldFraction | undefined {
+    const nowMs = this.clock.monotonicMs()
+    for (const [startId, { receivedAtMs }] of told) {
+      const ageMs = nowMs - receivedAtMs
+      const hasNewer = ageMs > OUTDATED_MS && [...told.values()].some(other => nowMs - other.receivedAtMs <= OUTDATED_MS)
+      if (ageMs > FRACTION_TTL_MS || hasNewer) told.delete(startId)
+    }
+    if (told.size === 0) this.states.delete(account)
+    const smallest = [...told.values()].reduce<ToldFraction | undefined>((least, other) => least === undefined || other.fraction < least.fraction ? other : least, undefined)
+    return smallest === undefined || smallest.fraction >= 1 ? undefined : smallest
   }
 }
--- a/packages/callers/src/accounts/relayAllowances.ts
+++ b/packages/callers/src/accounts/relayAllowances.ts
@@ -32,6 +32,8 @@
 
 /** Time without reports after which a daemon counts as one that was no relay: what it knew is too old. */
 const MAX_PAUSE_MS = 2_000
+/** Time without reports from which fractions are not told: a daemon that is no longer a relay knows too little. */
+const MAX_REPORT_AGE_MS = 500
 /** Minimum time between two urgent messages about accounts. */
 const URGENT_INTERVAL_MS = 200
 /** Time for which daemons are told that an account is no longer limited; longer than they keep a fraction. */
@@ -103,6 +105,7 @@
   /** Fractions of the accounts that are limited, and of those that were until lately. */
   fractions (): readonly AdmittedFraction[] {
     const nowMs = this.options.clock.monotonicMs()
+    if (nowMs - this.lastReportAtMs > MAX_REPORT_AGE_MS) return []
     const fractions: AdmittedFraction[] = []
     for (const [account, limitation] of this.limitations) {
       const bucket = this.buckets.get(account)
@@ -152,7 +155,7 @@
       else limitation.lastLimitedAtMs = nowMs
     }
     const told = limitation?.toldFraction ?? 1
-    return Math.abs(fraction - told) > URGENT_CHANGE * told || bucket.isUrgent(nowMs, this.options.reach)
+    return Math.abs(fraction - told) > URGENT_CHANGE * told || bucket.isUrgent(nowMs)
   }
 
   private limit (bucket: AccountBucket, nowMs: number): void {
