--- a/packages/callers/src/accounts/accountBucket.ts
+++ b/packages/callers/src/accounts/accountBucket.ts
@@ -33,8 +33,9 @@
 const ANSWER_MS = 600
 /** Zones tell their usage for this long after it was last needed, so that the others learn of its end. */
 const SHARED_LINGER_MS = 2_000
-/** Part of the difference between two zones' levels that a relay makes up with each report. */
-const LEVEL_CONVERGENCE = 0.1
+/** Part of the difference to another zone's lower level that a relay makes up with each report, and the difference, as a part of the depth, that is left. */
+const LEVEL_CONVERGENCE = 0.3
+const LEVEL_TOLERANCE = 0.1
 const MAX_SNAPSHOT_AGE_MS = 5_000
 /** Factor of the zone's equal share from which its usage is told at once. */
 const URGENT_SHARE_FACTOR = 2
@@ -93,7 +94,8 @@
     const remote = this.remotes.get(report.zone) ?? RemoteUsage.create()
     this.remotes.set(report.zone, remote)
     this.level -= remote.apply(report, usage, nowMs, this.latestFraction)
-    if (this.share === 1) this.level += LEVEL_CONVERGENCE * (Math.min(usage.level, this.quota.depth) - this.level)
+    // A relay that has just started knows less debt than the others.
+    if (this.share === 1 && usage.level < this.level - LEVEL_TOLERANCE * this.quota.depth) this.level += LEVEL_CONVERGENCE * (usage.level - this.level)
     if (this.isNear(usage.demandPerSecond, usage.level, reach)) this.answersUntilMs = nowMs + ANSWER_MS
     this.evaluate(nowMs, reach)
   }
--- a/packages/callers/src/accounts/fleetRole.ts
+++ b/packages/callers/src/accounts/fleetRole.ts
@@ -19,9 +19,9 @@
 /** Silence of a zone after which it counts as cut off; zones send a message every 0.8 s. */
 const CUT_OFF_MS = 2_600
 /** The same for accounts that are near their limit, whose usage zones tell every 0.2 s. */
-const NEAR_CUT_OFF_MS = 600
+const NEAR_CUT_OFF_MS = 700
 /** Silence up to which what is known of a zone counts as recent. */
-const RECENT_MS = 250
+const RECENT_MS = 100
 /** Part of a zone's daemons below which a relay counts as separated from the rest of its zone. */
 const MINORITY = 0.5
 
