--- a/packages/callers/src/accept/callerRequest.ts
+++ b/packages/callers/src/accept/callerRequest.ts
@@ -25,10 +25,30 @@
  */
 export const disconnectSignalOf = (response: ServerResponse): AbortSignal => {
   const controller = new AbortController()
-  response.once('close', () => { if (!response.writableFinished) controller.abort() })
+  const { socket } = response.req
+  const finish = (): void => {
+    response.off('close', finish)
+    socket.off('close', finish)
+    if (!response.writableFinished) controller.abort()
+  }
+  response.once('close', finish)
+  // Node.js does not close the responses that wait behind another one when their connection ends.
+  socket.once('close', finish)
   return controller.signal
 }
 
+const CONTINUE = /^100-continue$/i
+
+/**
+ * Tells a caller that waits for it (`Expect: 100-continue`) to send the body.
+ *
+ * @param request - Request of the caller.
+ * @param response - Response to the caller, of which nothing has been written yet.
+ */
+export const continueBody = (request: IncomingMessage, response: ServerResponse): void => {
+  if (CONTINUE.test(request.headers.expect ?? '')) response.writeContinue()
+}
+
 /**
  * Reads the host that a request is addressed to.
  *
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -3,13 +3,15 @@
 import type { TargetChoice, Invariants, ListedTarget, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
 import { notRunProblem } from '../accept/callerRequest.js'
 import type { AccountAllowances, AllowanceDecision } from '../accounts/accountAllowances.js'
+import { closeHoldAfter } from '../buffering/closeHoldAfter.js'
+import type { CallerExchange } from '../server/callerServer.js'
 import { deliver } from '../responses/deliver.js'
 import { fractionalSeconds, sendProblem, statusOf } from '../responses/problem.js'
 import type { Problem } from '../responses/problem.js'
 import type { BufferedResponse } from '../exchange/bufferResponse.js'
 import type { RequestMetrics } from '../metrics/requestMetrics.js'
 import { acceptGatewayRequest, gatewayRequestId } from './acceptGatewayRequest.js'
-import type { GatewayAcceptOptions, AcceptedGatewayRequest } from './acceptGatewayRequest.js'
+import type { GatewayAcceptOptions, GatewayExchange, AcceptedGatewayRequest } from './acceptGatewayRequest.js'
 import type { PeerForwarder } from './peerForwarder.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
 import type { WindowedRetryBudget } from './windowedRetryBudget.js'
@@ -186,15 +188,30 @@
   sendProblem(response, problem, fractionalSeconds)
 }
 
+const recordStalledCaller = ({ log, metrics }: GatewayServeOptions, { requestId, service, callerAddress }: AcceptedGatewayRequest): void => {
+  metrics.countStalledCaller(service)
+  log.warn('caller disconnected: it reads nothing', { requestId, service, callerAddress })
+}
+
 /**
  * Serves one request: accepts it, chooses a target, sends it, classifies the outcome, and retries or responds.
  *
  * @param options - Dependencies for serving the request.
  * @param request - Request of the caller.
  * @param response - Response to the caller.
+ * @param exchange - Place of the request on its connection.
  */
-export const serveGateway = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse): Promise<void> => {
-  const acceptance = await acceptGatewayRequest(options, request, response)
+export const serveGateway = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, exchange: CallerExchange): Promise<void> => {
+  const bufferHold = options.bufferBudget.open()
+  try {
+    await serveWithin(options, request, response, { ...exchange, bufferHold })
+  } finally {
+    closeHoldAfter(response, bufferHold)
+  }
+}
+
+const serveWithin = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, exchange: GatewayExchange): Promise<void> => {
+  const acceptance = await acceptGatewayRequest(options, request, response, exchange)
   if (acceptance.isErr()) {
     if (acceptance.error !== undefined) respondWithProblem(options, request, response, NO_SERVICE, acceptance.error)
     return
@@ -208,6 +225,7 @@
   }
   const reply = await forward(options, accepted)
   allowance.settle(reply.type === 'answer' || reply.problem.verdict !== 'not-run')
+  exchange.bufferHold.releaseBody()
   if (accepted.disconnectSignal.aborted) {
     options.metrics.countRequest(service, 'none', 'caller-gone')
     options.log.info('caller left', { requestId, service, afterMs: Math.round(options.clock.monotonicMs() - accepted.receivedAtMs) })
@@ -217,7 +235,7 @@
     respondWithProblem(options, request, response, service, reply.problem)
     return
   }
-  const delivery = await deliver({ response, requestId, method, invariants: options.invariants }, reply.response)
+  const delivery = await deliver({ response, requestId, method, invariants: options.invariants, pacing: { clock: options.clock, hold: exchange.bufferHold, onStalled: () => { recordStalledCaller(options, accepted) } } }, reply.response)
   const totalMs = Math.round(options.clock.monotonicMs() - accepted.receivedAtMs)
   options.metrics.countRequest(service, 'ran', delivery)
   options.metrics.observeLatency(service, totalMs)
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -13,7 +13,7 @@
 /** A route of the configuration that the fleet writes. */
 export interface RouteOptions {
   readonly prefix: string
-  readonly kind: 'safe' | 'unsafe' | 'download'
+  readonly kind: 'safe' | 'unsafe' | 'download' | 'upload'
   readonly service?: string
   readonly split?: ReadonlyArray<{ readonly service: string, readonly weight: number }>
   readonly timeoutMs?: number
@@ -89,6 +89,8 @@
   readonly logLines: LogLine[] = []
   /** Whether daemons that are added from now on reach the targets that exist then through links that can be cut. */
   hasCuttableLinks = false
+  /** Memory limit of daemons that are added from now on. */
+  memoryMb = 350
   /** Log output of all daemons, unparsed. */
   logText = ''
   private readonly ports = allocatePorts(process.pid)
@@ -106,7 +108,7 @@
   }
 
   /** Writes the next version of the configuration to the store; without accounts it lists none. */
-  configure (routes: readonly RouteOptions[], accounts?: readonly AccountOptions[]): void {
+  configure (routes: readonly RouteOptions[], accounts?: readonly AccountOptions[], maxBodyBytes = 1_000_000): void {
     this.configVersion += 2
     const services = new Set(routes.flatMap(({ service, split }) => [...(service === undefined ? [] : [service]), ...(split ?? []).map(part => part.service)]))
     this.store.put('op', 'config', {
@@ -124,7 +126,7 @@
         ...(split === undefined ? { service } : { traffic_split: split })
       })),
       services: [...services].map(name => ({ name, health_path: '/health', max_connections: 300, protocol: 'h1', tls: false })),
-      limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout: '3000ms', idle_timeout: '15000ms' },
+      limits: { max_header_bytes: 16_384, max_body_bytes: maxBodyBytes, header_timeout: '3000ms', idle_timeout: '15000ms' },
       ...(accounts === undefined ? {} : { tenants: accounts.map(({ name, keys, priority, requestsPerSecond = 0, burst = 0 }) => ({ name, api_keys: keys, priority, rate_per_s: requestsPerSecond, burst })) })
     })
   }
@@ -157,7 +159,7 @@
       maxDescriptors: 4_096,
       cores: 1,
       linkMbps: 1_000,
-      memoryMb: 350,
+      memoryMb: this.memoryMb,
       bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
     }
     const write = (line: string): void => {
