Refuse the least urgent requests first while a service has too little capacity

Each daemon now derives the admitted share of each rank from the requests in progress that the fleet knows, before a target is chosen, and refuses the rest at once with a spread Retry-After.

--- a/packages/callers/src/gateway/acceptGatewayRequest.ts
+++ b/packages/callers/src/gateway/acceptGatewayRequest.ts
@@ -13,7 +13,7 @@
 import type { Problem } from '../responses/problem.js'
 import { endToEndHeaders } from '../exchange/headers.js'
 import type { DrainWindow } from './drainWindow.js'
-import type { RouteIndex } from './routeIndex.js'
+import type { PriorityRank, RouteIndex } from './routeIndex.js'
 import type { TrafficSplitter } from './trafficSplitter.js'
 import type { ReadinessGate } from './readinessGate.js'
 import { FORWARDING_HEADER, decodeForwarding } from './forwarding.js'
@@ -33,6 +33,8 @@
   readonly service: string
   readonly configVersion: number
   readonly hasHigherPriorityTraffic: boolean
+  /** Position of its priority among those in use at the service. */
+  readonly priorityRank: PriorityRank
   /** IP address of the caller. */
   readonly callerAddress: string
   readonly method: string
@@ -177,6 +179,7 @@
     service,
     configVersion: active.config.version,
     hasHigherPriorityTraffic: active.routes.isOutranked(service, route.priority),
+    priorityRank: active.routes.rankOf(service, route.priority),
     callerAddress: forwarding.value?.callerAddress ?? request.socket.remoteAddress ?? '',
     method: request.method ?? 'GET',
     path,
--- a/packages/callers/src/gateway/gatewayParts.spec.ts
+++ b/packages/callers/src/gateway/gatewayParts.spec.ts
@@ -30,6 +30,7 @@
   it('reports which priorities are outranked at a service', () => {
     const ranked = RouteIndex.create(config([route('pay', '/p/', { priority: 0 }), route('read', '/r/', { priority: 2 })]))
     expect([ranked.isOutranked('s', 0), ranked.isOutranked('s', 2), ranked.isOutranked('unused', 2)]).to.deep.equal([false, true, false])
+    expect([ranked.rankOf('s', 0), ranked.rankOf('s', 2), ranked.rankOf('unused', 2)]).to.deep.equal([{ rank: 0, ranks: 2 }, { rank: 1, ranks: 2 }, { rank: 0, ranks: 1 }])
   })
 })
 
--- a/packages/callers/src/gateway/routeIndex.ts
+++ b/packages/callers/src/gateway/routeIndex.ts
@@ -1,10 +1,18 @@
 import type { GatewayConfig, GatewayRoute } from '@lovagehoist/common'
 
+/** Position of a priority among those in use at a service; 0 is the most urgent. */
+export interface PriorityRank {
+  readonly rank: number
+  /** Number of priorities in use at the service. */
+  readonly ranks: number
+}
+
 /** Looks up the routes of a configuration by host and longest path prefix. */
 export class RouteIndex {
   private constructor (
     private readonly hosts: ReadonlyMap<string, ReadonlyMap<string, GatewayRoute>>,
-    private readonly topPriorities: ReadonlyMap<string, number>
+    /** Priorities in use at each service, the most urgent first. */
+    private readonly priorities: ReadonlyMap<string, readonly number[]>
   ) {}
 
   /**
@@ -15,15 +23,16 @@
    */
   static create (config: GatewayConfig): RouteIndex {
     const hosts = new Map<string, Map<string, GatewayRoute>>()
-    const topPriorities = new Map<string, number>()
-    const topAccountPriority = Math.min(...(config.accounts ?? []).map(({ priority }) => priority ?? Infinity))
+    const priorities = new Map<string, ReadonlySet<number>>()
+    const accountPriorities = (config.accounts ?? []).flatMap(({ priority }) => priority === undefined ? [] : [priority])
     for (const route of config.routes) {
       const prefixes = hosts.get(route.host) ?? new Map<string, GatewayRoute>()
       prefixes.set(route.pathPrefix, route)
       hosts.set(route.host, prefixes)
-      for (const { service } of route.weightedServices) topPriorities.set(service, Math.min(route.priority, route.isPublic ? Infinity : topAccountPriority, topPriorities.get(service) ?? Infinity))
+      const used = route.isPublic ? [route.priority] : [...accountPriorities, route.priority]
+      for (const { service } of route.weightedServices) priorities.set(service, new Set([...priorities.get(service) ?? [], ...used]))
     }
-    return new RouteIndex(hosts, topPriorities)
+    return new RouteIndex(hosts, new Map([...priorities].map(([service, all]) => [service, [...all].sort((a, b) => a - b)])))
   }
 
   /**
@@ -43,8 +52,14 @@
     return undefined
   }
 
-  /** Whether another route with a higher priority (a lower number) sends requests to the same service. */
+  /** Whether another route or account with a higher priority (a lower number) sends requests to the same service. */
   isOutranked (service: string, priority: number): boolean {
-    return priority > (this.topPriorities.get(service) ?? priority)
+    return priority > (this.priorities.get(service)?.[0] ?? priority)
+  }
+
+  /** Position of a priority among those in use at a service. */
+  rankOf (service: string, priority: number): PriorityRank {
+    const used = this.priorities.get(service) ?? []
+    return { rank: used.filter(other => other < priority).length, ranks: Math.max(1, used.length) }
   }
 }
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -3,6 +3,7 @@
 import type { TargetChoice, Invariants, ListedTarget, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
 import { notRunProblem } from '../accept/callerRequest.js'
 import type { AccountAllowances, AllowanceDecision } from '../accounts/accountAllowances.js'
+import type { ShortageCandidate, ShortageDecision, ShortageGate } from '../admission/shortageAdmission.js'
 import { deliver } from '../responses/deliver.js'
 import { fractionalSeconds, sendProblem, statusOf } from '../responses/problem.js'
 import type { Problem } from '../responses/problem.js'
@@ -39,6 +40,8 @@
   readonly path: OwnPath
   /** Quotas of client accounts. */
   readonly allowances: Pick<AccountAllowances, 'admit'>
+  /** Admission while a service has too little capacity. */
+  readonly shortage: ShortageGate
   readonly forwarder: PeerForwarder
   readonly metrics: RequestMetrics
   readonly invariants: Invariants
@@ -61,6 +64,7 @@
 const NO_SERVICE = 'none'
 const FIRST_REDIRECT = 300
 const NO_ATTEMPTS: AttemptHistory = { verdict: 'not-run', triedTargetIds: new Set(), sentCount: 0, lastAttempt: undefined }
+const ADMITTED: ShortageDecision = { type: 'admitted' }
 /** Outcomes of attempts that waited until the deadline. */
 const LATE_OUTCOMES: ReadonlySet<GatewayAttemptResult['outcome']> = new Set(['timeout', 'silent-connection'])
 /** Outcomes of attempts whose target may have crashed. */
@@ -102,6 +106,13 @@
   return problemReply(lastAttempt !== undefined && LATE_OUTCOMES.has(lastAttempt.outcome) ? 'deadline' : 'target-failed', verdict, lastAttempt?.detail ?? '')
 }
 
+const describeForShortage = ({ clock }: GatewayServeOptions, { requestId, service, route, priorityRank, receivedAtMs }: AcceptedGatewayRequest, { sentCount }: AttemptHistory): ShortageCandidate =>
+  ({ requestId, service, ...priorityRank, objectiveLeftMs: receivedAtMs + route.objectiveMs - clock.monotonicMs(), isRetry: sentCount > 0 })
+
+/** Reply to a request that is not sent to another target because the service has too little capacity. */
+const replyInShortage = (history: AttemptHistory, retryDelayMs: number): Reply =>
+  history.verdict === 'not-run' ? problemReply('overload', 'not-run', 'the service has too little capacity for requests of this priority', retryDelayMs) : finalReply(history)
+
 /** Records that a target crashed under a request; logs the parts of its description only as hashes, since they may be confidential. */
 const recordCrash = ({ log, poisonDetector }: GatewayServeOptions, accepted: AcceptedGatewayRequest, { target }: GatewayAttemptResult): void => {
   const { requestId, path, callerAddress, body } = accepted
@@ -143,6 +154,8 @@
     if (isPoison(options, accepted)) return quarantinedReply(options, accepted, history)
     const isOwnPathUsed = accepted.forwarding !== undefined || options.path.usesOwnPath() || !options.forwarder.hasPeers
     const needsConnection = !isOwnPathUsed && options.path.areConnectionsAlive
+    const shortage = isOwnPathUsed ? options.shortage.decide(describeForShortage(options, accepted, history)) : ADMITTED
+    if (shortage.type === 'refused') return replyInShortage(history, shortage.retryDelayMs)
     const choice: TargetChoice = isOwnPathUsed || needsConnection
       ? options.targetSelector.choose({ service, isIdempotent: route.isIdempotent, hasHigherPriorityTraffic, needsConnection, triedTargetIds: history.triedTargetIds, deadlineAtMs })
       : { type: 'no-target' }
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,4 +1,4 @@
-import { AccountIndex, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
+import { AccountIndex, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, ShortageAdmission, createRequestMetrics, createShortageMetrics, serveGateway } from '@lovagehoist/callers'
 import type { AccountAllowances, ActiveConfig, GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, ReadTurn, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
@@ -187,6 +187,7 @@
   poisonDetector,
   confirmCrash: targets.crashConfirmer.confirm,
   path: targets.path,
+  shortage: ShortageAdmission.create({ clock, random, log: log.child('request'), capacity: targets.selector, metrics: createShortageMetrics(registry) }),
   metrics: createRequestMetrics(registry),
   log: log.child('request')
 })
--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -1,9 +1,10 @@
-import type { TargetChoice, ChoiceInputs, ChoiceCriteria, Clock, Random, TargetSelector } from '@lovagehoist/common'
+import type { CapacityView, TargetChoice, ChoiceInputs, ChoiceCriteria, Clock, Random, ServiceRoom, TargetSelector } from '@lovagehoist/common'
 import type { FleetLimits } from '../limits/fleetLimits.js'
 import type { LeavingTargets } from '../rest/leavingTargets.js'
 import type { TargetRests } from '../rest/targetRests.js'
 import type { TargetStatsTracker } from '../load/targetStatsTracker.js'
 import type { RegisteredTarget, TargetRegistry } from '../registry/targetRegistry.js'
+import { describeRoom } from './describeRoom.js'
 import { placeRequest } from './placement.js'
 import type { Placement } from './placement.js'
 import type { Candidate, PlacementRequest } from './candidate.js'
@@ -37,7 +38,7 @@
 const roundToThousandths = (share: number): number => Math.round(share * 1_000) / 1_000
 
 /** Chooses a target for each request from the registered targets, their load and their failure estimates. */
-export class LowestCostSelector implements TargetSelector {
+export class LowestCostSelector implements TargetSelector, CapacityView {
   private readonly startedAtMs: number
 
   private constructor (private readonly options: LowestCostSelectorOptions) {
@@ -82,6 +83,18 @@
     return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
   }
 
+  /**
+   * Sums up what is known of the capacity of a service.
+   *
+   * @param service - Service.
+   * @returns Capacity of its targets that neither leave nor rest, and its use by the whole fleet.
+   */
+  readonly roomOf = (service: string): ServiceRoom => {
+    const { registry, statsTracker, availabilityZone } = this.options
+    const usable = this.selectAwake(this.selectStaying(registry.activeTargets(service)))
+    return describeRoom(usable.map(entry => statsTracker.describeCandidate(entry, availabilityZone, true)), statsTracker.serviceLatencyMs(service))
+  }
+
   /** Leaves out targets that said that they leave; where all did, those that may serve for a moment longer remain. */
   private selectStaying (entries: readonly RegisteredTarget[]): readonly RegisteredTarget[] {
     const { leaving } = this.options
