Add a buffer budget for request bodies and responses

Nothing limits what a daemon holds: bodies are read whole whatever the memory limit, and responses that callers do not read stay until their connection ends. The budget is derived from the machine's memory_mb; bodies wait for room by priority and size, responses take at most half. It is not used yet. A corrupt count is reported by the new invariant buffer-budget and clamped.

--- /dev/null
+++ b/packages/callers/src/buffering/bufferBudget.spec.ts
@@ -0,0 +1,93 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { BufferBudget, bufferCapacityOf } from './bufferBudget.js'
+import type { BufferRefusal } from './bufferBudget.js'
+import type { BufferHold } from './bufferHold.js'
+
+const CAPACITY = 1_048_576
+const SEED = 5
+
+interface Breach {
+  readonly name: string
+}
+
+const createBudget = (breaches: Breach[] = []): BufferBudget =>
+  BufferBudget.create({ capacityBytes: CAPACITY, invariants: { check: (name, holds) => { if (!holds) breaches.push({ name }) } } })
+
+/** Claims room for a body and records how the claim was settled. */
+const claim = (hold: BufferHold, bytes: number, priority = 1): { result: BufferRefusal | 'granted' | 'waiting', withdraw: () => void } => {
+  const state: ReturnType<typeof claim> = { result: 'waiting', withdraw: () => {} }
+  state.withdraw = hold.claimBody({ bytes, priority, settle: refusal => { state.result = refusal ?? 'granted' } })
+  return state
+}
+
+describe('BufferBudget', () => {
+  it('grants small bodies ahead of a large one that does not fit, and by priority before size', () => {
+    const budget = createBudget()
+    const [first, second] = [budget.open(), budget.open()]
+    claim(first, CAPACITY / 2)
+    claim(second, CAPACITY / 2)
+    const large = claim(budget.open(), CAPACITY)
+    const small = claim(budget.open(), 1_000)
+    const urgent = claim(budget.open(), CAPACITY / 2 - 500, 0)
+    first.close()
+    expect([large.result, small.result, urgent.result]).to.deep.equal(['waiting', 'waiting', 'granted'])
+    second.close()
+    expect([large.result, small.result]).to.deep.equal(['waiting', 'granted'])
+  })
+
+  it('refuses what never fits at once, and the largest and least valuable ones when too many wait', () => {
+    const budget = createBudget()
+    expect(claim(budget.open(), CAPACITY + 1).result).to.equal('too-large')
+    claim(budget.open(), CAPACITY)
+    const claims = [[100, 2], [900, 1], [300, 1], [200, 0], [500, 2]].map(([bytes, priority]) => claim(budget.open(), bytes ?? 0, priority))
+    expect(claims.map(({ result }) => result)).to.deep.equal(['waiting', 'waiting', 'waiting', 'waiting', 'no-room'])
+    expect(claim(budget.open(), 50, 0).result).to.equal('waiting')
+    expect(claims[0]?.result).to.equal('no-room')
+    expect([budget.waitingCount, budget.refusedFor('no-room'), budget.refusedFor('too-large')]).to.deep.equal([4, 2, 1])
+  })
+
+  it('keeps half of the room free of responses, whatever callers leave unread', () => {
+    const budget = createBudget()
+    expect(budget.open().tryReserveResponse(CAPACITY / 2)).to.equal(true)
+    expect(budget.open().tryReserveResponse(1)).to.equal(false)
+    expect(claim(budget.open(), CAPACITY / 2).result).to.equal('granted')
+  })
+
+  it('reports a corrupt count and starts again at zero', () => {
+    const breaches: Breach[] = []
+    const budget = createBudget(breaches)
+    budget.release('body', 10)
+    expect([budget.heldFor('body'), breaches.map(({ name }) => name)]).to.deep.equal([0, ['buffer-budget']])
+  })
+
+  it('holds nothing once all requests have ended, in whatever order they reserve, release and end', () => {
+    const step = fc.record({ request: fc.nat(5), action: fc.constantFrom('body', 'response', 'add', 'shrink', 'release', 'withdraw', 'close'), bytes: fc.integer({ min: 0, max: CAPACITY }) })
+    fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+      const breaches: Breach[] = []
+      const budget = createBudget(breaches)
+      const holds = Array.from({ length: 6 }, () => budget.open())
+      const withdrawals = new Map<number, () => void>()
+      for (const { request, action, bytes } of steps) {
+        const hold = holds[request] as BufferHold
+        if (action === 'body') withdrawals.set(request, claim(hold, bytes, request % 3).withdraw)
+        if (action === 'response') hold.tryReserveResponse(bytes)
+        if (action === 'add') hold.addResponse(bytes % 65_536)
+        if (action === 'shrink') hold.shrinkBody(bytes)
+        if (action === 'release') hold.releaseResponse(bytes)
+        if (action === 'withdraw') withdrawals.get(request)?.()
+        if (action === 'close') hold.close()
+        expect(budget.heldFor('body')).to.equal(holds.reduce((sum, one) => sum + one.heldFor('body'), 0)).and.to.be.at.most(CAPACITY)
+        expect(budget.heldFor('response')).to.equal(holds.reduce((sum, one) => sum + one.heldFor('response'), 0))
+      }
+      for (const hold of holds) hold.close()
+      expect([budget.heldFor('body'), budget.heldFor('response'), budget.waitingCount, breaches.length]).to.deep.equal([0, 0, 0, 0])
+    }), { seed: SEED, numRuns: 500 })
+  })
+})
+
+describe('bufferCapacityOf', () => {
+  it('leaves the process its own memory on the smallest and the largest machines', () => {
+    expect([100, 202, 602].map(memoryMb => bufferCapacityOf(memoryMb) / 1_048_576)).to.deep.equal([8, 46, 246])
+  })
+})
--- a/packages/common/src/invariants/invariants.ts
+++ b/packages/common/src/invariants/invariants.ts
@@ -13,6 +13,7 @@
   | 'byte-budget'
   | 'lease-fence'
   | 'whole-answer'
+  | 'buffer-budget'
 
 /** A detected breach of an invariant. */
 export interface InvariantBreach {
