Reserve room for bodies before they are read and deliver responses at the caller's pace

What callers saw: nothing limited the bytes of bodies and responses, so uploads or callers that do not read could take the daemon's memory, and a caller that read nothing held its response until its connection ended. Expect: 100-continue is answered only once there is room for the body; Node.js asked for every body before. The time limit of a body counts from the arrival of the request.

--- a/packages/callers/src/accept/acceptRequest.ts
+++ b/packages/callers/src/accept/acceptRequest.ts
@@ -8,7 +8,7 @@
 import type { Problem } from '../responses/problem.js'
 import { targetRequestHeaders, requestIdOf } from '../exchange/headers.js'
 import type { RouteTable } from '../routing/routeTable.js'
-import { disconnectSignalOf, hostOf, notRunProblem, parseTimeoutMs } from './callerRequest.js'
+import { continueBody, disconnectSignalOf, hostOf, notRunProblem, parseTimeoutMs } from './callerRequest.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
 import { readBody } from './readBody.js'
 import type { BodyError } from './readBody.js'
@@ -42,6 +42,7 @@
 const PROBLEM_OF_BODY_ERROR: Readonly<Record<BodyError, Problem | undefined>> = {
   'too-large': notRunProblem('request-too-large', 'the body is longer than the route allows'),
   'too-slow': notRunProblem('deadline', 'the body did not arrive by the deadline'),
+  'no-room': notRunProblem('overload', 'this instance has no room for the body', NOT_READY_RETRY_AFTER_MS),
   'caller-gone': undefined
 }
 
@@ -96,7 +97,7 @@
   const { document, route, service, account, path, timeoutMs } = resolved.value
   const key = idempotencyKeyOf(route, request)
   if (key.isErr()) return err(key.error)
-  const body = await readBody(request, { clock: options.clock, maxBytes: route.maxRequestBytes, timeoutMs })
+  const body = await readBody(request, { clock: options.clock, maxBytes: route.maxRequestBytes, timeoutMs, onStart: () => { continueBody(request, response) } })
   if (body.isErr()) return err(PROBLEM_OF_BODY_ERROR[body.error])
   const bodyDigest = body.value === undefined ? path : sha256Hex(body.value)
   const fingerprint = sha256Hex(`${route.id}\u0000${account.id}\u0000${key.value ?? bodyDigest}`)
--- a/packages/callers/src/accept/callerRequest.ts
+++ b/packages/callers/src/accept/callerRequest.ts
@@ -29,6 +29,18 @@
   return controller.signal
 }
 
+const CONTINUE = /^100-continue$/i
+
+/**
+ * Tells a caller that waits for it (`Expect: 100-continue`) to send the body.
+ *
+ * @param request - Request of the caller.
+ * @param response - Response to the caller, of which nothing has been written yet.
+ */
+export const continueBody = (request: IncomingMessage, response: ServerResponse): void => {
+  if (CONTINUE.test(request.headers.expect ?? '')) response.writeContinue()
+}
+
 /**
  * Reads the host that a request is addressed to.
  *
--- a/packages/callers/src/buffering/bufferHold.ts
+++ b/packages/callers/src/buffering/bufferHold.ts
@@ -35,6 +35,10 @@
    * @returns Withdraws the claim if it has not been settled.
    */
   claimBody (claim: BodyClaim): () => void {
+    if (this.isClosed) {
+      claim.settle('no-room')
+      return () => {}
+    }
     this.withdraw = this.budget.claimBody({
       ...claim,
       settle: refusal => {
--- a/packages/callers/src/exchange/bufferResponse.ts
+++ b/packages/callers/src/exchange/bufferResponse.ts
@@ -16,9 +16,10 @@
  *
  * @param response - Response of a target.
  * @param maxBytes - Bytes to buffer; 0 streams from the beginning.
+ * @param tryReserve - Reserves memory for bytes to buffer; when it fails, the rest of the response is streamed.
  * @returns The buffered response; rejects when the body fails while it is being buffered.
  */
-export const bufferResponse = async (response: TargetResponse, maxBytes: number): Promise<BufferedResponse> => {
+export const bufferResponse = async (response: TargetResponse, maxBytes: number, tryReserve: (bytes: number) => boolean = () => true): Promise<BufferedResponse> => {
   const { status, headers, trailers, body } = response
   body.on('error', () => {})
   if (maxBytes === 0) return { status, headers, buffered: Buffer.alloc(0), rest: body, trailers }
@@ -32,7 +33,7 @@
     const onData = (chunk: Buffer): void => {
       chunks.push(chunk)
       bufferedBytes += chunk.length
-      if (bufferedBytes <= maxBytes) return
+      if (bufferedBytes <= maxBytes && tryReserve(chunk.length)) return
       body.pause()
       finish(body)
     }
--- a/packages/callers/src/gateway/acceptGatewayRequest.ts
+++ b/packages/callers/src/gateway/acceptGatewayRequest.ts
@@ -6,9 +6,12 @@
 import { AUTHORIZATION_HEADER } from '../accounts/bearerKey.js'
 import { identifyClientAccount } from '../accounts/identifyClientAccount.js'
 import type { KeyVerifier } from '../accounts/keyVerifier.js'
-import { disconnectSignalOf, hostOf, notRunProblem, parseTimeoutMs } from '../accept/callerRequest.js'
+import { continueBody, disconnectSignalOf, hostOf, notRunProblem, parseTimeoutMs } from '../accept/callerRequest.js'
 import { readBody } from '../accept/readBody.js'
 import type { BodyError } from '../accept/readBody.js'
+import { createBodyRoom } from '../buffering/bodyRoom.js'
+import type { BufferBudget } from '../buffering/bufferBudget.js'
+import type { BufferHold } from '../buffering/bufferHold.js'
 import { parseRequestPath } from '../accept/requestPath.js'
 import type { Problem } from '../responses/problem.js'
 import { endToEndHeaders } from '../exchange/headers.js'
@@ -39,6 +42,8 @@
   /** Path with query. */
   readonly path: string
   readonly body: Buffer | undefined
+  /** Bytes that the request holds of the buffer budget, for its body and its response. */
+  readonly bufferHold: BufferHold
   /** Header fields for the target, without those that are set anew for each attempt. */
   readonly headers: RawHeaders
   readonly receivedAtMs: number
@@ -66,10 +71,19 @@
   /** Delays requests until the daemon has finished starting. */
   readonly readinessGate: ReadinessGate
   readonly drainWindow: DrainWindow
+  readonly bufferBudget: BufferBudget
   /** Whether the requests come from other daemons, which received them from callers. */
   readonly isForPeers: boolean
 }
 
+/** Exchange with a caller that a request belongs to. */
+export interface GatewayExchange {
+  /** Monotonic time at which the head of the request arrived. */
+  readonly receivedAtMs: number
+  /** Holds what the request takes of the buffer budget. */
+  readonly bufferHold: BufferHold
+}
+
 /** A daemon that has just started loads its configuration within this time. */
 const NOT_READY_RETRY_AFTER_MS = 500
 /** Short, because another instance can serve the request as soon as the caller reconnects. */
@@ -77,9 +91,15 @@
 /** Assumed timeout of a request without a timeout header, before its route and the route's timeout are known. */
 const DEFAULT_TIMEOUT_MS = 2_000
 
+/** Share of the objective for which a body may wait for room: a request refused by then costs nothing beyond its value. */
+const BODY_WAIT_SHARE = 1 / 8
+/** A request in progress frees its room within about this time. */
+const NO_ROOM_RETRY_AFTER_MS = 500
+
 const PROBLEM_OF_BODY_ERROR: Readonly<Record<BodyError, Problem | undefined>> = {
   'too-large': notRunProblem('request-too-large', 'the body is longer than the configuration allows'),
   'too-slow': notRunProblem('request-too-slow', 'the body did not arrive by the deadline'),
+  'no-room': notRunProblem('overload', 'this instance has no room for the body', NO_ROOM_RETRY_AFTER_MS),
   'caller-gone': undefined
 }
 
@@ -140,16 +160,23 @@
   return ok({ active, route, path: path.value.full })
 }
 
+/** Reads the body once there is room for it; the caller is told to send it if it waits for that. */
+const readRoutedBody = async ({ clock }: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse, { config, route, bufferHold, deadlineAtMs }: { readonly config: GatewayConfig, readonly route: GatewayRoute, readonly bufferHold: BufferHold, readonly deadlineAtMs: number }): ReturnType<typeof readBody> => {
+  const timeoutMs = Math.max(0, deadlineAtMs - clock.monotonicMs())
+  const room = createBodyRoom({ clock, hold: bufferHold, priority: route.priority, maxWaitMs: Math.min(timeoutMs, route.objectiveMs * BODY_WAIT_SHARE) })
+  return await readBody(request, { clock, maxBytes: config.limits.maxBodyBytes, timeoutMs, room, onStart: () => { continueBody(request, response) } })
+}
+
 /**
  * Accepts a request: matches its route, identifies the client account, reads the whole body and selects a service.
  *
  * @param options - Configuration, keys, traffic split and startup and shutdown state.
  * @param request - Request of the caller.
  * @param response - Response to the caller.
+ * @param exchange - Time of arrival and hold of the buffer budget.
  * @returns The accepted request; a problem to respond with; an undefined error when the caller has disconnected.
  */
-export const acceptGatewayRequest = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse): Promise<Result<AcceptedGatewayRequest, Problem | undefined>> => {
-  const receivedAtMs = options.clock.monotonicMs()
+export const acceptGatewayRequest = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse, { receivedAtMs, bufferHold }: GatewayExchange): Promise<Result<AcceptedGatewayRequest, Problem | undefined>> => {
   const disconnectSignal = disconnectSignalOf(response)
   if (isLeaving(options)) return err(notRunProblem('leaving', 'this instance leaves and could not end the request', SHUTDOWN_RETRY_AFTER_MS))
   const forwarding = options.isForPeers ? decodeForwarding(request.headers[FORWARDING_HEADER]) : ok(undefined)
@@ -164,8 +191,8 @@
   const account = await identifyClientAccount(options.keyVerifier, { headers: request.rawHeaders, route: matched.value.route, forwarding: forwarding.value, accounts: active.accounts, disconnectSignal })
   if (account.isErr()) return err(account.error)
   const route = limitAttempts(applyAccountPriority(matched.value.route, account.value), forwarding.value)
-  const timeoutMs = Math.min(requestedTimeoutMs.value ?? Infinity, route.timeoutMs)
-  const body = await readBody(request, { clock: options.clock, maxBytes: active.config.limits.maxBodyBytes, timeoutMs })
+  const deadlineAtMs = receivedAtMs + Math.min(requestedTimeoutMs.value ?? Infinity, route.timeoutMs)
+  const body = await readRoutedBody(options, request, response, { config: active.config, route, bufferHold, deadlineAtMs })
   if (body.isErr()) return err(PROBLEM_OF_BODY_ERROR[body.error])
   const service = selectService(options, route, forwarding.value)
   return ok({
@@ -181,9 +208,10 @@
     method: request.method ?? 'GET',
     path,
     body: body.value,
+    bufferHold,
     headers: targetHeaders(options, active, request, account.value),
     receivedAtMs,
-    deadlineAtMs: receivedAtMs + timeoutMs,
+    deadlineAtMs,
     disconnectSignal
   })
 }
--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -109,11 +109,11 @@
  * @param response - Response whose head has been received.
  * @returns The buffered response; undefined if the body failed or the deadline passed while it was being buffered.
  */
-export const bufferUntilDeadline = async (clock: Clock, { deadlineAtMs }: AcceptedGatewayRequest, response: TargetResponse): Promise<BufferedResponse | undefined> => {
+export const bufferUntilDeadline = async (clock: Clock, { deadlineAtMs, bufferHold }: AcceptedGatewayRequest, response: TargetResponse): Promise<BufferedResponse | undefined> => {
   const cancel = clock.after(Math.max(0, deadlineAtMs - clock.monotonicMs()), () => { response.body.destroy() })
   response.body.once('close', cancel)
   try {
-    const buffered = await bufferResponse(response, MAX_BUFFERED_BYTES)
+    const buffered = await bufferResponse(response, MAX_BUFFERED_BYTES, bytes => bufferHold.tryReserveResponse(bytes))
     if (buffered.rest === undefined) cancel()
     return buffered
   } catch {
--- a/packages/callers/src/gateway/peerForwarder.spec.ts
+++ b/packages/callers/src/gateway/peerForwarder.spec.ts
@@ -3,6 +3,7 @@
 import { SeededRandom, VERDICT_HEADER, silentLog } from '@lovagehoist/common'
 import type { GatewayHeaders, InstanceRecord, TargetFailure, TargetResponse } from '@lovagehoist/common'
 import { ManualClock } from '@lovagehoist/common/testing'
+import { BufferBudget } from '../buffering/bufferBudget.js'
 import { PeerForwarder } from './peerForwarder.js'
 import type { ForwardingResult } from './peerForwarder.js'
 import type { AcceptedGatewayRequest } from './acceptGatewayRequest.js'
@@ -31,7 +32,7 @@
   const remaining = [...results]
   const send = async (): Promise<Sent> => remaining.shift() ?? failure('not-run')
   const forwarder = PeerForwarder.create({ clock, random: SeededRandom.create(1), log: silentLog, headers: HEADERS, sender: { send, warm: async () => {}, closeIdleConnections: () => {} }, peers: () => PEERS, peerPort: 1 })
-  const accepted = { requestId: 'r', route: { isIdempotent: true }, service: 's', configVersion: 1, callerAddress: '10.0.0.1', method: 'GET', path: '/', body: undefined, headers: [], deadlineAtMs: 1_000, disconnectSignal: new AbortController().signal } as unknown as AcceptedGatewayRequest
+  const accepted = { requestId: 'r', route: { isIdempotent: true }, service: 's', configVersion: 1, callerAddress: '10.0.0.1', method: 'GET', path: '/', body: undefined, headers: [], deadlineAtMs: 1_000, bufferHold: BufferBudget.create({ capacityBytes: 1_000_000, invariants: { check: () => {} } }).open(), disconnectSignal: new AbortController().signal } as unknown as AcceptedGatewayRequest
   return await forwarder.forward(accepted, 3, () => true)
 }
 
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -3,6 +3,8 @@
 import type { TargetChoice, Invariants, ListedTarget, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
 import { notRunProblem } from '../accept/callerRequest.js'
 import type { AccountAllowances, AllowanceDecision } from '../accounts/accountAllowances.js'
+import { closeHoldAfter } from '../buffering/closeHoldAfter.js'
+import type { BufferHold } from '../buffering/bufferHold.js'
 import { deliver } from '../responses/deliver.js'
 import { fractionalSeconds, sendProblem, statusOf } from '../responses/problem.js'
 import type { Problem } from '../responses/problem.js'
@@ -186,6 +188,11 @@
   sendProblem(response, problem, fractionalSeconds)
 }
 
+const recordStalledCaller = ({ log, metrics }: GatewayServeOptions, { requestId, service, callerAddress }: AcceptedGatewayRequest): void => {
+  metrics.countStalledCaller(service)
+  log.warn('caller disconnected: it reads nothing', { requestId, service, callerAddress })
+}
+
 /**
  * Serves one request: accepts it, chooses a target, sends it, classifies the outcome, and retries or responds.
  *
@@ -194,7 +201,16 @@
  * @param response - Response to the caller.
  */
 export const serveGateway = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse): Promise<void> => {
-  const acceptance = await acceptGatewayRequest(options, request, response)
+  const hold = options.bufferBudget.open()
+  try {
+    await serveWithin(options, request, response, hold)
+  } finally {
+    closeHoldAfter(response, hold)
+  }
+}
+
+const serveWithin = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, hold: BufferHold): Promise<void> => {
+  const acceptance = await acceptGatewayRequest(options, request, response, { receivedAtMs: options.clock.monotonicMs(), bufferHold: hold })
   if (acceptance.isErr()) {
     if (acceptance.error !== undefined) respondWithProblem(options, request, response, NO_SERVICE, acceptance.error)
     return
@@ -208,6 +224,7 @@
   }
   const reply = await forward(options, accepted)
   allowance.settle(reply.type === 'answer' || reply.problem.verdict !== 'not-run')
+  hold.releaseBody()
   if (accepted.disconnectSignal.aborted) {
     options.metrics.countRequest(service, 'none', 'caller-gone')
     options.log.info('caller left', { requestId, service, afterMs: Math.round(options.clock.monotonicMs() - accepted.receivedAtMs) })
@@ -217,7 +234,7 @@
     respondWithProblem(options, request, response, service, reply.problem)
     return
   }
-  const delivery = await deliver({ response, requestId, method, invariants: options.invariants }, reply.response)
+  const delivery = await deliver({ response, requestId, method, invariants: options.invariants, pacing: { clock: options.clock, hold, onStalled: () => { recordStalledCaller(options, accepted) } } }, reply.response)
   const totalMs = Math.round(options.clock.monotonicMs() - accepted.receivedAtMs)
   options.metrics.countRequest(service, 'ran', delivery)
   options.metrics.observeLatency(service, totalMs)
--- a/packages/callers/src/metrics/requestMetrics.ts
+++ b/packages/callers/src/metrics/requestMetrics.ts
@@ -19,6 +19,7 @@
   readonly countBudgetRefusal: (service: string) => void
   readonly countBufferedResponse: (service: string, result: 'whole' | 'broken' | 'too-large') => void
   readonly countClaim: (result: ClaimResult) => void
+  readonly countStalledCaller: (service: string) => void
   readonly observeLatency: (service: string, latencyMs: number) => void
 }
 
@@ -37,6 +38,7 @@
   const budgetRefusals = counter('retry_budget_refusals_total', 'Retries that the budget did not allow.', ['service'])
   const bufferedResponses = counter('held_answers_total', 'Idempotent answers held until they were whole.', ['service', 'result'])
   const claims = counter('key_claims_total', 'Claims of keys by result.', ['result'])
+  const stalledCallers = counter('stalled_callers_total', 'Callers disconnected because they read nothing of a response.', ['service'])
   const latencies = new Histogram({
     name: 'lovagehoist_request_seconds',
     help: 'Time from a request\'s head to the end of its answer, for answers of targets.',
@@ -51,6 +53,7 @@
     countBudgetRefusal: service => { budgetRefusals.inc({ service }) },
     countBufferedResponse: (service, result) => { bufferedResponses.inc({ service, result }) },
     countClaim: result => { claims.inc({ result }) },
+    countStalledCaller: service => { stalledCallers.inc({ service }) },
     observeLatency: (service, latencyMs) => { latencies.observe({ service }, latencyMs / MS_PER_SECOND) }
   }
 }
--- a/packages/callers/src/responses/deliver.ts
+++ b/packages/callers/src/responses/deliver.ts
@@ -4,6 +4,8 @@
 import type { Invariants } from '@lovagehoist/common'
 import { REQUEST_ID_HEADER, callerResponseHeaders, findHeader } from '../exchange/headers.js'
 import type { BufferedResponse } from '../exchange/bufferResponse.js'
+import type { ResponsePacing } from './pacedWriter.js'
+import { PacedWriter } from './pacedWriter.js'
 
 /** How the delivery of a response ended; `answer` means that it was delivered completely. */
 export type Delivery = 'answer' | 'broken' | 'caller-gone'
@@ -14,6 +16,8 @@
   readonly requestId: string
   readonly method: string
   readonly invariants: Invariants
+  /** Delivers the body at the caller's pace within the buffer budget; without it nothing limits what the caller leaves unread. */
+  readonly pacing?: ResponsePacing
 }
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
@@ -70,6 +74,22 @@
   }
 }
 
+const streamBody = async ({ response, pacing }: DeliverOptions, buffered: Buffer, rest: NonNullable<BufferedResponse['rest']>): Promise<Delivery> => {
+  if (pacing === undefined) {
+    if (buffered.length > 0) response.write(buffered)
+    return await streamRest(rest, response)
+  }
+  const delivery = await PacedWriter.create(response, pacing).stream(buffered, rest)
+  if (delivery !== 'answer') resetConnection(response)
+  return delivery
+}
+
+const endWith = async ({ response, pacing }: DeliverOptions, body: Buffer): Promise<Delivery> => {
+  if (pacing !== undefined) return await PacedWriter.create(response, pacing).end(body)
+  response.end(body)
+  return 'answer'
+}
+
 /**
  * Delivers a response completely, or destroys the connection so that the caller can detect the truncation.
  *
@@ -87,14 +107,12 @@
     }
     writeHead(options, targetResponse)
     addTrailers(response, targetResponse)
-    response.end(targetResponse.buffered)
-    return 'answer'
+    return await endWith(options, targetResponse.buffered)
   }
   const { rest } = targetResponse
   rest.on('data', (chunk: Buffer) => { sentBytes += chunk.length })
   writeHead(options, targetResponse)
-  if (targetResponse.buffered.length > 0) response.write(targetResponse.buffered)
-  const delivery = await streamRest(rest, response)
+  const delivery = await streamBody(options, targetResponse.buffered, rest)
   if (delivery !== 'answer') return delivery
   if (!checkLength(options, targetResponse, sentBytes)) {
     resetConnection(response)
--- a/packages/callers/src/server/rejectUnsupported.ts
+++ b/packages/callers/src/server/rejectUnsupported.ts
@@ -56,5 +56,7 @@
   })
   const rejectUpgrade = (_request: IncomingMessage, socket: Duplex): void => { endWithProblem(socket, UPGRADE) }
   server.on('connect', rejectUpgrade).on('upgrade', rejectUpgrade)
+  // Without a listener Node.js asks for each body at once, also for one that is refused.
+  server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => { server.emit('request', request, response) })
   server.on('checkExpectation', (_request: IncomingMessage, response: ServerResponse) => { sendProblem(response, EXPECTATION) })
 }
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,4 +1,4 @@
-import { AccountIndex, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
+import { AccountIndex, BufferBudget, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, bufferCapacityOf, createRequestMetrics, serveGateway } from '@lovagehoist/callers'
 import type { AccountAllowances, ActiveConfig, GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, ReadTurn, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
@@ -8,6 +8,7 @@
 import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, MAX_LISTING_AGE_MS, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
 import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
+import { registerBufferMetrics } from './bufferMetrics.js'
 import { createAllowances, registerAllowanceMetrics } from './gatewayAllowances.js'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import { InstanceRegistration } from './instanceRegistration.js'
@@ -150,6 +151,12 @@
   readonly allowances: AccountAllowances
 }
 
+const createBufferBudget = (settings: GatewaySettings, registry: Registry, invariants: Invariants): BufferBudget => {
+  const budget = BufferBudget.create({ capacityBytes: bufferCapacityOf(settings.memoryMb), invariants })
+  registerBufferMetrics(registry, budget)
+  return budget
+}
+
 const createKeyVerifier = ({ clock, liveSettings, log }: Pick<GatewayDependencies, 'clock' | 'liveSettings' | 'log'>, activeConfig: () => ActiveConfig | undefined, documentSync: PeerDocumentSync): KeyVerifier =>
   KeyVerifier.create({
     clock,
@@ -173,6 +180,7 @@
   drainWindow,
   isForPeers: false,
   forwarder,
+  bufferBudget: createBufferBudget(settings, registry, invariants),
   readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing && (settings.isFirstStart || relay.hasView) }),
   targetSelector: targets.selector,
   sender: targets.sender,
