Close the connection of a target that responds before the end of a request body

Cause: undici reports the end of the response, whatever is left of the body, and the connection went back into the pool. The response is passed on as before; the connection is closed if bytes of the request are unsent.

--- a/packages/targets/src/connections/connection.ts
+++ b/packages/targets/src/connections/connection.ts
@@ -121,6 +121,11 @@
     return this.socket.bytesWritten
   }
 
+  /** Whether a part of a request has not been passed to the operating system yet. */
+  get hasUnsentBytes (): boolean {
+    return this.socket.writableLength > 0
+  }
+
   /** Records that an exchange completed. */
   recordExchange (): void {
     this.exchangeCount++
--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -155,7 +155,8 @@
     this.stage = 'ended'
     this.trailers = decodeHeaders(controller.rawTrailers as Buffer[])
     this.body.push(null)
-    this.options.onEnd(true)
+    // A target that responds before the end of a body may never read the rest, behind which the next request would wait.
+    this.options.onEnd(!this.options.connection.hasUnsentBytes)
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
