Bound the pipelined requests of a connection and keep the response before a close

A request that is not idempotent is served once all earlier ones have been answered on an open connection. The time limit of a request counts from its arrival, also while it waits.

--- a/packages/callers/src/accept/callerRequest.ts
+++ b/packages/callers/src/accept/callerRequest.ts
@@ -25,7 +25,15 @@
  */
 export const disconnectSignalOf = (response: ServerResponse): AbortSignal => {
   const controller = new AbortController()
-  response.once('close', () => { if (!response.writableFinished) controller.abort() })
+  const { socket } = response.req
+  const finish = (): void => {
+    response.off('close', finish)
+    socket.off('close', finish)
+    if (!response.writableFinished) controller.abort()
+  }
+  response.once('close', finish)
+  // Node.js does not close the responses that wait behind another one when their connection ends.
+  socket.once('close', finish)
   return controller.signal
 }
 
--- a/packages/callers/src/gateway/acceptGatewayRequest.ts
+++ b/packages/callers/src/gateway/acceptGatewayRequest.ts
@@ -13,6 +13,7 @@
 import type { BufferBudget } from '../buffering/bufferBudget.js'
 import type { BufferHold } from '../buffering/bufferHold.js'
 import { parseRequestPath } from '../accept/requestPath.js'
+import type { CallerExchange } from '../server/callerServer.js'
 import type { Problem } from '../responses/problem.js'
 import { endToEndHeaders } from '../exchange/headers.js'
 import type { DrainWindow } from './drainWindow.js'
@@ -77,9 +78,7 @@
 }
 
 /** Exchange with a caller that a request belongs to. */
-export interface GatewayExchange {
-  /** Monotonic time at which the head of the request arrived. */
-  readonly receivedAtMs: number
+export interface GatewayExchange extends CallerExchange {
   /** Holds what the request takes of the buffer budget. */
   readonly bufferHold: BufferHold
 }
@@ -160,11 +159,27 @@
   return ok({ active, route, path: path.value.full })
 }
 
-/** Reads the body once there is room for it; the caller is told to send it if it waits for that. */
-const readRoutedBody = async ({ clock }: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse, { config, route, bufferHold, deadlineAtMs }: { readonly config: GatewayConfig, readonly route: GatewayRoute, readonly bufferHold: BufferHold, readonly deadlineAtMs: number }): ReturnType<typeof readBody> => {
+/** What reading a body depends on, once the route is known. */
+interface RoutedExchange extends GatewayExchange {
+  readonly maxBytes: number
+  readonly route: GatewayRoute
+  readonly deadlineAtMs: number
+}
+
+const LEAVING = notRunProblem('leaving', 'this instance leaves and could not end the request', SHUTDOWN_RETRY_AFTER_MS)
+
+/** Reads the body once there is room for it; only then a caller that waits for that is told to send it. */
+const readRoutedBody = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse, { maxBytes, route, deadlineAtMs, bufferHold, untilFirst }: RoutedExchange): Promise<Result<Buffer | undefined, Problem | undefined>> => {
+  const { clock } = options
+  if (!route.isIdempotent) {
+    // A caller sends requests again that stand behind a response which closes the connection; this one must not have run then.
+    if (!await untilFirst()) return err(undefined)
+    if (isLeaving(options)) return err(LEAVING)
+  }
   const timeoutMs = Math.max(0, deadlineAtMs - clock.monotonicMs())
   const room = createBodyRoom({ clock, hold: bufferHold, priority: route.priority, maxWaitMs: Math.min(timeoutMs, route.objectiveMs * BODY_WAIT_SHARE) })
-  return await readBody(request, { clock, maxBytes: config.limits.maxBodyBytes, timeoutMs, room, onStart: () => { continueBody(request, response) } })
+  const body = await readBody(request, { clock, maxBytes, timeoutMs, room, onStart: () => { continueBody(request, response) } })
+  return body.mapErr(error => PROBLEM_OF_BODY_ERROR[error])
 }
 
 /**
@@ -176,9 +191,9 @@
  * @param exchange - Time of arrival and hold of the buffer budget.
  * @returns The accepted request; a problem to respond with; an undefined error when the caller has disconnected.
  */
-export const acceptGatewayRequest = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse, { receivedAtMs, bufferHold }: GatewayExchange): Promise<Result<AcceptedGatewayRequest, Problem | undefined>> => {
+export const acceptGatewayRequest = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse, exchange: GatewayExchange): Promise<Result<AcceptedGatewayRequest, Problem | undefined>> => {
   const disconnectSignal = disconnectSignalOf(response)
-  if (isLeaving(options)) return err(notRunProblem('leaving', 'this instance leaves and could not end the request', SHUTDOWN_RETRY_AFTER_MS))
+  if (isLeaving(options)) return err(LEAVING)
   const forwarding = options.isForPeers ? decodeForwarding(request.headers[FORWARDING_HEADER]) : ok(undefined)
   if (forwarding.isErr()) return err(notRunProblem('malformed-request', forwarding.error))
   const requestedTimeoutMs = parseTimeoutMs(request, options.headers.deadline)
@@ -191,9 +206,9 @@
   const account = await identifyClientAccount(options.keyVerifier, { headers: request.rawHeaders, route: matched.value.route, forwarding: forwarding.value, accounts: active.accounts, disconnectSignal })
   if (account.isErr()) return err(account.error)
   const route = limitAttempts(applyAccountPriority(matched.value.route, account.value), forwarding.value)
-  const deadlineAtMs = receivedAtMs + Math.min(requestedTimeoutMs.value ?? Infinity, route.timeoutMs)
-  const body = await readRoutedBody(options, request, response, { config: active.config, route, bufferHold, deadlineAtMs })
-  if (body.isErr()) return err(PROBLEM_OF_BODY_ERROR[body.error])
+  const deadlineAtMs = exchange.receivedAtMs + Math.min(requestedTimeoutMs.value ?? Infinity, route.timeoutMs)
+  const body = await readRoutedBody(options, request, response, { ...exchange, maxBytes: active.config.limits.maxBodyBytes, route, deadlineAtMs })
+  if (body.isErr()) return err(body.error)
   const service = selectService(options, route, forwarding.value)
   return ok({
     response,
@@ -208,9 +223,9 @@
     method: request.method ?? 'GET',
     path,
     body: body.value,
-    bufferHold,
+    bufferHold: exchange.bufferHold,
     headers: targetHeaders(options, active, request, account.value),
-    receivedAtMs,
+    receivedAtMs: exchange.receivedAtMs,
     deadlineAtMs,
     disconnectSignal
   })
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -4,14 +4,14 @@
 import { notRunProblem } from '../accept/callerRequest.js'
 import type { AccountAllowances, AllowanceDecision } from '../accounts/accountAllowances.js'
 import { closeHoldAfter } from '../buffering/closeHoldAfter.js'
-import type { BufferHold } from '../buffering/bufferHold.js'
+import type { CallerExchange } from '../server/callerServer.js'
 import { deliver } from '../responses/deliver.js'
 import { fractionalSeconds, sendProblem, statusOf } from '../responses/problem.js'
 import type { Problem } from '../responses/problem.js'
 import type { BufferedResponse } from '../exchange/bufferResponse.js'
 import type { RequestMetrics } from '../metrics/requestMetrics.js'
 import { acceptGatewayRequest, gatewayRequestId } from './acceptGatewayRequest.js'
-import type { GatewayAcceptOptions, AcceptedGatewayRequest } from './acceptGatewayRequest.js'
+import type { GatewayAcceptOptions, GatewayExchange, AcceptedGatewayRequest } from './acceptGatewayRequest.js'
 import type { PeerForwarder } from './peerForwarder.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
 import type { WindowedRetryBudget } from './windowedRetryBudget.js'
@@ -199,18 +199,19 @@
  * @param options - Dependencies for serving the request.
  * @param request - Request of the caller.
  * @param response - Response to the caller.
+ * @param exchange - Place of the request on its connection.
  */
-export const serveGateway = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse): Promise<void> => {
-  const hold = options.bufferBudget.open()
+export const serveGateway = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, exchange: CallerExchange): Promise<void> => {
+  const bufferHold = options.bufferBudget.open()
   try {
-    await serveWithin(options, request, response, hold)
+    await serveWithin(options, request, response, { ...exchange, bufferHold })
   } finally {
-    closeHoldAfter(response, hold)
+    closeHoldAfter(response, bufferHold)
   }
 }
 
-const serveWithin = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, hold: BufferHold): Promise<void> => {
-  const acceptance = await acceptGatewayRequest(options, request, response, { receivedAtMs: options.clock.monotonicMs(), bufferHold: hold })
+const serveWithin = async (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, exchange: GatewayExchange): Promise<void> => {
+  const acceptance = await acceptGatewayRequest(options, request, response, exchange)
   if (acceptance.isErr()) {
     if (acceptance.error !== undefined) respondWithProblem(options, request, response, NO_SERVICE, acceptance.error)
     return
@@ -224,7 +225,7 @@
   }
   const reply = await forward(options, accepted)
   allowance.settle(reply.type === 'answer' || reply.problem.verdict !== 'not-run')
-  hold.releaseBody()
+  exchange.bufferHold.releaseBody()
   if (accepted.disconnectSignal.aborted) {
     options.metrics.countRequest(service, 'none', 'caller-gone')
     options.log.info('caller left', { requestId, service, afterMs: Math.round(options.clock.monotonicMs() - accepted.receivedAtMs) })
@@ -234,7 +235,7 @@
     respondWithProblem(options, request, response, service, reply.problem)
     return
   }
-  const delivery = await deliver({ response, requestId, method, invariants: options.invariants, pacing: { clock: options.clock, hold, onStalled: () => { recordStalledCaller(options, accepted) } } }, reply.response)
+  const delivery = await deliver({ response, requestId, method, invariants: options.invariants, pacing: { clock: options.clock, hold: exchange.bufferHold, onStalled: () => { recordStalledCaller(options, accepted) } } }, reply.response)
   const totalMs = Math.round(options.clock.monotonicMs() - accepted.receivedAtMs)
   options.metrics.countRequest(service, 'ran', delivery)
   options.metrics.observeLatency(service, totalMs)
--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -8,8 +8,16 @@
 import { ANNOUNCED_IDLE_MS, CallerConnection, IDLE_MARGIN_MS } from './callerConnection.js'
 import { rejectUnsupported } from './rejectUnsupported.js'
 
+/** Place of a request on its connection. */
+export interface CallerExchange {
+  /** Monotonic time at which the head of the request arrived. */
+  readonly receivedAtMs: number
+  /** Waits until all earlier requests of the connection have been answered; false when the connection closes before. */
+  readonly untilFirst: () => Promise<boolean>
+}
+
 /** Serves one request until its response has ended. */
-export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
+export type RequestHandler = (request: IncomingMessage, response: ServerResponse, exchange: CallerExchange) => Promise<void>
 
 /** Address, limits and request handler of the server. */
 export interface CallerServerOptions {
@@ -115,13 +123,21 @@
 
   private serve (request: IncomingMessage, response: ServerResponse): void {
     const connection = this.connections.get(request.socket)
-    if (connection?.beginExchange(response) !== true) {
+    if (connection === undefined) {
       request.socket.destroy()
       return
     }
-    this.options.handler(request, response).catch((error: unknown) => {
+    // A request behind a response that closes the connection counts as not read; destroying the connection could lose that response.
+    if (!connection.beginExchange(response)) return
+    this.handle(connection, request, response).catch((error: unknown) => {
       this.options.log.error('request handler failed', { error: String(error) })
       response.destroy()
     })
   }
+
+  private async handle (connection: CallerConnection, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const receivedAtMs = this.options.clock.monotonicMs()
+    if (!await connection.untilServable(response)) return
+    await this.options.handler(request, response, { receivedAtMs, untilFirst: async () => await connection.untilFirst(response) })
+  }
 }
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -201,9 +201,9 @@
 
 const createPeerHandler = (serveOptions: GatewayServeOptions, documentSync: PeerDocumentSync): RequestHandler => {
   const serveDocument = createPeerDocumentHandler(documentSync.documentTexts)
-  return async (request, response) => {
+  return async (request, response, exchange) => {
     if (request.headers[FORWARDING_HEADER] === undefined) await serveDocument(request, response)
-    else await serveGateway({ ...serveOptions, isForPeers: true }, request, response)
+    else await serveGateway({ ...serveOptions, isForPeers: true }, request, response, exchange)
   }
 }
 
@@ -260,7 +260,7 @@
   const { peerSender, forwarder } = createForwarder(dependencies, relay)
   const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync, allowances })
   return {
-    handler: async (request, response) => { await serveGateway(serveOptions, request, response) },
+    handler: async (request, response, exchange) => { await serveGateway(serveOptions, request, response, exchange) },
     peerHandler: createPeerHandler(serveOptions, documentSync),
     registry,
     drainWindow,
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -13,7 +13,7 @@
 /** A route of the configuration that the fleet writes. */
 export interface RouteOptions {
   readonly prefix: string
-  readonly kind: 'safe' | 'unsafe' | 'download'
+  readonly kind: 'safe' | 'unsafe' | 'download' | 'upload'
   readonly service?: string
   readonly split?: ReadonlyArray<{ readonly service: string, readonly weight: number }>
   readonly timeoutMs?: number
@@ -89,6 +89,8 @@
   readonly logLines: LogLine[] = []
   /** Whether daemons that are added from now on reach the targets that exist then through links that can be cut. */
   hasCuttableLinks = false
+  /** Memory limit of daemons that are added from now on. */
+  memoryMb = 350
   /** Log output of all daemons, unparsed. */
   logText = ''
   private readonly ports = allocatePorts(process.pid)
@@ -157,7 +159,7 @@
       maxDescriptors: 4_096,
       cores: 1,
       linkMbps: 1_000,
-      memoryMb: 350,
+      memoryMb: this.memoryMb,
       bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
     }
     const write = (line: string): void => {
