--- a/packages/callers/src/responses/pacedWriter.spec.ts
+++ b/packages/callers/src/responses/pacedWriter.spec.ts
@@ -148,6 +148,17 @@
     others.close()
   })
 
+  it('delivers a response whose rest ended before its delivery began', async () => {
+    const rest = new PassThrough()
+    rest.end()
+    rest.resume()
+    await once(rest, 'close')
+    respond = async (response, hold) => await deliverBody(response, hold, Buffer.from('whole'), rest)
+    socket.write(REQUEST)
+    await settle(() => delivery !== undefined)
+    expect(delivery).to.equal('answer')
+  })
+
   it('resets the connection when the response breaks off', async () => {
     const rest = new PassThrough()
     respond = async (response, hold) => await deliverBody(response, hold, Buffer.from('begin'), rest)
--- a/packages/callers/src/responses/pacedWriter.ts
+++ b/packages/callers/src/responses/pacedWriter.ts
@@ -81,6 +81,8 @@
   private async pump (rest: TargetResponse['body']): Promise<Delivery> {
     const { hold } = this.pacing
     const hasRoom = (): boolean => this.pendingBytes < SLICE_BYTES || (this.pendingBytes < MAX_READ_AHEAD_BYTES && hold.hasReadAheadRoom)
+    // The rest of a response that ends with the last buffered chunk may have ended already.
+    if (rest.readableEnded) return 'answer'
     if (rest.destroyed) return 'broken'
     return await new Promise(resolve => {
       this.onProgress = () => {
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -91,6 +91,8 @@
   hasCuttableLinks = false
   /** Memory limit of daemons that are added from now on. */
   memoryMb = 350
+  /** Limit of request bodies in configurations that are written from now on. */
+  maxBodyBytes = 1_000_000
   /** Log output of all daemons, unparsed. */
   logText = ''
   private readonly ports = allocatePorts(process.pid)
@@ -126,7 +128,7 @@
         ...(split === undefined ? { service } : { traffic_split: split })
       })),
       services: [...services].map(name => ({ name, health_path: '/health', max_connections: 300, protocol: 'h1', tls: false })),
-      limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout: '3000ms', idle_timeout: '15000ms' },
+      limits: { max_header_bytes: 16_384, max_body_bytes: this.maxBodyBytes, header_timeout: '3000ms', idle_timeout: '15000ms' },
       ...(accounts === undefined ? {} : { tenants: accounts.map(({ name, keys, priority, requestsPerSecond = 0, burst = 0 }) => ({ name, api_keys: keys, priority, rate_per_s: requestsPerSecond, burst })) })
     })
   }
