Keep a quarter of the buffer budget for bodies that are not large

One caller that states a large body and sends it slowly could reserve the whole budget until its time limit; all uploads of the daemon were refused meanwhile. Bodies above a sixteenth of the capacity, and responses, leave a quarter free. The body stays counted until the response has been delivered, since the request that is still in use refers to it.

--- a/packages/callers/src/buffering/bufferBudget.ts
+++ b/packages/callers/src/buffering/bufferBudget.ts
@@ -33,6 +33,10 @@
 const RESPONSE_SHARE = 0.5
 /** Share of the responses' room that may be read ahead of callers; the rest is for responses that are buffered whole. */
 const READ_AHEAD_SHARE = 0.5
+/** Share of the capacity above which a body is large. */
+const LARGE_BODY_SHARE = 1 / 16
+/** Share of the capacity that is left to bodies that are not large: a few large bodies that arrive slowly must not stop the usual uploads. */
+const SMALL_BODY_RESERVE_SHARE = 0.25
 /** Node.js holds up to one read of the socket (64 KiB) for each request that is not being read. */
 const UNREAD_BYTES = 65_536
 /** Share of the capacity that unread requests may hold beyond it. */
@@ -101,7 +105,7 @@
 
   /** Reserves bytes for a response; false when they don't fit. */
   tryReserveResponse (bytes: number): boolean {
-    const fits = this.heldBytes.response + bytes <= this.responseCapacityBytes && this.fits(bytes)
+    const fits = this.heldBytes.response + bytes <= this.responseCapacityBytes && this.fits(bytes, this.sharedCapacityBytes)
     if (fits) this.add('response', bytes)
     else this.streamed++
     return fits
@@ -109,7 +113,7 @@
 
   /** Whether more of a response may be read from its target before the caller has read what is held. */
   get hasReadAheadRoom (): boolean {
-    return this.heldBytes.response < this.responseCapacityBytes * READ_AHEAD_SHARE && this.fits(0)
+    return this.heldBytes.response < this.responseCapacityBytes * READ_AHEAD_SHARE && this.fits(0, this.sharedCapacityBytes)
   }
 
   /** Counts bytes that have been received already, beyond the capacity if necessary. */
@@ -124,11 +128,11 @@
    * @returns Withdraws the claim; it then counts as refused. Without effect after the claim was settled.
    */
   claimBody (claim: BodyClaim): () => void {
-    if (claim.bytes > this.options.capacityBytes) {
+    if (claim.bytes > this.capacityFor(claim)) {
       this.refuse(claim, 'too-large')
       return () => {}
     }
-    if (this.fits(claim.bytes)) {
+    if (this.fits(claim.bytes, this.capacityFor(claim))) {
       this.grant(claim)
       return () => {}
     }
@@ -154,8 +158,17 @@
     return Math.max(1, Math.floor(this.options.capacityBytes * UNREAD_SHARE / UNREAD_BYTES))
   }
 
-  private fits (bytes: number): boolean {
-    return this.heldBytes.body + this.heldBytes.response + bytes <= this.options.capacityBytes
+  /** Capacity for everything but bodies that are not large. */
+  private get sharedCapacityBytes (): number {
+    return this.options.capacityBytes * (1 - SMALL_BODY_RESERVE_SHARE)
+  }
+
+  private capacityFor ({ bytes }: BodyClaim): number {
+    return bytes > this.options.capacityBytes * LARGE_BODY_SHARE ? this.sharedCapacityBytes : this.options.capacityBytes
+  }
+
+  private fits (bytes: number, capacityBytes: number): boolean {
+    return this.heldBytes.body + this.heldBytes.response + bytes <= capacityBytes
   }
 
   private grant (claim: BodyClaim): void {
@@ -185,7 +198,7 @@
   /** Grants in order whatever fits; a body that does not fit does not block smaller ones behind it. */
   private grantWaiting (): void {
     for (const claim of [...this.waiting]) {
-      if (this.fits(claim.bytes) && this.removeWaiting(claim)) this.grant(claim)
+      if (this.fits(claim.bytes, this.capacityFor(claim)) && this.removeWaiting(claim)) this.grant(claim)
     }
   }
 }
--- a/packages/callers/src/buffering/bufferHold.ts
+++ b/packages/callers/src/buffering/bufferHold.ts
@@ -43,7 +43,7 @@
       ...claim,
       settle: refusal => {
         if (refusal === undefined) this.heldBytes.body += claim.bytes
-        if (refusal === undefined && this.isClosed) this.releaseBody()
+        if (refusal === undefined && this.isClosed) this.shrinkBody(0)
         claim.settle(refusal)
       }
     })
@@ -55,11 +55,6 @@
     this.release('body', Math.max(0, this.heldBytes.body - toBytes))
   }
 
-  /** Releases the reservation of the body, which is not sent any more. */
-  releaseBody (): void {
-    this.release('body', this.heldBytes.body)
-  }
-
   /** Reserves bytes for a response; false when they don't fit. */
   tryReserveResponse (bytes: number): boolean {
     if (this.isClosed || !this.budget.tryReserveResponse(bytes)) return false
@@ -84,7 +79,7 @@
     if (this.isClosed) return
     this.isClosed = true
     this.withdraw()
-    this.releaseBody()
+    this.shrinkBody(0)
     this.releaseResponse(this.heldBytes.response)
   }
 
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -225,7 +225,6 @@
   }
   const reply = await forward(options, accepted)
   allowance.settle(reply.type === 'answer' || reply.problem.verdict !== 'not-run')
-  exchange.bufferHold.releaseBody()
   if (accepted.disconnectSignal.aborted) {
     options.metrics.countRequest(service, 'none', 'caller-gone')
     options.log.info('caller left', { requestId, service, afterMs: Math.round(options.clock.monotonicMs() - accepted.receivedAtMs) })
