--- a/packages/callers/src/accounts/accountAllowances.ts
+++ b/packages/callers/src/accounts/accountAllowances.ts
@@ -154,7 +154,8 @@
   private readonly collectors: Readonly<Record<NewsMessage, (isFull: boolean) => readonly NewsRow[]>> = {
     report: isFull => this.collectReport(isFull),
     zone: () => encodeZone({ zone: this.options.availabilityZone, startId: this.options.startId, uptimeMs: this.uptimeMs(), usages: this.relay.zoneUsages() }),
-    view: () => encodeView(this.options.startId, this.refreshFractions())
+    // Daemons that lost messages of the relays report to others, which know too little to decide.
+    view: () => this.options.role.relayRank() < 0 ? [] : encodeView(this.options.startId, this.refreshFractions())
   }
 
   private collect (message: NewsMessage, isFull: boolean): readonly NewsRow[] {
@@ -167,7 +168,7 @@
       // A relay does not receive its own report.
       if (this.relay.applyReport(report)) this.notify(true)
       this.refreshFractions()
-    }
+    } else this.fractions.forget(this.options.startId)
     return encodeReport(report)
   }
 
--- a/packages/callers/src/accounts/accountBucket.ts
+++ b/packages/callers/src/accounts/accountBucket.ts
@@ -37,6 +37,8 @@
 const LEVEL_CONVERGENCE = 0.3
 const LEVEL_TOLERANCE = 0.1
 const MAX_SNAPSHOT_AGE_MS = 5_000
+/** Part of the depth below which a level shows that the account may soon be limited; accounts of few requests reach half of it by chance. */
+const NEAR_LEVEL_DIVISOR = 4
 /** Factor of the zone's equal share from which its usage is told at once. */
 const URGENT_SHARE_FACTOR = 2
 
@@ -95,7 +97,7 @@
     this.remotes.set(report.zone, remote)
     this.level -= remote.apply(report, usage, nowMs, this.latestFraction)
     // A relay that has just started knows less debt than the others.
-    if (this.share === 1 && usage.level < this.level - LEVEL_TOLERANCE * this.quota.depth) this.level += LEVEL_CONVERGENCE * (usage.level - this.level)
+    if (this.share === 1 && usage.level < this.level - LEVEL_TOLERANCE * this.quota.depth - this.quota.unknownRequests) this.level += LEVEL_CONVERGENCE * (usage.level - this.level)
     if (this.isNear(usage.demandPerSecond, usage.level, reach)) this.answersUntilMs = nowMs + ANSWER_MS
     this.evaluate(nowMs, reach)
   }
@@ -138,7 +140,7 @@
   /** Whether the demand and the level of one zone show that the account may soon be limited. */
   private isNear (ownDemand: number, level: number, reach: FleetReach): boolean {
     const { perSecond, depth, unknownRequests } = this.quota
-    return level < (this.share ?? 1) * depth / 2 || ownDemand > URGENT_SHARE_FACTOR * perSecond / reach.zones + unknownRequests
+    return level < (this.share ?? 1) * depth / NEAR_LEVEL_DIVISOR || ownDemand > URGENT_SHARE_FACTOR * perSecond / reach.zones + unknownRequests
   }
 
   private demand (nowMs: number, reach: FleetReach): number {
--- a/packages/callers/src/accounts/accountQuota.ts
+++ b/packages/callers/src/accounts/accountQuota.ts
@@ -18,7 +18,7 @@
 
 const MS_PER_SECOND = 1_000
 /** Part of the tolerance that callers may use; the rest covers requests that the relays do not know of yet. */
-const USED_TOLERANCE_SHARE = 0.25
+const USED_TOLERANCE_SHARE = 0.3
 /** Part of the tolerance by which counts that are reported late may be wrong. */
 const LATE_TOLERANCE_SHARE = 0.2
 
--- a/packages/callers/src/accounts/demandRate.ts
+++ b/packages/callers/src/accounts/demandRate.ts
@@ -4,6 +4,8 @@
 const PARTS = 4
 /** Standard deviations of the count by which the rate is assumed to be lower. */
 const DEVIATIONS = 0.7
+/** Requests from which a window that is not full yet tells a rate. */
+const MIN_EARLY_COUNT = 8
 const MS_PER_SECOND = 1_000
 
 /** Recent rate of an account's requests, counted in a short sliding window. */
@@ -39,7 +41,8 @@
     if (this.total <= 0) return 0
     const windowMs = (PARTS - 1) * PART_MS + nowMs % PART_MS
     const count = Math.max(0, this.total - DEVIATIONS * Math.sqrt(this.total))
-    return count * MS_PER_SECOND / Math.max(PART_MS, Math.min(windowMs, nowMs - this.startedAtMs))
+    const countedMs = this.total < MIN_EARLY_COUNT ? windowMs : Math.max(PART_MS, Math.min(windowMs, nowMs - this.startedAtMs))
+    return count * MS_PER_SECOND / countedMs
   }
 
   private advance (nowMs: number): void {
--- a/packages/callers/src/accounts/fractionAdmission.ts
+++ b/packages/callers/src/accounts/fractionAdmission.ts
@@ -64,6 +64,11 @@
     this.states.set(account, state)
   }
 
+  /** Forgets what a relay told. */
+  forget (startId: string): void {
+    for (const [account, { told }] of this.states) if (told.delete(startId) && told.size === 0) this.states.delete(account)
+  }
+
   /** Decides on a request; returns 0 if it is admitted, or the delay after which its caller may return. */
   take (account: string): number {
     const state = this.states.get(account)
--- a/packages/daemon/src/testing/accountSimulation.ts
+++ b/packages/daemon/src/testing/accountSimulation.ts
@@ -37,6 +37,8 @@
   readonly restarts?: { readonly atMs: SimulatedMs, readonly downMs: number, readonly isHit: (daemon: DaemonState) => boolean }
   /** Factor of all quotas from a time on. */
   readonly quotaChange?: { readonly atMs: SimulatedMs, readonly factor: number }
+  /** Whether the configuration names accounts; it does by default. */
+  readonly hasAccounts?: boolean
   /** Share of the admitted requests that no target runs; none by default. */
   readonly notRunShare?: number
 }
@@ -44,10 +46,9 @@
 /** What the accounts saw, and what the exchange cost. */
 export interface AccountSimulationResult {
   readonly accounts: readonly AccountResult[]
-  /** Datagrams per second that were sent, over all daemons. */
+  /** Datagrams and bytes per second that all daemons sent. */
   readonly datagramsPerSecond: number
-  /** Bytes per second that a daemon which is not a relay sent and received, the mean. */
-  readonly memberBytesPerSecond: number
+  readonly bytesPerSecond: number
   /** Bytes per second that cross zones. */
   readonly crossZoneBytesPerSecond: number
 }
@@ -91,7 +92,6 @@
   private emptiedAtMs = Infinity
   private datagrams = 0
   private bytes = 0
-  private relayBytes = 0
   private crossZoneBytes = 0
 
   private constructor (private readonly options: AccountSimulationOptions) {
@@ -120,11 +120,10 @@
     if (quotaChange !== undefined) this.clock.after(quotaChange.atMs, () => { this.accounts = this.accounts.map(account => ({ ...account, requestsPerSecond: account.requestsPerSecond * quotaChange.factor, burst: account.burst * quotaChange.factor })) })
     await this.clock.advanceMs(seconds * 1_000)
     for (const { stopping } of this.daemons) stopping.abort()
-    const members = this.daemons.filter(({ relay }) => relay.relayRank < 0).length
     return {
       accounts: this.tally.results(this.load.accounts, quotaChange, this.emptiedAtMs),
       datagramsPerSecond: this.datagrams / seconds,
-      memberBytesPerSecond: (this.bytes - this.relayBytes) / seconds / Math.max(1, members),
+      bytesPerSecond: this.bytes / seconds,
       crossZoneBytesPerSecond: this.crossZoneBytes / seconds
     }
   }
@@ -164,7 +163,7 @@
         knownDaemons: () => relay.peers.size,
         zoneDaemons: () => ({ known: relay.peers.zoneSize, heard: relay.peers.heardInZone().length })
       },
-      accounts: () => this.accounts,
+      accounts: () => this.options.hasAccounts === false ? undefined : this.accounts,
       bounds: () => BOUNDS
     })
     let notifyCounters = (): void => {}
