--- a/packages/callers/src/accounts/accountQuota.ts
+++ b/packages/callers/src/accounts/accountQuota.ts
@@ -18,14 +18,13 @@
 
 const MS_PER_SECOND = 1_000
 /** Part of the tolerance that callers may use; the rest covers requests that the relays do not know of yet. */
-const USED_TOLERANCE_SHARE = 0.25
+const USED_TOLERANCE_SHARE = 0.3
 /** Part of the tolerance by which counts that are reported late may be wrong. */
 const LATE_TOLERANCE_SHARE = 0.2
 
 const deriveQuota = ({ requestsPerSecond, burst }: ClientAccount, { windowMs, overageShare, slackRequests }: QuotaBounds): AccountQuota => {
   const tolerance = overageShare * (requestsPerSecond * windowMs / MS_PER_SECOND + burst) + slackRequests
-  const spare = USED_TOLERANCE_SHARE * tolerance
-  return { perSecond: requestsPerSecond, depth: Math.max(1, burst + spare), initialLevel: spare, unknownRequests: LATE_TOLERANCE_SHARE * slackRequests, windowMs }
+  return { perSecond: requestsPerSecond, depth: Math.max(1, burst + USED_TOLERANCE_SHARE * tolerance), initialLevel: USED_TOLERANCE_SHARE * slackRequests, unknownRequests: LATE_TOLERANCE_SHARE * slackRequests, windowMs }
 }
 
 /**
