--- a/packages/callers/src/accept/readBody.ts
+++ b/packages/callers/src/accept/readBody.ts
@@ -18,43 +18,56 @@
   readonly onStart?: () => void
 }
 
-/** Bodies of known length above this size are collected in one buffer, so that they are never held twice. */
+/** Bodies of known length above this size are collected in one buffer. */
 const MAX_JOINED_BYTES = 65_536
 /** Node.js passes on at most this much at once. */
 const MAX_CHUNK_BYTES = 65_536
 /** A body of unknown length is held twice while its chunks are joined. */
 const JOIN_FACTOR = 2
-/** First reservation for a body of unknown length: room for two chunks. */
-const FIRST_RESERVED_BYTES = 2 * JOIN_FACTOR * MAX_CHUNK_BYTES
+/** First reservation, in arrived bytes: room for two chunks. A caller that sends slowly holds no more than that. */
+const FIRST_ARRIVED_BYTES = 2 * MAX_CHUNK_BYTES
 
 /** Collects the chunks of a body. */
 class BodyCollector {
   lengthBytes = 0
-  private readonly chunks: Buffer[] = []
-  private readonly whole: Buffer | undefined
+  private chunks: Buffer[] = []
+  private whole: Buffer | undefined
 
-  constructor (statedBytes: number | undefined) {
-    // Memory of an untouched large buffer is not resident until its bytes arrive.
-    this.whole = statedBytes === undefined || statedBytes <= MAX_JOINED_BYTES ? undefined : Buffer.allocUnsafeSlow(statedBytes)
-  }
+  constructor (private readonly statedBytes: number | undefined) {}
 
   add (chunk: Buffer): void {
     if (this.whole === undefined) this.chunks.push(chunk)
     else chunk.copy(this.whole, this.lengthBytes)
     this.lengthBytes += chunk.length
+    this.joinEarly()
   }
 
   join (): Buffer {
     if (this.whole !== undefined) return this.whole.subarray(0, this.lengthBytes)
     return this.chunks.length === 1 && this.chunks[0] !== undefined ? this.chunks[0] : Buffer.concat(this.chunks)
   }
+
+  /** Moves a large body into one buffer when half of it has arrived: earlier, callers that send slowly would hold what they state; later, the body is held twice. */
+  private joinEarly (): void {
+    const { statedBytes } = this
+    if (this.whole !== undefined || statedBytes === undefined || statedBytes <= MAX_JOINED_BYTES || this.lengthBytes * 2 < statedBytes) return
+    const whole = Buffer.allocUnsafeSlow(statedBytes)
+    let at = 0
+    for (const chunk of this.chunks) at += chunk.copy(whole, at)
+    this.whole = whole
+    this.chunks = []
+  }
 }
 
-/** Reads a body for which room has been reserved; reserves more for one of unknown length as its chunks arrive. */
+/** Bytes to hold for a body of which a part has arrived. */
+const heldBytesFor = (arrivedBytes: number, statedBytes: number | undefined): number =>
+  statedBytes === undefined ? arrivedBytes * JOIN_FACTOR : Math.min(arrivedBytes, statedBytes)
+
+/** Reads a body for whose beginning room has been reserved; reserves more, in doubling steps, before more of it is read. */
 const receiveBody = async (request: IncomingMessage, limits: BodyLimits, statedBytes: number | undefined, endAtMs: number): Promise<Result<Buffer, BodyError>> => await new Promise(resolve => {
   const { clock, maxBytes, room } = limits
   const collector = new BodyCollector(statedBytes)
-  let reservedBytes = statedBytes ?? FIRST_RESERVED_BYTES
+  let reservedForBytes = FIRST_ARRIVED_BYTES
   let isFinished = false
   const finish = (result: Result<Buffer, BodyError>): void => {
     isFinished = true
@@ -66,7 +79,7 @@
   }
   const growRoom = async (bytes: number): Promise<void> => {
     request.pause()
-    const refusal = await room?.reserve(bytes)
+    const refusal = await room?.reserve(bytes, statedBytes ?? heldBytesFor(reservedForBytes, statedBytes))
     if (isFinished) return
     if (refusal !== undefined) finish(err('no-room'))
     else request.resume()
@@ -77,10 +90,11 @@
       finish(err('too-large'))
       return
     }
-    if (statedBytes !== undefined || (collector.lengthBytes + MAX_CHUNK_BYTES) * JOIN_FACTOR <= reservedBytes) return
-    const growthBytes = reservedBytes
-    reservedBytes += growthBytes
-    growRoom(growthBytes).catch(() => { finish(err('no-room')) })
+    if (collector.lengthBytes + MAX_CHUNK_BYTES <= reservedForBytes) return
+    const beforeBytes = heldBytesFor(reservedForBytes, statedBytes)
+    reservedForBytes *= 2
+    const growthBytes = heldBytesFor(reservedForBytes, statedBytes) - beforeBytes
+    if (growthBytes > 0) growRoom(growthBytes).catch(() => { finish(err('no-room')) })
   }
   const onEnd = (): void => { finish(ok(collector.join())) }
   const onClose = (): void => { finish(err('caller-gone')) }
@@ -103,7 +117,8 @@
   if ((statedBytes ?? 0) > maxBytes) return err('too-large')
   const endAtMs = clock.monotonicMs() + timeoutMs
   if (room !== undefined) {
-    const refusal = await room.reserve(statedBytes ?? FIRST_RESERVED_BYTES)
+    const firstBytes = heldBytesFor(FIRST_ARRIVED_BYTES, statedBytes)
+    const refusal = await room.reserve(firstBytes, statedBytes ?? firstBytes)
     if (refusal !== undefined) return err('no-room')
     if (request.destroyed) return err('caller-gone')
   }
--- a/packages/callers/src/buffering/bodyRoom.ts
+++ b/packages/callers/src/buffering/bodyRoom.ts
@@ -4,8 +4,8 @@
 
 /** Room for the body of one request. */
 export interface BodyRoom {
-  /** Reserves more bytes, after a wait if necessary; resolves to the reason if they don't fit in time. */
-  readonly reserve: (bytes: number) => Promise<BufferRefusal | undefined>
+  /** Reserves more bytes of a body, after a wait if necessary; resolves to the reason if they don't fit in time. */
+  readonly reserve: (bytes: number, bodyBytes: number) => Promise<BufferRefusal | undefined>
   /** Releases what the body does not need of its reservation. */
   readonly shrinkTo: (bytes: number) => void
 }
@@ -27,7 +27,7 @@
  * @returns The room, of which nothing is reserved.
  */
 export const createBodyRoom = ({ clock, hold, priority, maxWaitMs }: BodyRoomOptions): BodyRoom => ({
-  reserve: async bytes => await new Promise(resolve => {
+  reserve: async (bytes, bodyBytes) => await new Promise(resolve => {
     let isSettled = false
     let cancelTimer = (): void => {}
     const settle = (refusal: BufferRefusal | undefined): void => {
@@ -35,7 +35,7 @@
       cancelTimer()
       resolve(refusal)
     }
-    const withdraw = hold.claimBody({ bytes, priority, settle })
+    const withdraw = hold.claimBody({ bytes, bodyBytes, priority, settle })
     if (isSettled) return
     cancelTimer = clock.after(maxWaitMs, () => {
       withdraw()
--- a/packages/callers/src/buffering/bufferBudget.spec.ts
+++ b/packages/callers/src/buffering/bufferBudget.spec.ts
@@ -17,7 +17,7 @@
 /** Claims room for a body and records how the claim was settled. */
 const claim = (hold: BufferHold, bytes: number, priority = 1): { result: BufferRefusal | 'granted' | 'waiting', withdraw: () => void } => {
   const state: ReturnType<typeof claim> = { result: 'waiting', withdraw: () => {} }
-  state.withdraw = hold.claimBody({ bytes, priority, settle: refusal => { state.result = refusal ?? 'granted' } })
+  state.withdraw = hold.claimBody({ bytes, bodyBytes: bytes, priority, settle: refusal => { state.result = refusal ?? 'granted' } })
   return state
 }
 
--- a/packages/callers/src/buffering/bufferBudget.ts
+++ b/packages/callers/src/buffering/bufferBudget.ts
@@ -16,7 +16,10 @@
 
 /** A body that waits for room, with its socket unread. */
 export interface BodyClaim {
+  /** Bytes to reserve now. */
   readonly bytes: number
+  /** Size of the whole body as far as known, which decides about order and refusal. */
+  readonly bodyBytes: number
   /** Priority of the route; 0 is the highest. */
   readonly priority: number
   readonly settle: (refusal: BufferRefusal | undefined) => void
@@ -52,7 +55,7 @@
   Math.max(MIN_CAPACITY_BYTES, Math.floor((memoryMb - PROCESS_MB) * BUFFER_SHARE) * BYTES_PER_MB)
 
 const isBefore = (one: BodyClaim, other: BodyClaim): boolean =>
-  one.priority !== other.priority ? one.priority < other.priority : one.bytes < other.bytes
+  one.priority !== other.priority ? one.priority < other.priority : one.bodyBytes < other.bodyBytes
 
 /** Limits the bytes that a daemon holds in request bodies and responses; bodies wait for room in order of priority and size. */
 export class BufferBudget {
@@ -128,7 +131,7 @@
    * @returns Withdraws the claim; it then counts as refused. Without effect after the claim was settled.
    */
   claimBody (claim: BodyClaim): () => void {
-    if (claim.bytes > this.capacityFor(claim)) {
+    if (claim.bodyBytes > this.capacityFor(claim)) {
       this.refuse(claim, 'too-large')
       return () => {}
     }
@@ -163,8 +166,8 @@
     return this.options.capacityBytes * (1 - SMALL_BODY_RESERVE_SHARE)
   }
 
-  private capacityFor ({ bytes }: BodyClaim): number {
-    return bytes > this.options.capacityBytes * LARGE_BODY_SHARE ? this.sharedCapacityBytes : this.options.capacityBytes
+  private capacityFor ({ bodyBytes }: BodyClaim): number {
+    return bodyBytes > this.options.capacityBytes * LARGE_BODY_SHARE ? this.sharedCapacityBytes : this.options.capacityBytes
   }
 
   private fits (bytes: number, capacityBytes: number): boolean {
