Test pipelined requests in a drain

Guards against a request that runs behind the response which announces the close in a drain, and against a waiting one that does not get its turn.

--- a/packages/callers/src/server/pipelining.spec.ts
+++ b/packages/callers/src/server/pipelining.spec.ts
@@ -103,6 +103,24 @@
     expect([served.length, received.includes('last'), received.includes('RESET')]).to.deep.equal([1, true, false])
   })
 
+  it('are not served in a drain behind a response that has announced the close, and others get their turn', async () => {
+    socket.write(requests(2))
+    await settle(() => served.length === 2)
+    const turn = served[1]?.exchange.untilFirst()
+    const drained = server.drain({ balancerLagMs: 1_000, longestExchangeMs: 30_000 })
+    served[0]?.response.end('first')
+    expect(await turn).to.equal(true)
+    served[1]?.response.write('second')
+    await settle(() => received.includes('second'))
+    socket.write(requests(1, 2))
+    await settle(() => served.length > 2)
+    const closed = once(socket, 'close')
+    served[1]?.response.end()
+    await closed
+    await clock.advanceMs(2_000)
+    expect([await drained, served.length, responseCount(), received.match(/connection: close/gi)?.length]).to.deep.equal([{ cutExchanges: 0 }, 2, 2, 1])
+  })
+
   it('learn that they do not get their turn when an earlier response closes the connection', async () => {
     socket.write(requests(2))
     await settle(() => served.length === 2)
