--- a/packages/callers/src/accounts/accountBucket.ts
+++ b/packages/callers/src/accounts/accountBucket.ts
@@ -16,7 +16,7 @@
   readonly ownPart: () => number
 }
 
-/** State at the last moment at which all zones were heard from. */
+/** State at the last moment at which all zones were heard from or the bucket was full: what would have been added to a full one is lost. */
 interface Snapshot {
   readonly atMs: number
   readonly level: number
@@ -37,6 +37,8 @@
 const LEVEL_CONVERGENCE = 0.3
 const LEVEL_TOLERANCE = 0.1
 const MAX_SNAPSHOT_AGE_MS = 5_000
+/** Part of the depth from which a bucket counts as full. */
+const FULL_PART = 0.97
 /** Part of the depth below which a level shows that the account may soon be limited; accounts of few requests reach half of it by chance. */
 const NEAR_LEVEL_DIVISOR = 4
 /** Factor of the zone's equal share from which its usage is told at once. */
@@ -164,7 +166,7 @@
     for (const [, remote] of this.heardRemotes(nowMs, reach)) change -= remote.advance(this.updatedAtMs, nowMs, this.latestFraction)
     this.level = Math.max(-this.quota.perSecond * this.quota.windowMs / MS_PER_SECOND, Math.min(share * this.quota.depth, this.level + change))
     this.updatedAtMs = nowMs
-    if (reach.isRecent()) this.snapshot = { atMs: nowMs, level: this.level, ownDrained: this.ownDrained, remoteDrained: new Map([...this.remotes].map(([zone, { drained }]) => [zone, drained])) }
+    if (reach.isRecent() || this.level >= FULL_PART * share * this.quota.depth) this.snapshot = { atMs: nowMs, level: this.level, ownDrained: this.ownDrained, remoteDrained: new Map([...this.remotes].map(([zone, { drained }]) => [zone, drained])) }
   }
 
   /** Follows the share of the fleet that this relay decides for; what happened since silent zones were last heard from counts against the smaller share. */
