--- a/packages/callers/src/accounts/accountAllowances.ts
+++ b/packages/callers/src/accounts/accountAllowances.ts
@@ -80,7 +80,7 @@
     this.fractions = FractionAdmission.create(clock, random)
     this.localBuckets = LocalBuckets.create(clock, role.knownDaemons)
     this.quotaOf = createQuotaLookup(options.accounts, options.bounds)
-    this.relay = RelayAllowances.create({ clock, log, quotaOf: this.quotaOf, reach: createFleetReach(role, availabilityZone, clock.monotonicMs), isFirstRelay: () => role.relayRank() === 0 })
+    this.relay = RelayAllowances.create({ clock, log, quotaOf: this.quotaOf, reach: createFleetReach(role, availabilityZone, clock.monotonicMs), isFirstRelay: () => role.relayRank() === 0, isRelay: () => role.relayRank() >= 0 })
     this.news = { name: TOPIC, isRepeated: true, onChange: listener => { this.notify = listener }, collect: (message, isFull) => this.collect(message, isFull), apply: (rows, source) => this.apply(rows, source) }
   }
 
--- a/packages/callers/src/accounts/relayAllowances.ts
+++ b/packages/callers/src/accounts/relayAllowances.ts
@@ -22,6 +22,8 @@
   readonly reach: FleetReach
   /** Whether this daemon is the first relay of its zone. */
   readonly isFirstRelay: () => boolean
+  /** Whether it is a relay at all; the standby relay tells daemons too, in case the first one has just been lost. */
+  readonly isRelay: () => boolean
 }
 
 interface Limitation {
@@ -171,7 +173,7 @@
   }
 
   private claimUrgent (nowMs: number): boolean {
-    if (nowMs - this.lastUrgentAtMs < URGENT_INTERVAL_MS || !this.options.isFirstRelay()) return false
+    if (nowMs - this.lastUrgentAtMs < URGENT_INTERVAL_MS || !this.options.isRelay()) return false
     this.lastUrgentAtMs = nowMs
     return true
   }
