Look at the known daemons at most every 25 ms to tell what a relay hears from

The lookup was cached for one reading of the clock, which on a real clock is none: a relay of 470 daemons would have gone through all of them several times for each report.

--- a/packages/callers/src/accounts/accountBucket.ts
+++ b/packages/callers/src/accounts/accountBucket.ts
@@ -112,7 +112,7 @@
 
   /** Whether the bucket may be dropped: it is full, and nobody uses the account. */
   isIdle (nowMs: number): boolean {
-    return this.latestFraction === 1 && this.level >= this.quota.depth && this.ownDemand.perSecond(nowMs) < 0.1 / this.quota.perSecond
+    return this.latestFraction === 1 && this.level >= this.quota.depth && this.ownDemand.perSecond(nowMs) === 0
   }
 
   /** Whether other zones need to know the usage in this one. */
--- a/packages/callers/src/accounts/fleetRole.ts
+++ b/packages/callers/src/accounts/fleetRole.ts
@@ -22,9 +22,19 @@
 const NEAR_CUT_OFF_MS = 700
 /** Silence up to which what is known of a zone counts as recent. */
 const RECENT_MS = 100
+/** Time for which the reach is kept, since it takes a look at all known daemons. */
+const REFRESH_MS = 25
 /** Part of a zone's daemons below which a relay counts as separated from the rest of its zone. */
 const MINORITY = 0.5
 
+interface ReachState {
+  readonly atMs: number
+  readonly heard: readonly string[]
+  readonly heardRecently: readonly string[]
+  readonly isRecent: boolean
+  readonly ownPart: number
+}
+
 /**
  * Derives which parts of the fleet a relay hears from.
  *
@@ -34,20 +44,23 @@
  */
 export const createFleetReach = (role: FleetRole, ownZone: string, nowMs: () => number): FleetReach => {
   const startedAtMs = nowMs()
-  let cache = { atMs: -Infinity, silences: [] as ReadonlyArray<readonly [zone: string, silenceMs: number]>, ownPart: 1 }
-  const current = (): typeof cache => {
-    const atMs = nowMs()
-    if (cache.atMs === atMs) return cache
+  let cached: ReachState | undefined
+  const read = (atMs: number): ReachState => {
     const { known, heard } = role.zoneDaemons()
     // A zone that was never heard from is silent since this process started.
     const silences = role.zones().filter(zone => zone !== ownZone).map(zone => [zone, Math.min(role.zoneSilenceMs(zone), atMs - startedAtMs)] as const)
-    cache = { atMs, silences, ownPart: heard < MINORITY * known ? heard / known : 1 }
-    return cache
+    const heardWithin = (durationMs: number): readonly string[] => silences.filter(([, silenceMs]) => silenceMs <= durationMs).map(([zone]) => zone)
+    return { atMs, heard: heardWithin(CUT_OFF_MS), heardRecently: heardWithin(NEAR_CUT_OFF_MS), isRecent: heardWithin(RECENT_MS).length === silences.length, ownPart: heard < MINORITY * known ? heard / known : 1 }
+  }
+  const current = (): ReachState => {
+    const atMs = nowMs()
+    if (cached === undefined || atMs - cached.atMs >= REFRESH_MS) cached = read(atMs)
+    return cached
   }
   return {
     get zones () { return Math.max(1, role.zones().length) },
-    heardZones: needsRecent => current().silences.filter(([, silenceMs]) => silenceMs <= (needsRecent ? NEAR_CUT_OFF_MS : CUT_OFF_MS)).map(([zone]) => zone),
-    isRecent: () => current().silences.every(([, silenceMs]) => silenceMs <= RECENT_MS),
+    heardZones: needsRecent => needsRecent ? current().heardRecently : current().heard,
+    isRecent: () => current().isRecent,
     ownPart: () => current().ownPart
   }
 }
