Count the calls to the store by cause in a fleet in virtual time

Each call to the store is billed, refused ones too, but nothing told what causes them or how long a daemon lags behind what the store accepted. The simulation composes whole gateway daemons on a simulated store, with machines that the store turns away, outages, restarts, partitions and lost datagrams.

--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -3,8 +3,8 @@
 import { Invariants, ReadTurn, createRegistry } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
-import { RelayNode, createPeerDocumentHandler, relayFitnessOf } from '@lovagehoist/peers'
-import type { Datagrams } from '@lovagehoist/peers'
+import { RelayNode, createPeerDocumentHandler, fetchPeerDocument, relayFitnessOf } from '@lovagehoist/peers'
+import type { Datagrams, FetchPeerDocument, PeerDocumentTexts } from '@lovagehoist/peers'
 import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, MAX_LISTING_AGE_MS, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
 import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
@@ -31,6 +31,8 @@
   readonly datagrams: Datagrams
   /** Starts to connect a socket to a target; a TCP connection by default. */
   readonly openTargetSocket?: OpenSocket
+  /** Fetches a document from another daemon; over HTTP by default. */
+  readonly fetchDocument?: FetchPeerDocument
 }
 
 /** The components of a gateway daemon, before it listens. */
@@ -38,6 +40,8 @@
   readonly handler: RequestHandler
   /** Serves documents and forwarded requests to other daemons. */
   readonly peerHandler: RequestHandler
+  /** Configuration and listing that this daemon holds, as it serves them to other daemons. */
+  readonly documentTexts: PeerDocumentTexts
   readonly registry: Registry
   readonly isReady: () => boolean
   readonly drainWindow: DrainWindow
@@ -230,6 +234,11 @@
   return { peerSender, forwarder }
 }
 
+const createDocumentSync = (dependencies: GatewayDependencies, config: GatewayConfigFollower, targetRegistry: TargetRegistry, listingReadAtMs: () => number, relayRank: () => number): PeerDocumentSync => {
+  const { settings, clock, log, store, fetchDocument = fetchPeerDocument } = dependencies
+  return PeerDocumentSync.create({ settings, clock, log: log.child('peers'), fetchDocument, store, config, targetRegistry, listingReadAtMs, relayRank })
+}
+
 const createConfigFollower = ({ store, clock, random, log }: GatewayDependencies, readTurn: ReadTurn, onConfig: (config: GatewayConfig) => void): GatewayConfigFollower =>
   GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), readTurn, onConfig })
 
@@ -240,8 +249,8 @@
  * @returns The components, not yet started.
  */
 export const composeGateway = (dependencies: GatewayDependencies): GatewayComponents => {
-  const { clock, random, log, store, settings } = dependencies
-  const registry = createRegistry({ instance: settings.instanceId })
+  const { clock, random, log, store } = dependencies
+  const registry = createRegistry({ instance: dependencies.settings.instanceId })
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let activeConfig: ActiveConfig | undefined
   const readers = createReaders(dependencies, () => relay)
@@ -251,7 +260,7 @@
   })
   const self = createInstanceRecord(dependencies)
   const targets = createTargetComponents(dependencies, self, registry, invariants)
-  const documentSync = PeerDocumentSync.create({ settings, clock, log: log.child('peers'), store, config, targetRegistry: targets.targetRegistry, listingReadAtMs: () => listingPoller.lastReadAtMs, relayRank: () => relay.relayRank })
+  const documentSync = createDocumentSync(dependencies, config, targets.targetRegistry, () => listingPoller.lastReadAtMs, () => relay.relayRank)
   const poisonDetector = PoisonRequestDetector.create(clock)
   const { relay, allowances }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
@@ -263,6 +272,7 @@
   return {
     handler: async (request, response, exchange) => { await serveGateway(serveOptions, request, response, exchange) },
     peerHandler: createPeerHandler(serveOptions, documentSync),
+    documentTexts: documentSync.documentTexts,
     registry,
     drainWindow,
     isReady: () => activeConfig !== undefined && targets.targetRegistry.hasListing,
@@ -271,9 +281,7 @@
       ...createMaintenanceTasks(dependencies, targets, relay)
     ],
     close: async () => {
-      targets.path.close()
-      targets.sender.close()
-      peerSender.close()
+      for (const component of [targets.path, targets.sender, peerSender]) component.close()
       await store.close()
       dependencies.datagrams.close()
     }
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -1,7 +1,7 @@
 import type { Clock, GatewaySettings, GatewayStore, InstanceRecord, Log } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
-import { UNKNOWN_AGE_MS, fetchPeerDocument } from '@lovagehoist/peers'
-import type { HeldVersions, PeerDocument, PeerDocumentTexts, RelayMessage } from '@lovagehoist/peers'
+import { UNKNOWN_AGE_MS } from '@lovagehoist/peers'
+import type { FetchPeerDocument, HeldVersions, PeerDocument, PeerDocumentTexts, RelayMessage } from '@lovagehoist/peers'
 import type { TargetRegistry } from '@lovagehoist/targets'
 import { decodePeerListing } from './peerListing.js'
 import type { PeerListing } from './peerListing.js'
@@ -11,6 +11,7 @@
   readonly settings: GatewaySettings
   readonly clock: Clock
   readonly log: Log
+  readonly fetchDocument: FetchPeerDocument
   readonly store: Pick<GatewayStore, 'decodeConfig'>
   readonly config: GatewayConfigFollower
   readonly targetRegistry: TargetRegistry
@@ -106,11 +107,11 @@
   }
 
   private fetch (name: PeerDocument, from: InstanceRecord): void {
-    const { clock, settings, log } = this.options
+    const { clock, settings, log, fetchDocument } = this.options
     const nowMs = clock.monotonicMs()
     if (nowMs - (this.lastFetchAtMs.get(name) ?? -Infinity) < MIN_FETCH_INTERVAL_MS) return
     this.lastFetchAtMs.set(name, nowMs)
-    fetchPeerDocument(clock, { host: from.host, port: settings.peers.port }, name).then(result => {
+    fetchDocument(clock, { host: from.host, port: settings.peers.port }, name).then(result => {
       result.match(text => { this.applyDocument(name, text, nowMs) }, reason => { log.warn('fetching a document from a peer failed', { document: name, peer: from.instanceId, reason }) })
     }).catch((error: unknown) => { log.error('applying a document of a peer failed', { document: name, peer: from.instanceId, error: String(error) }) })
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/storeCalls.load.spec.ts
@@ -0,0 +1,32 @@
+import { expect } from 'chai'
+import { StoreCallsSimulation } from '../testing/storeCallsSimulation.js'
+import type { StoreCallsOptions } from '../testing/storeCallsSimulation.js'
+
+const CHANGES: StoreCallsOptions = { seed: 1, daemons: [6, 6, 6], targets: 33, seconds: 30, lossShare: 0.005, configAtMs: [7_130, 16_130, 25_130], drainAtMs: [5_130, 12_130, 15_130, 18_130, 26_130], newTargetAtMs: [6_130, 14_130, 27_130] }
+const MAX_DRAIN_MS = 2_000
+const MAX_CONFIG_MS = 2_000
+const MAX_NEW_TARGET_MS = 4_000
+const MAX_START_MS = 1_000
+
+/** Guards against daemons that learn too late of what the store accepted, because others read it for them. */
+describe('calls of a fleet to the store (fleet in virtual time)', function () {
+  this.timeout(60_000)
+  const LOADS: Readonly<Record<string, Partial<StoreCallsOptions>>> = {
+    'nothing happens': {},
+    'the store turns some machines away': { storeFaults: (['refused', 'reset', 'silent'] as const).map((fault, turn) => ({ fault, fromMs: 10_000, toMs: 19_000, includes: ({ index }) => index % 6 === turn })) },
+    'the store is down for everyone': { storeFaults: [{ fault: 'reset', fromMs: 19_000, toMs: 24_000, includes: () => true }] },
+    'all daemons are restarted at once': { outages: [{ fromMs: 10_000, toMs: 10_800, includes: () => true }] },
+    'a first relay is lost': { outages: [{ fromMs: 11_500, toMs: 40_000, includes: ({ index, zone }) => index === 0 && zone === 'zone-0' }] },
+    'all relays are lost': { outages: [{ fromMs: 11_500, toMs: 40_000, includes: ({ index }) => index < 2 }] },
+    'a zone is parted from the others': { partitions: [{ fromMs: 11_000, toMs: 22_000, includes: ({ zone }) => zone === 'zone-0' }] }
+  }
+  for (const [name, load] of Object.entries(LOADS)) {
+    it(`leaves no daemon behind when ${name}`, async () => {
+      const { longestDrainMs, longestConfigMs, longestNewTargetMs, longestStartMs } = await StoreCallsSimulation.run({ ...CHANGES, ...load })
+      expect(longestDrainMs).to.be.at.most(MAX_DRAIN_MS)
+      expect(longestConfigMs).to.be.at.most(MAX_CONFIG_MS)
+      expect(longestNewTargetMs).to.be.at.most(MAX_NEW_TARGET_MS)
+      expect(longestStartMs).to.be.at.most(MAX_START_MS)
+    })
+  }
+})
--- a/packages/peers/src/relay/peerDocuments.ts
+++ b/packages/peers/src/relay/peerDocuments.ts
@@ -10,6 +10,9 @@
 /** Readers of the documents that this daemon serves; a reader returns undefined if the daemon does not hold the document. */
 export type PeerDocumentTexts = Readonly<Record<PeerDocument, () => string | undefined>>
 
+/** Fetches the text of a document from another daemon. */
+export type FetchPeerDocument = (clock: Clock, address: Address, name: PeerDocument) => Promise<Result<string, string>>
+
 const PATH_PREFIX = '/documents/'
 const STATUS_NOT_FOUND = 404
 const STATUS_OK = 200
@@ -36,7 +39,7 @@
  * @param name - Document to fetch.
  * @returns Text of the document, or the reason for the failure.
  */
-export const fetchPeerDocument = async (clock: Clock, { host, port }: Address, name: PeerDocument): Promise<Result<string, string>> => {
+export const fetchPeerDocument: FetchPeerDocument = async (clock, { host, port }, name) => {
   const timeout = new AbortController()
   const cancelTimeout = clock.after(FETCH_TIMEOUT_MS, () => { timeout.abort() })
   const client = new Client(`http://${host}:${port}`)
