Let one relay of the fleet read the store for all

With the store silent toward one zone a configuration took 3.8 s to reach all.

Change: relays have an order over all zones; the first reads the listing every 0.7 s and watches the configuration with its first standby, the others follow when they hear nothing of what it read. Reads are told to other zones at once, as are changed listings. Starting daemons ask their peers, which answer a first report with the relays of all zones; refused daemons back off and make one kind of call. The contact of a zone is now the sender of its newest totals, since other daemons of a zone may answer too.

--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,11 +1,11 @@
 import { AccountIndex, BufferBudget, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, ShortageAdmission, bufferCapacityOf, createRequestMetrics, createShortageMetrics, serveGateway } from '@lovagehoist/callers'
 import type { AccountAllowances, ActiveConfig, GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
-import { Invariants, ReadTurn, createRegistry } from '@lovagehoist/common'
+import { Invariants, ReadTurn, createRegistry, maxConfigAgeMs, maxListingAgeMs } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, createPeerDocumentHandler, fetchPeerDocument, relayFitnessOf } from '@lovagehoist/peers'
 import type { Datagrams, FetchPeerDocument, PeerDocumentTexts } from '@lovagehoist/peers'
-import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, MAX_LISTING_AGE_MS, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
+import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
 import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerBufferMetrics } from './bufferMetrics.js'
@@ -55,15 +55,15 @@
 /** Other daemons that do not accept a connection this soon are left out for a while. */
 const PEER_CONNECT_TIMEOUT_MS = 150
 const OVERDUE_CHECK_INTERVAL_MS = 250
-/** Time in which other daemons answer the first report; all machines of a fleet that starts for the first time do so within 0.3 s. */
-const PEER_ANSWER_MS = 100
+/** Time in which other daemons answer the first reports, also if all were restarted at once, which spreads their starts over 0.3 s, as the first start of a fleet does. */
+const PEER_ANSWER_MS = 500
 const FIRST_PEER_ANSWER_MS = 800
-/** Age of the configuration at which a daemon reads it from the store, by its place among the relays of its zone. */
-const MAX_CONFIG_AGE_MS = { first: 0, second: 0, other: 1_000 } as const
+/** Silence of the relays after which a daemon counts as cut off from them; covers several views. */
+const RELAY_SILENCE_MS = 1_000
 /** Time between two reads of the settings file, which may change without a signal. */
 const SETTINGS_POLL_MS = 15_000
 
-const createTargetComponents = ({ liveSettings, clock, random, log, headers, openTargetSocket }: GatewayDependencies, { startId, availabilityZone }: InstanceRecord, registry: Registry, invariants: Invariants) => {
+const createTargetComponents = ({ liveSettings, clock, random, log, headers, openTargetSocket }: GatewayDependencies, { startId, availabilityZone }: InstanceRecord, registry: Registry, invariants: Invariants, onListingChanged: () => void) => {
   const path = PathMonitor.create({
     clock,
     random,
@@ -82,7 +82,7 @@
     limits.forget(targetId)
     sender.closeIdleConnections(targetId, -1)
   }
-  const targetRegistry: TargetRegistry = TargetRegistry.create({ clock, log: log.child('targets'), onForget })
+  const targetRegistry: TargetRegistry = TargetRegistry.create({ clock, log: log.child('targets'), onForget, onChange: onListingChanged })
   const leaving: LeavingTargets = LeavingTargets.create({ clock, log: log.child('targets'), headerName: headers.leaving, onLeaving: targetId => { sender.closeIdleConnections(targetId, -1) } })
   const rests = TargetRests.create({ clock, random, log: log.child('targets') })
   const selector = LowestCostSelector.create({ registry: targetRegistry, rests, leaving, statsTracker, clock, random, availabilityZone, limits, floorShare: () => liveSettings.current().bounds.floorShare, hasIdle: sender.hasIdle })
@@ -220,11 +220,11 @@
 
 /** Creates the turns in which this daemon reads the store. */
 const createReaders = (dependencies: GatewayDependencies, relay: () => RelayNode) => {
-  const { clock, random } = dependencies
+  const { clock, random, settings } = dependencies
   const startedAtMs = clock.monotonicMs()
   const isAwaitingPeers = (): boolean => relay().peers.size === 1 && clock.monotonicMs() - startedAtMs < peerAnswerMs(dependencies)
   const createTurn = (maxAgeMs: ReadTurnOptions['maxAgeMs']): ReadTurn =>
-    ReadTurn.create({ clock, random, maxAgeMs, relayRank: () => relay().relayRank, isAwaitingPeers })
+    ReadTurn.create({ clock, random, maxAgeMs, relayRank: () => relay().relayRank, zones: () => [...settings.availabilityZones, ...relay().peers.zones()], zone: settings.availabilityZone, isAwaitingPeers, isHearingRelay: () => relay().viewAgeMs < RELAY_SILENCE_MS, zoneSize: () => relay().peers.zoneSize })
   return { isAwaitingPeers, createTurn }
 }
 
@@ -239,8 +239,8 @@
   return PeerDocumentSync.create({ settings, clock, log: log.child('peers'), fetchDocument, store, config, targetRegistry, listingReadAtMs, relayRank })
 }
 
-const createConfigFollower = ({ store, clock, random, log }: GatewayDependencies, readTurn: ReadTurn, onConfig: (config: GatewayConfig) => void): GatewayConfigFollower =>
-  GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), readTurn, onConfig })
+const createConfigFollower = ({ store, clock, random, log }: GatewayDependencies, readTurn: ReadTurn, isStoreDoubtful: () => boolean, onConfig: (config: GatewayConfig) => void): GatewayConfigFollower =>
+  GatewayConfigFollower.create({ store, clock, random, log: log.child('config'), readTurn, isStoreDoubtful, onConfig })
 
 /**
  * Creates the components of a gateway daemon.
@@ -254,17 +254,17 @@
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let activeConfig: ActiveConfig | undefined
   const readers = createReaders(dependencies, () => relay)
-  const config = createConfigFollower(dependencies, readers.createTurn(MAX_CONFIG_AGE_MS), next => {
+  const config = createConfigFollower(dependencies, readers.createTurn(maxConfigAgeMs), () => listingPoller.isStoreDoubtful, next => {
     activeConfig = createActiveConfig(next)
     relay.announceVersions()
   })
   const self = createInstanceRecord(dependencies)
-  const targets = createTargetComponents(dependencies, self, registry, invariants)
+  const targets = createTargetComponents(dependencies, self, registry, invariants, () => { relay.announceVersions() })
   const documentSync = createDocumentSync(dependencies, config, targets.targetRegistry, () => listingPoller.lastReadAtMs, () => relay.relayRank)
   const poisonDetector = PoisonRequestDetector.create(clock)
   const { relay, allowances }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
-  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(MAX_LISTING_AGE_MS), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
+  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(maxListingAgeMs), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
   const { peerSender, forwarder } = createForwarder(dependencies, relay)
--- a/packages/daemon/src/gateway/instanceRegistration.ts
+++ b/packages/daemon/src/gateway/instanceRegistration.ts
@@ -1,3 +1,4 @@
+import { backoffMs } from '@lovagehoist/common'
 import type { Clock, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
 import type { PeerTable } from '@lovagehoist/peers'
 
@@ -14,18 +15,31 @@
   readonly isAwaitingPeers: () => boolean
 }
 
-/** Mean time between two looks at the instance list. */
-const POLL_MS = 15_000
-/** As above, while this daemon knows no other, or the last look failed. */
-const INITIAL_POLL_MS = 1_000
+/** Mean time between two looks at the instance list while every daemon of the zone is registered: rows that were lost are written again. */
+const POLL_MS = 60_000
+/** As above, while a daemon that reports to this one is not registered as far as this one knows. */
+const MISSING_POLL_MS = 15_000
+/** As above, while this daemon knows no other. */
+const ALONE_POLL_MS = 1_000
+/** Backoff after a failed look, doubled from the minimum to the maximum. */
+const MIN_BACKOFF_MS = 1_000
+const MAX_BACKOFF_MS = 15_000
+/** Time after the start in which the daemons of a zone find each other, so that one look registers all. */
+const SETTLE_MS = 2_000
 /** Time between two checks whether this daemon is the first relay. */
 const CHECK_MS = 250
 
 /** Keeps the instance list in the store, by which daemons find each other: the first relay of a zone registers the daemons that report to it. */
 export class InstanceRegistration {
   private nextLookAtMs = -Infinity
+  private failures = 0
+  private readonly startedAtMs: number
+  /** Hosts of the registered daemons by instance, as of the last look. */
+  private registeredHosts: ReadonlyMap<string, string> = new Map()
 
-  private constructor (private readonly options: InstanceRegistrationOptions) {}
+  private constructor (private readonly options: InstanceRegistrationOptions) {
+    this.startedAtMs = options.clock.monotonicMs()
+  }
 
   /**
    * Creates a registration that has not looked at the list.
@@ -43,16 +57,35 @@
    * @param signal - Ends the loop.
    */
   async run (signal: AbortSignal): Promise<void> {
-    const { clock, random, peers, relayRank, isAwaitingPeers } = this.options
+    const { clock, relayRank, isAwaitingPeers } = this.options
     while (!signal.aborted) {
-      if (!isAwaitingPeers() && relayRank() === 0 && clock.monotonicMs() >= this.nextLookAtMs) {
-        const isDone = await this.synchronise()
-        this.nextLookAtMs = clock.monotonicMs() + (isDone && peers.size > 1 ? POLL_MS : INITIAL_POLL_MS) * (0.5 + random.next())
+      if (!isAwaitingPeers() && relayRank() === 0 && this.isDue()) {
+        this.failures = await this.synchronise() ? 0 : this.failures + 1
+        this.nextLookAtMs = clock.monotonicMs() + this.pauseMs()
       }
       await clock.sleepMs(CHECK_MS, signal)
     }
   }
 
+  private isDue (): boolean {
+    const { clock, peers } = this.options
+    const nowMs = clock.monotonicMs()
+    const isSettled = peers.size === 1 || nowMs - this.startedAtMs >= SETTLE_MS
+    return isSettled && nowMs >= (peers.size === 1 || this.missing().length > 0 ? this.nextLookAtMs : this.nextLookAtMs + POLL_MS - MISSING_POLL_MS)
+  }
+
+  /** Time after a look until the next one if a daemon is missing then. */
+  private pauseMs (): number {
+    const { random, peers } = this.options
+    if (this.failures > 0) return backoffMs(random, this.failures, MIN_BACKOFF_MS, MAX_BACKOFF_MS)
+    return (peers.size > 1 ? MISSING_POLL_MS : ALONE_POLL_MS) * (0.5 + random.next())
+  }
+
+  /** Daemons of the zone that were heard from recently but are not registered with their host as far as this daemon knows. */
+  private missing (): readonly InstanceRecord[] {
+    return this.options.peers.heardInZone().filter(({ instanceId, host }) => this.registeredHosts.get(instanceId) !== host)
+  }
+
   /** Reads the list, and writes the records of daemons that are missing or have moved; returns whether that succeeded. */
   private async synchronise (): Promise<boolean> {
     const { store, peers, log } = this.options
@@ -62,11 +95,12 @@
       return false
     }
     peers.addKnown(read.value)
-    const hosts = new Map(read.value.map(({ instanceId, host }) => [instanceId, host]))
-    const missing: readonly InstanceRecord[] = peers.heardInZone().filter(({ instanceId, host }) => hosts.get(instanceId) !== host)
+    this.registeredHosts = new Map(read.value.map(({ instanceId, host }) => [instanceId, host]))
+    const missing = this.missing()
     if (missing.length === 0) return true
     const written = await store.putInstances(missing)
     if (written.isErr()) log.warn('registering instances failed', { instances: missing.length, kind: written.error.kind, detail: written.error.message })
+    else this.registeredHosts = new Map([...this.registeredHosts, ...missing.map(({ instanceId, host }) => [instanceId, host] as const)])
     return written.isOk()
   }
 }
--- a/packages/daemon/src/gateway/peerDocumentSync.spec.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.spec.ts
@@ -26,6 +26,7 @@
     registry.apply({ storeVersion: 1, targets: [{ ...fakeTarget('t-1'), coldForMs: 0 }], skipped: [] }, clock.monotonicMs())
     const config = {
       version: 2,
+      lastResponseAtMs: -Infinity,
       get ownConfirmedAtMs () { return clock.monotonicMs() },
       get confirmedByOthersAtMs () { return confirmedAtMs },
       get confirmedAtMs () { return clock.monotonicMs() },
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -21,12 +21,10 @@
   readonly relayRank: () => number
 }
 
-/** Time for which the configuration must be behind before it is fetched from another zone; usually a watch of the store delivers it earlier. */
+/** Time for which the configuration must be behind before a daemon that watches it fetches it from another zone; usually its watch delivers it earlier. */
 const OTHER_ZONE_FETCH_DELAY_MS = 300
 /** Minimum time between two fetches of the same document. */
 const MIN_FETCH_INTERVAL_MS = 300
-/** Time since the last own read of the listing from which an open watch of the configuration no longer counts: its connection may be dead. */
-const MAX_SILENCE_MS = 1_500
 /** Age of the own listing, or configuration, from which it is fetched from another zone; traffic between zones is expensive, and the relays here usually read the store. */
 const OTHER_ZONE_FETCH_AGE_MS = 1_000
 
@@ -72,28 +70,34 @@
 
   /** Compares the versions that a peer holds with those held here, and fetches what is newer. */
   readonly handlePeerVersions = (peerVersions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']): void => {
-    const { targetRegistry, clock, settings } = this.options
-    const mayFetchListing = from.availabilityZone === settings.availabilityZone || this.ageOf(targetRegistry.confirmedAtMs) >= OTHER_ZONE_FETCH_AGE_MS
+    const { targetRegistry, clock } = this.options
+    const mayFetchListing = this.mayFetchFrom(from, targetRegistry.confirmedAtMs)
     if (peerVersions.listingDigest !== '' && peerVersions.listingDigest === targetRegistry.digest) {
       if (this.mayConfirm(message)) targetRegistry.confirm(clock.monotonicMs() - peerVersions.listingAgeMs)
     } else if (mayFetchListing && peerVersions.listingVersion > (targetRegistry.current?.storeVersion ?? -1)) this.fetch('targets', from)
     this.compareConfigVersions(peerVersions, from, message)
   }
 
-  /** Ages pass from readers to other zones and from relays to their zone, never back, since each hop makes them look younger by its delay. */
+  /** Traffic between zones is expensive: the first relay of a zone fetches for all. */
+  private mayFetchFrom ({ availabilityZone }: InstanceRecord, confirmedAtMs: number): boolean {
+    const { settings, relayRank } = this.options
+    return availabilityZone === settings.availabilityZone || relayRank() === 0 || this.ageOf(confirmedAtMs) >= OTHER_ZONE_FETCH_AGE_MS
+  }
+
+  /** Ages of own reads pass from readers to other zones and from relays to their zone, never back, since each hop makes them look younger by its delay. */
   private mayConfirm (message: RelayMessage['type']): boolean {
-    if (message === 'zone') return this.ageOf(this.options.listingReadAtMs()) >= OTHER_ZONE_FETCH_AGE_MS
+    if (message === 'zone') return true
     return message === 'view' && this.options.relayRank() !== 0
   }
 
-  /** Monotonic time at which this daemon itself last found that the store held no newer configuration. */
+  /** Monotonic time at which this daemon itself last found that the store held no newer configuration; an open watch counts only up to the last own read of the listing, since its connection may be dead. */
   private ownConfigAtMs (): number {
     const { config, listingReadAtMs } = this.options
-    return this.ageOf(listingReadAtMs()) <= MAX_SILENCE_MS ? config.ownConfirmedAtMs : Math.min(listingReadAtMs(), config.ownConfirmedAtMs)
+    return Math.max(config.lastResponseAtMs, Math.min(listingReadAtMs(), config.ownConfirmedAtMs))
   }
 
   private compareConfigVersions (peerVersions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']): void {
-    const { config, clock, settings } = this.options
+    const { config, clock } = this.options
     const nowMs = clock.monotonicMs()
     if (peerVersions.configVersion <= config.version) {
       this.configBehindSinceMs = undefined
@@ -101,8 +105,9 @@
       return
     }
     this.configBehindSinceMs ??= nowMs
-    const isOwnCurrent = this.ageOf(config.confirmedAtMs) < OTHER_ZONE_FETCH_AGE_MS
-    const delayMs = from.availabilityZone === settings.availabilityZone || !isOwnCurrent ? 0 : OTHER_ZONE_FETCH_DELAY_MS
+    if (!this.mayFetchFrom(from, config.confirmedAtMs)) return
+    const isWatching = this.ageOf(this.ownConfigAtMs()) < OTHER_ZONE_FETCH_AGE_MS
+    const delayMs = isWatching && from.availabilityZone !== this.options.settings.availabilityZone ? OTHER_ZONE_FETCH_DELAY_MS : 0
     if (nowMs - this.configBehindSinceMs >= delayMs) this.fetch('configuration', from)
   }
 
--- a/packages/daemon/src/gateway/storeCalls.load.spec.ts
+++ b/packages/daemon/src/gateway/storeCalls.load.spec.ts
@@ -7,6 +7,10 @@
 const MAX_CONFIG_MS = 2_000
 const MAX_NEW_TARGET_MS = 4_000
 const MAX_START_MS = 1_000
+/** Time between two reads of the listing: the lost relay read up to then. */
+const MAX_TAKEOVER_MS = 1_050
+/** Calls of 18 daemons within 30 s, a little above those measured. */
+const MAX_CALLS = { quiet: 75, restart: 95 } as const
 
 /** Guards against daemons that learn too late of what the store accepted, because others read it for them. */
 describe('calls of a fleet to the store (fleet in virtual time)', function () {
@@ -15,6 +19,7 @@
     'nothing happens': {},
     'the store turns some machines away': { storeFaults: (['refused', 'reset', 'silent'] as const).map((fault, turn) => ({ fault, fromMs: 10_000, toMs: 19_000, includes: ({ index }) => index % 6 === turn })) },
     'the store is down for everyone': { storeFaults: [{ fault: 'reset', fromMs: 19_000, toMs: 24_000, includes: () => true }] },
+    'the store is silent toward a whole zone, that of the reader': { storeFaults: [{ fault: 'silent', fromMs: 11_700, toMs: 20_700, includes: ({ zone }) => zone === 'zone-0' }] },
     'all daemons are restarted at once': { outages: [{ fromMs: 10_000, toMs: 10_800, includes: () => true }] },
     'a first relay is lost': { outages: [{ fromMs: 11_500, toMs: 40_000, includes: ({ index, zone }) => index === 0 && zone === 'zone-0' }] },
     'all relays are lost': { outages: [{ fromMs: 11_500, toMs: 40_000, includes: ({ index }) => index < 2 }] },
@@ -29,4 +34,17 @@
       expect(longestStartMs).to.be.at.most(MAX_START_MS)
     })
   }
+
+  it('are few, since one relay reads for the fleet', async () => {
+    expect((await StoreCallsSimulation.run(CHANGES)).total).to.be.at.most(MAX_CALLS.quiet)
+  })
+
+  it('are few when all daemons are restarted at once, since others tell them', async () => {
+    expect((await StoreCallsSimulation.run({ ...CHANGES, ...LOADS['all daemons are restarted at once'] })).total).to.be.at.most(MAX_CALLS.restart)
+  })
+
+  it('go on within a second when the relay that reads for all is lost, even with both relays of its zone', async () => {
+    const result = await StoreCallsSimulation.run({ ...CHANGES, outages: [{ fromMs: 11_500, toMs: 40_000, includes: ({ index, zone }) => index < 2 && zone === 'zone-0' }] })
+    expect(result.longestReadGapMs).to.be.at.most(MAX_TAKEOVER_MS)
+  })
 })
--- a/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
@@ -32,6 +32,7 @@
       random: SeededRandom.create(1),
       log: silentLog,
       readTurn: { isDue: () => true },
+      isStoreDoubtful: () => false,
       onConfig: ({ version }) => { applied.push(version) }
     })
   })
@@ -61,6 +62,7 @@
       random: SeededRandom.create(1),
       log: silentLog,
       readTurn: { isDue: () => true },
+      isStoreDoubtful: () => false,
       onConfig: ({ version }) => { applied.push(version) }
     })
     await run(500)
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -9,6 +9,8 @@
   readonly log: Log
   /** Decides whether this daemon reads the store or relies on others. */
   readonly readTurn: Pick<ReadTurn, 'isDue'>
+  /** Whether the store turns other reads of this daemon away, or it has yet to be seen if it does; one kind of call finds out for both. */
+  readonly isStoreDoubtful: () => boolean
   /** Called with each newer configuration, before it is put in force. */
   readonly onConfig: (config: GatewayConfig) => void
 }
@@ -17,8 +19,10 @@
 const WATCH_TIMEOUT_MS = 10_000
 /** Pause between two watches, so that changes in quick succession arrive together. */
 const MIN_WATCH_INTERVAL_MS = 250
+/** Time for which a read is recent enough for a watch to continue from it. */
+const READ_VALID_MS = 2_000
 /** Time between two checks whether this daemon has to read the store. */
-const TURN_CHECK_INTERVAL_MS = 100
+const TURN_CHECK_INTERVAL_MS = 50
 /** Delay after the first failure; doubled by each further one up to the maximum. */
 const FIRST_RETRY_DELAY_MS = 250
 const MAX_RETRY_DELAY_MS = 2_000
@@ -55,6 +59,11 @@
     return this.config?.version ?? 0
   }
 
+  /** Monotonic time of the last response of the store; -Infinity if there was none. */
+  get lastResponseAtMs (): number {
+    return this.readAtMs
+  }
+
   /** Monotonic time at which this daemon last found nothing newer in the store: now while a watch is open; -Infinity if never. */
   get ownConfirmedAtMs (): number {
     return this.isWatching && this.failures === 0 ? this.options.clock.monotonicMs() : this.readAtMs
@@ -112,16 +121,16 @@
    * @param signal - Ends the loop.
    */
   async run (signal: AbortSignal): Promise<void> {
-    const { clock, readTurn } = this.options
+    const { clock, readTurn, isStoreDoubtful } = this.options
     while (!signal.aborted) {
-      const delayMs = readTurn.isDue(this.confirmedAtMs) ? await this.readOrWatch() : this.relyOnOthers()
+      const delayMs = !isStoreDoubtful() && readTurn.isDue(this.confirmedAtMs) ? await this.readOrWatch() : this.relyOnOthers()
       await clock.sleepMs(delayMs, signal)
     }
   }
 
-  /** Leaves the store to others; the next own call reads the configuration, since the store's history may be gone by then. */
+  /** Leaves the store to others; after a while the next own call reads the configuration, since the store's history may be gone by then. */
   private relyOnOthers (): number {
-    this.storeVersion = undefined
+    if (this.options.clock.monotonicMs() - this.readAtMs > READ_VALID_MS) this.storeVersion = undefined
     return TURN_CHECK_INTERVAL_MS
   }
 
--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -4,6 +4,8 @@
   readonly record: InstanceRecord
   /** Monotonic time of its newest message; -Infinity if it is known only through other daemons. */
   heardAtMs: number
+  /** Monotonic time of its newest zone totals, which only first relays send; -Infinity if there were none. */
+  readonly totalsAtMs: number
   /** Monotonic time of the oldest unanswered message to it, reset after each exclusion; undefined if all were answered. */
   unansweredSinceMs: number | undefined
 }
@@ -51,7 +53,7 @@
   addKnown (records: readonly InstanceRecord[]): void {
     for (const record of records) {
       if (record.instanceId === this.self.instanceId || this.peers.has(record.instanceId)) continue
-      this.peers.set(record.instanceId, { record, heardAtMs: -Infinity, unansweredSinceMs: undefined })
+      this.peers.set(record.instanceId, { record, heardAtMs: -Infinity, totalsAtMs: -Infinity, unansweredSinceMs: undefined })
     }
   }
 
@@ -59,13 +61,14 @@
    * Records that a message from a daemon arrived.
    *
    * @param record - Sender as it describes itself.
+   * @param hasTotals - Whether the message carries the totals of its zone.
    * @returns Whether the sender is new, restarted, or was not heard from within the member TTL.
    */
-  recordMessage (record: InstanceRecord): boolean {
+  recordMessage (record: InstanceRecord, hasTotals = false): boolean {
     const previous = this.peers.get(record.instanceId)
     const nowMs = this.clock.monotonicMs()
     const isNew = previous === undefined || previous.record.startId !== record.startId || nowMs - previous.heardAtMs > MEMBER_TTL_MS
-    this.peers.set(record.instanceId, { record, heardAtMs: nowMs, unansweredSinceMs: undefined })
+    this.peers.set(record.instanceId, { record, heardAtMs: nowMs, totalsAtMs: hasTotals ? nowMs : previous?.totalsAtMs ?? -Infinity, unansweredSinceMs: undefined })
     return isNew
   }
 
@@ -102,7 +105,7 @@
     const nowMs = this.clock.monotonicMs()
     const responsive = [...this.peers.values()].filter(({ record, unansweredSinceMs }) =>
       record.availabilityZone === zone && !this.isUnresponsive(unansweredSinceMs, nowMs))
-    const self: KnownPeer = { record: this.self, heardAtMs: nowMs, unansweredSinceMs: undefined }
+    const self: KnownPeer = { record: this.self, heardAtMs: nowMs, totalsAtMs: -Infinity, unansweredSinceMs: undefined }
     const candidates = this.self.availabilityZone === zone ? [...responsive, self] : responsive
     return candidates.sort(byFitness).slice(0, RELAYS_PER_ZONE).map(({ record }) => record)
   }
@@ -111,12 +114,12 @@
    * Chooses the daemons of another zone that messages to it are sent to.
    *
    * @param zone - Availability zone.
-   * @returns The daemon that this zone was heard from last, since only relays send to other zones; the fittest ones if it has been silent.
+   * @returns The daemon that sent the newest totals of this zone, which only first relays do; the fittest ones if there are none.
    */
   zoneContacts (zone: string): readonly InstanceRecord[] {
     const oldestMs = this.clock.monotonicMs() - ZONE_CONTACT_TTL_MS
-    const heard = [...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone === zone && heardAtMs >= oldestMs)
-    const latest = heard.reduce<KnownPeer | undefined>((best, peer) => best === undefined || peer.heardAtMs > best.heardAtMs ? peer : best, undefined)
+    const heard = [...this.peers.values()].filter(({ record, totalsAtMs }) => record.availabilityZone === zone && totalsAtMs >= oldestMs)
+    const latest = heard.reduce<KnownPeer | undefined>((best, peer) => best === undefined || peer.totalsAtMs > best.totalsAtMs ? peer : best, undefined)
     return latest === undefined ? this.relays(zone) : [latest.record]
   }
 
@@ -127,15 +130,25 @@
 
   /** Daemons to announce in the next view: by turns the fittest of each zone, and the next few of all others. */
   nextMembers (): readonly InstanceRecord[] {
-    const oldestMs = this.clock.monotonicMs() - MEMBER_TTL_MS
-    const self: KnownPeer = { record: this.self, heardAtMs: Infinity, unansweredSinceMs: undefined }
-    const known = [self, ...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone !== this.self.availabilityZone || heardAtMs >= oldestMs).sort(byFitness)
     const isFittestTurn = this.announcements++ % 2 === 0
-    const fittest = this.zones().flatMap(zone => known.filter(({ record }) => record.availabilityZone === zone).slice(0, FITTEST_ANNOUNCED))
-    if (isFittestTurn) return fittest.map(({ record }) => record)
-    const others = known.filter(peer => !fittest.includes(peer))
+    const fittest = this.fittestMembers()
+    if (isFittestTurn) return fittest
+    const others = this.announceable().filter(record => !fittest.includes(record))
     const offset = (this.announcements >> 1) * OTHERS_ANNOUNCED % Math.max(1, others.length)
-    return [...others, ...others].slice(offset, offset + Math.min(OTHERS_ANNOUNCED, others.length)).map(({ record }) => record)
+    return [...others, ...others].slice(offset, offset + Math.min(OTHERS_ANNOUNCED, others.length))
+  }
+
+  /** The fittest daemons of each zone, among which its relays are chosen. */
+  fittestMembers (): readonly InstanceRecord[] {
+    const known = this.announceable()
+    return this.zones().flatMap(zone => known.filter(({ availabilityZone }) => availabilityZone === zone).slice(0, FITTEST_ANNOUNCED))
+  }
+
+  /** This daemon, those of its zone that were heard from recently and all known ones of other zones, fittest first. */
+  private announceable (): readonly InstanceRecord[] {
+    const oldestMs = this.clock.monotonicMs() - MEMBER_TTL_MS
+    const self: KnownPeer = { record: this.self, heardAtMs: Infinity, totalsAtMs: -Infinity, unansweredSinceMs: undefined }
+    return [self, ...this.peers.values()].filter(({ record, heardAtMs }) => record.availabilityZone !== this.self.availabilityZone || heardAtMs >= oldestMs).sort(byFitness).map(({ record }) => record)
   }
 
   /** This daemon and the others of its zone that were heard from recently. */
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -19,6 +19,11 @@
 const URGENT_RETRY_MS = 20
 /** Maximum time between two reports, reached when no counter changes. */
 const HEARTBEAT_MS = 400
+/** Time after its start in which a daemon that knows no other of its zone asks the hosts in its settings with each period. */
+const SEARCH_MS = 2_000
+/** Interval at which first relays introduce themselves to those hosts, right after the start and later: daemons of one zone that found different others would else form two groups. */
+const INTRODUCTION_INTERVAL_MS = 5_000
+const FIRST_INTRODUCTION_INTERVAL_MS = 1_000
 /** Every interval, counters that changed within the lookback are sent again in case a datagram was lost. */
 const REPEAT_INTERVAL_MS = 1_000
 const REPEAT_LOOKBACK_MS = 2_500
@@ -53,7 +58,7 @@
   private isLeaving = false
   private viewAtMs = -Infinity
   private cancelUrgent: CancelTimer | undefined
-  private readonly lastSentMs = { report: -Infinity, standby: -Infinity, repeat: -Infinity }
+  private readonly lastSentMs = { report: -Infinity, standby: -Infinity, repeat: -Infinity, introduction: -Infinity }
   private unreadableDatagrams = 0
   private lastTickAtMs: number
   private ignoresUntilMs = -Infinity
@@ -149,18 +154,35 @@
     this.lastTickAtMs = nowMs
     this.reportIfDue(nowMs, isUrgent)
     const rank = this.relayRank
+    if (rank === 0) this.introduceIfDue(nowMs)
     const isViewWaiting = (this.views.hasReporters || rank >= 0) && this.views.publishIfDue(rank, isUrgent)
     const areTotalsWaiting = rank === 0 && this.zoneTotals.sendIfDue(isUrgent)
     if (isViewWaiting || areTotalsWaiting) this.scheduleUrgent(URGENT_RETRY_MS)
   }
 
+  /** Whether this daemon looks for others of its zone. */
+  private get isSearching (): boolean {
+    return this.peers.size === 1 || (this.peers.zoneSize === 1 && this.options.clock.monotonicMs() - this.startedAtMs < SEARCH_MS)
+  }
+
+  /** Asks the hosts in the settings for the relays of this zone, with a report that is empty since they may belong to other zones. */
+  private introduceIfDue (nowMs: number): void {
+    const { self, datagrams, bootstrapHosts, heldVersions } = this.options
+    const uptimeMs = nowMs - this.startedAtMs
+    const intervalMs = uptimeMs < INTRODUCTION_INTERVAL_MS ? FIRST_INTRODUCTION_INTERVAL_MS : INTRODUCTION_INTERVAL_MS
+    if (this.isSearching || nowMs - this.lastSentMs.introduction < intervalMs) return
+    this.lastSentMs.introduction = nowMs
+    const [bytes] = encodeMessage({ type: 'report', from: self, isFull: false, isLeaving: false, uptimeMs, counters: [], news: {}, limits: { limits: [], demand: [], settled: [] }, heldVersions: heldVersions('known') })
+    for (const host of bootstrapHosts()) if (host !== self.host && bytes !== undefined) datagrams.send(host, bytes)
+  }
+
   private reportIfDue (nowMs: number, isUrgent: boolean): void {
     const lastSent = this.lastSentMs
     const isLargeZone = this.peers.zoneSize > LARGE_ZONE_SIZE
     const relayIds = this.peers.relays(this.options.self.availabilityZone).map(({ startId }) => startId).join()
     const isNewRelay = relayIds !== this.reportedRelayIds
     const isRepeat = nowMs - lastSent.repeat >= REPEAT_INTERVAL_MS
-    if (!isNewRelay && !isRepeat && !this.hasChanges && nowMs - lastSent.report < HEARTBEAT_MS) return
+    if (!isNewRelay && !isRepeat && !this.hasChanges && !this.isSearching && nowMs - lastSent.report < HEARTBEAT_MS) return
     if (isLargeZone && !isUrgent && nowMs - lastSent.report < LARGE_ZONE_REPORT_INTERVAL_MS) return
     const isFull = isNewRelay || (isRepeat && this.isFullRepeat())
     const isForStandby = !isLargeZone || isFull || isRepeat || nowMs - lastSent.standby >= STANDBY_REPORT_INTERVAL_MS
@@ -189,7 +211,7 @@
     this.options.limits.applyReport(self.startId, limits)
     const relays = this.peers.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
     const parts = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits, heldVersions: this.options.heldVersions('known') }, this.repeatCount)
-    const bootstrap = this.peers.size === 1 ? bootstrapHosts().filter(host => host !== self.host) : []
+    const bootstrap = this.isSearching ? bootstrapHosts().filter(host => host !== self.host) : []
     const receivers = isForStandby || this.news.hasUnrepeated(news) || limits.limits.length > 0 ? relays : relays.slice(0, 1)
     for (const { instanceId } of receivers) this.peers.recordRequest(instanceId)
     for (const host of [...receivers.map(relay => relay.host), ...bootstrap]) for (const bytes of parts) datagrams.send(host, bytes)
@@ -214,7 +236,7 @@
     }
     if (message.from.instanceId === this.options.self.instanceId) return
     const handler = this.handlers[message.type] as (message: RelayMessage) => void
-    if (this.peers.recordMessage(message.from)) this.handleNewPeer(message.from)
+    if (this.peers.recordMessage(message.from, message.type === 'zone')) this.handleNewPeer(message.from)
     handler(message)
     if (message.type === 'zone' && host === message.from.host) this.passOn(bytes)
   }
--- a/packages/peers/src/relay/viewPublisher.ts
+++ b/packages/peers/src/relay/viewPublisher.ts
@@ -82,10 +82,22 @@
   /** Records a report; returns whether its sender is new. */
   recordReport ({ startId, host }: InstanceRecord): boolean {
     const isNew = !this.reporters.has(startId)
+    if (isNew) this.greet(host)
     this.reporters.set(startId, { host, heardAtMs: this.options.clock.monotonicMs() })
     return isNew
   }
 
+  /**
+   * Sends a daemon that has just started what it needs to leave the store to others: the relays of its zone, and what they hold. The views
+   * for all daemons have to wait when many start at once.
+   */
+  private greet (host: string): void {
+    const { self, datagrams, heldVersions, fleetStats } = this.options
+    const stats = fleetStats.targetStats().filter(([, { inProgress }]) => inProgress > 0).slice(0, MAX_VIEW_STATS)
+    const parts = encodeMessage({ type: 'view', from: self, heldVersions: heldVersions('known'), stats, members: this.peers.fittestMembers(), news: {}, limits: { limits: [], permits: [] } })
+    for (const bytes of parts) datagrams.send(host, bytes)
+  }
+
   /** Stops sending views to a daemon that left. */
   removeReporter (startId: string): void {
     this.reporters.delete(startId)
--- a/packages/peers/src/relay/zoneTotalsSender.ts
+++ b/packages/peers/src/relay/zoneTotalsSender.ts
@@ -10,6 +10,8 @@
 const FULL_INTERVAL_MS = 4_000
 /** Minimum time between two messages that report failures, for each other zone. */
 const URGENT_INTERVAL_PER_ZONE_MS = 25
+/** Differences of a time worked out from an age that do not count. */
+const ROUNDING_MS = 1
 
 /** Sends the totals of a zone to the relays of other zones. */
 export class ZoneTotalsSender {
@@ -20,6 +22,7 @@
   private lastFullAtMs = -Infinity
   private fullCount = 0
   private sentVersions: HeldVersions | undefined
+  private sentReadAtMs = -Infinity
 
   private constructor (private readonly options: RelayNodeOptions, private readonly peers: PeerTable, private readonly news: NewsBoard) {}
 
@@ -36,7 +39,7 @@
   }
 
   /**
-   * Sends new failures, new versions and targets that are in use again at once; other changes, and the ages of what this zone reads, once per interval.
+   * Sends new failures, new versions, own reads of the store and targets that are in use again at once; other changes once per interval.
    *
    * @param isUrgent - Whether something has changed that other zones should know at once.
    * @returns Whether an urgent message has to wait.
@@ -45,18 +48,21 @@
     const nowMs = this.options.clock.monotonicMs()
     const otherZones = this.peers.zones().filter(zone => zone !== this.options.self.availabilityZone)
     const isDue = nowMs - this.lastRegularAtMs >= INTERVAL_MS
-    if (!isUrgent && !isDue) return false
+    const heldVersions = this.options.heldVersions('own')
+    const readAtMs = nowMs - heldVersions.listingAgeMs
+    const hasRead = heldVersions.listingAgeMs < INTERVAL_MS && readAtMs > this.sentReadAtMs + ROUNDING_MS
+    if (!isUrgent && !isDue && !hasRead) return false
     if (!isDue && nowMs - this.lastUrgentAtMs < otherZones.length * URGENT_INTERVAL_PER_ZONE_MS) return true
     const isFull = isDue && nowMs - this.lastFullAtMs >= FULL_INTERVAL_MS
     const counters = this.changedCounters(isDue, isFull)
     const limits = this.options.limits.zoneLimits(isFull)
     const news = this.news.collect('zone', nowMs)
-    const heldVersions = this.options.heldVersions('own')
-    const hasNewVersions = heldVersions.configVersion !== this.sentVersions?.configVersion || heldVersions.listingDigest !== this.sentVersions.listingDigest
+    const hasNewVersions = hasRead || heldVersions.configVersion !== this.sentVersions?.configVersion || heldVersions.listingDigest !== this.sentVersions.listingDigest
     const isEmpty = counters.length === 0 && limits.limits.length === 0 && Object.values(news).flat().length === 0 && !isFull
     if (isEmpty && !hasNewVersions && nowMs - this.lastSentAtMs < INTERVAL_MS) return false
     this.lastSentAtMs = nowMs
     this.sentVersions = heldVersions
+    this.sentReadAtMs = readAtMs
     if (!isDue) this.lastUrgentAtMs = nowMs
     if (isDue && !isEmpty) this.lastRegularAtMs = nowMs
     if (isFull) this.lastFullAtMs = nowMs
--- a/packages/targets/src/registry/listingPoller.ts
+++ b/packages/targets/src/registry/listingPoller.ts
@@ -7,7 +7,7 @@
   readonly store: Pick<GatewayStore, 'readTargets'>
   readonly registry: TargetRegistry
   /** Decides whether this daemon reads the store or relies on others. */
-  readonly readTurn: Pick<ReadTurn, 'isDue' | 'isFirst'>
+  readonly readTurn: Pick<ReadTurn, 'isDue' | 'order'>
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
@@ -15,13 +15,16 @@
   readonly onStoreRecovered?: () => void
 }
 
-/** Age of the listing at which a daemon reads it from the store, by its place among the relays of its zone. */
-export const MAX_LISTING_AGE_MS = { first: 450, second: 800, other: 1_000 } as const
 /** Time between two checks of the listing's age. */
-const CHECK_INTERVAL_MS = 100
-/** Backoff after failed reads, doubled from the minimum to the maximum. */
-const MIN_BACKOFF_MS = 300
-const MAX_BACKOFF_MS = 1_500
+const CHECK_INTERVAL_MS = 50
+/** Backoff after failed reads, doubled from the minimum to the maximum, of the reader of the fleet and its first standby, which notice for all that the store responds again. */
+const READER_BACKOFF = { minMs: 300, maxMs: 1_500 } as const
+/** Backoff of the others, and of a reader while others read in its place: each refused call is billed. */
+const OTHER_BACKOFF = { minMs: 1_500, maxMs: 6_000 } as const
+/** Number of daemons whose backoff stays short. */
+const SHORT_BACKOFF_READERS = 2
+/** Age up to which the listing shows that others read it. */
+const MAX_READ_BY_OTHERS_AGE_MS = 2_000
 
 /** Polls the store for the listing of targets unless another daemon has confirmed the listing recently. */
 export class ListingPoller {
@@ -46,6 +49,12 @@
     return this.readAtMs
   }
 
+  /** Whether the store turned the last read away, or the listing is old and this daemon has not read it yet: then it is not known whether the store responds. */
+  get isStoreDoubtful (): boolean {
+    const { clock, registry } = this.options
+    return this.failures > 0 || clock.monotonicMs() - Math.max(this.readAtMs, registry.confirmedAtMs) > MAX_READ_BY_OTHERS_AGE_MS
+  }
+
   /**
    * Reads the listing whenever it is due, until stopped.
    *
@@ -61,8 +70,8 @@
 
   private isDue (): boolean {
     const { clock, registry, readTurn } = this.options
-    // The first relay reads whatever others confirm: its reads also show whether its watch of the configuration can still be trusted.
-    return clock.monotonicMs() >= this.retryAtMs && readTurn.isDue(readTurn.isFirst ? this.readAtMs : registry.confirmedAtMs)
+    // The reader of the fleet reads whatever others confirm: its reads also show whether its watch of the configuration can still be trusted.
+    return clock.monotonicMs() >= this.retryAtMs && readTurn.isDue(readTurn.order === 0 ? this.readAtMs : registry.confirmedAtMs)
   }
 
   private async readListing (): Promise<void> {
@@ -83,9 +92,11 @@
   }
 
   private handleFailure ({ kind, message }: PlatformError): void {
-    const { clock, random, log, registry } = this.options
+    const { clock, random, log, registry, readTurn } = this.options
     const nowMs = clock.monotonicMs()
     if (this.failures++ === 0) log.warn('store lost for the listing of targets', { kind, detail: message, listingAgeMs: Math.round(nowMs - registry.confirmedAtMs) })
-    this.retryAtMs = nowMs + backoffMs(random, this.failures, MIN_BACKOFF_MS, MAX_BACKOFF_MS)
+    const isReader = (readTurn.order ?? Infinity) < SHORT_BACKOFF_READERS && nowMs - registry.confirmedAtMs > MAX_READ_BY_OTHERS_AGE_MS
+    const { minMs, maxMs } = isReader ? READER_BACKOFF : OTHER_BACKOFF
+    this.retryAtMs = nowMs + backoffMs(random, this.failures, minMs, maxMs)
   }
 }
--- a/packages/targets/src/registry/targetRegistry.ts
+++ b/packages/targets/src/registry/targetRegistry.ts
@@ -15,6 +15,8 @@
   readonly log: Log
   /** Called when a target was removed or restarted under the same ID. */
   readonly onForget: (targetId: string) => void
+  /** Called after a listing with other properties than before was applied. */
+  readonly onChange?: () => void
 }
 
 /** Time after a store outage in which targets with expired entries register again; as the protocol specifies. */
@@ -135,6 +137,7 @@
     if (!isChanged) return
     this.replaceAll(listing.targets)
     for (const { key, reason } of listing.skipped) this.options.log.warn('skipped a target row', { targetId: key, reason })
+    this.options.onChange?.()
   }
 
   private replaceAll (targets: readonly ListedTarget[]): void {
