--- a/packages/callers/src/admission/shortageAdmission.spec.ts
+++ b/packages/callers/src/admission/shortageAdmission.spec.ts
@@ -7,6 +7,8 @@
 
 const ROOM: ServiceRoom = { targets: 40, slots: 80, inProgress: 24, serviceTimeMs: 200, refusalShare: 0 }
 
+const CANDIDATE: ShortageCandidate = { requestId: 'r', service: 's', rank: 2, ranks: 3, receivedAtMs: 0, objectiveMs: 1_000, isRetry: false }
+
 const setUp = (seed = 1) => {
   const clock = ManualClock.create()
   const lines: Array<{ readonly message: string, readonly fields: LogFields | undefined }> = []
@@ -14,10 +16,10 @@
   const write = (message: string, fields?: LogFields): void => { lines.push({ message, fields }) }
   const log: Log = { error: write, warn: write, info: write, debug: write, child: () => log }
   let room = ROOM
-  const metrics = { setLevel: () => {}, countRefusal: (service: string, rank: number, cause: string) => { refusals.push(`${service} ${rank} ${cause}`) } }
+  const metrics = { setLevel: () => {}, setWait: () => {}, countRefusal: (service: string, rank: number, cause: string) => { refusals.push(`${service} ${rank} ${cause}`) } }
   const admission = ShortageAdmission.create({ clock, random: SeededRandom.create(seed), log, capacity: { roomOf: () => room }, metrics })
   const decide = (requestId: string, change: Partial<ShortageCandidate> = {}) =>
-    admission.decide({ requestId, service: 's', rank: 2, ranks: 3, objectiveLeftMs: 1_000, isRetry: false, ...change })
+    admission.decide({ ...CANDIDATE, requestId, receivedAtMs: clock.monotonicMs(), ...change })
   return { clock, lines, refusals, decide, setLoad: (load: number) => { room = { ...ROOM, inProgress: load * ROOM.slots } } }
 }
 
--- a/packages/callers/src/admission/shortageAdmission.ts
+++ b/packages/callers/src/admission/shortageAdmission.ts
@@ -5,9 +5,13 @@
 import type { ShortageMetrics } from './shortageMetrics.js'
 
 /** A request before it is sent to a target. */
-export interface ShortageCandidate extends ShortageRequest {
+export interface ShortageCandidate extends Omit<ShortageRequest, 'objectiveLeftMs'> {
   readonly requestId: string
   readonly service: string
+  /** Monotonic time at which the daemon received the request. */
+  readonly receivedAtMs: number
+  /** Latency objective of the request. */
+  readonly objectiveMs: number
 }
 
 /** Whether a request may be sent to a target now. */
@@ -29,6 +33,15 @@
   readonly metrics: ShortageMetrics
 }
 
+/** What decided a refusal. */
+interface RefusalInputs {
+  readonly room: ServiceRoom
+  readonly level: ShortageLevel
+  readonly request: ShortageRequest
+  readonly share: number
+  readonly retryDelayMs: number
+}
+
 interface ServiceState {
   /** Service time while nothing waited, which the mean latency of busy targets exceeds. */
   idleServiceTimeMs: number | undefined
@@ -42,8 +55,8 @@
 const MIN_RETRY_DELAY_MS = 150
 const MAX_RETRY_DELAY_MS = 2_000
 /** Share of the time left until the objective over which callers of one rank return, and by which each rank returns later than the one above it. */
-const RETURN_SPREAD_SHARE = 0.25
-const RANK_DELAY_SHARE = 0.1
+const RETURN_SPREAD_SHARE = 0.2
+const RANK_DELAY_SHARE = 0.08
 /** Time without a refusal after which a shortage counts as over in the log. */
 const SHORTAGE_END_MS = 1_000
 const HASH_VALUES = 0x100000000
@@ -73,17 +86,21 @@
    * @returns Admitted, or refused with the delay after which the caller may return.
    */
   readonly decide = (candidate: ShortageCandidate): ShortageDecision => {
-    const { capacity, metrics } = this.options
-    const room = capacity.roomOf(candidate.service)
-    const level = this.levelOf(candidate.service, room)
-    const share = admittedShare(level, candidate)
-    metrics.setLevel(candidate.service, candidate.rank, 1 - share)
+    const { capacity, metrics, clock } = this.options
+    const { service, rank, receivedAtMs, objectiveMs, isRetry } = candidate
+    const room = capacity.roomOf(service)
+    const level = this.levelOf(service, room)
+    const elapsedMs = clock.monotonicMs() - receivedAtMs
+    const request: ShortageRequest = { rank, ranks: candidate.ranks, isRetry, objectiveLeftMs: objectiveMs - elapsedMs }
+    const share = admittedShare(level, request)
+    metrics.setWait(service, level.waitMs)
+    if (!isRetry) metrics.setLevel(service, rank, 1 - share)
     if (share >= 1 || this.draw(candidate) < share) {
-      this.noteAdmitted(candidate.service)
+      this.noteAdmitted(service)
       return { type: 'admitted' }
     }
-    const retryDelayMs = this.retryDelayMs(level, candidate)
-    this.noteRefused(candidate, room, level, share, retryDelayMs)
+    const retryDelayMs = this.retryDelayMs(level, request)
+    this.noteRefused(candidate, { room, level, request, share, retryDelayMs })
     return { type: 'refused', retryDelayMs }
   }
 
@@ -103,10 +120,10 @@
     return murmurHash(`${service} ${requestId} ${window}`) / HASH_VALUES
   }
 
-  private retryDelayMs (level: ShortageLevel, candidate: ShortageCandidate): number {
-    const leftMs = Math.max(0, candidate.objectiveLeftMs)
+  private retryDelayMs (level: ShortageLevel, request: ShortageRequest): number {
+    const leftMs = Math.max(0, request.objectiveLeftMs)
     const spreadMs = this.options.random.next() * RETURN_SPREAD_SHARE * leftMs
-    const delayMs = drainTimeMs(level, candidate) + candidate.rank * RANK_DELAY_SHARE * leftMs + spreadMs
+    const delayMs = drainTimeMs(level, request) + request.rank * RANK_DELAY_SHARE * leftMs + spreadMs
     return Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, delayMs))
   }
 
@@ -117,21 +134,20 @@
     this.options.log.info('capacity of the service suffices again', { service })
   }
 
-  private noteRefused (candidate: ShortageCandidate, room: ServiceRoom, level: ShortageLevel, share: number, retryDelayMs: number): void {
+  private noteRefused ({ requestId, service }: ShortageCandidate, { room, level, request, share, retryDelayMs }: RefusalInputs): void {
     const { log, clock, metrics } = this.options
-    const { requestId, service, rank, ranks, isRetry, objectiveLeftMs } = candidate
     const state = this.stateOf(service)
     state.lastRefusedAtMs = clock.monotonicMs()
     if (!state.isShort) log.warn('service has too little capacity', { service, load: roundToThousandths(level.load), waitMs: Math.round(level.waitMs) })
     state.isShort = true
-    metrics.countRefusal(service, rank, isRetry ? 'retry' : 'first-attempt')
+    metrics.countRefusal(service, request.rank, request.isRetry ? 'retry' : 'first-attempt')
     log.info('request refused in a shortage', {
       requestId,
       service,
-      rank,
-      ranks,
-      isRetry,
-      objectiveLeftMs: Math.round(objectiveLeftMs),
+      rank: request.rank,
+      ranks: request.ranks,
+      isRetry: request.isRetry,
+      objectiveLeftMs: Math.round(request.objectiveLeftMs),
       admittedShare: roundToThousandths(share),
       slots: roundToThousandths(room.slots),
       inProgress: roundToThousandths(room.inProgress),
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -108,8 +108,8 @@
   return problemReply(lastAttempt !== undefined && LATE_OUTCOMES.has(lastAttempt.outcome) ? 'deadline' : 'target-failed', verdict, lastAttempt?.detail ?? '')
 }
 
-const describeForShortage = ({ clock }: GatewayServeOptions, { requestId, service, route, priorityRank, receivedAtMs }: AcceptedGatewayRequest, { sentCount }: AttemptHistory): ShortageCandidate =>
-  ({ requestId, service, ...priorityRank, objectiveLeftMs: receivedAtMs + route.objectiveMs - clock.monotonicMs(), isRetry: sentCount > 0 })
+const describeForShortage = ({ requestId, service, route, priorityRank, receivedAtMs }: AcceptedGatewayRequest, { sentCount }: AttemptHistory): ShortageCandidate =>
+  ({ requestId, service, ...priorityRank, receivedAtMs, objectiveMs: route.objectiveMs, isRetry: sentCount > 0 })
 
 /** Reply to a request that is not sent to another target because the service has too little capacity. */
 const replyInShortage = (history: AttemptHistory, retryDelayMs: number): Reply =>
@@ -156,7 +156,7 @@
     if (isPoison(options, accepted)) return quarantinedReply(options, accepted, history)
     const isOwnPathUsed = accepted.forwarding !== undefined || options.path.usesOwnPath() || !options.forwarder.hasPeers
     const needsConnection = !isOwnPathUsed && options.path.areConnectionsAlive
-    const shortage = isOwnPathUsed ? options.shortage.decide(describeForShortage(options, accepted, history)) : ADMITTED
+    const shortage = isOwnPathUsed ? options.shortage.decide(describeForShortage(accepted, history)) : ADMITTED
     if (shortage.type === 'refused') return replyInShortage(history, shortage.retryDelayMs)
     const choice: TargetChoice = isOwnPathUsed || needsConnection
       ? options.targetSelector.choose({ service, isIdempotent: route.isIdempotent, hasHigherPriorityTraffic, needsConnection, triedTargetIds: history.triedTargetIds, deadlineAtMs })
--- a/packages/daemon/src/testing/shortageLoads.ts
+++ b/packages/daemon/src/testing/shortageLoads.ts
@@ -47,9 +47,9 @@
 
 /** Classes of the simulated service, the most urgent first. The values are assumptions. */
 export const CLASSES: readonly RequestClass[] = [
-  { priority: 0, share: 0.2, value: 4, lateShare: 0.1, work: 0.8 },
-  { priority: 1, share: 0.5, value: 2, lateShare: 0.3, work: 1 },
-  { priority: 2, share: 0.3, value: 1, lateShare: 0.45, work: 1.13 }
+  { priority: 0, share: 0.2, value: 4, lateShare: 0.1, work: 1.2 },
+  { priority: 1, share: 0.5, value: 2, lateShare: 0.3, work: 0.9 },
+  { priority: 2, share: 0.3, value: 1, lateShare: 0.45, work: 1.03 }
 ]
 
 /** Services of the deployments on the work page, the first one at a smaller size. */
@@ -69,6 +69,7 @@
   'burst, 0.33 in use': { use: 0.33, faultMs: 5_000, demand: () => BURST },
   'burst, 0.7 in use': { use: 0.7, faultMs: 5_000, demand: () => BURST },
   'burst of 2.4, 0.7 in use': { use: 0.7, faultMs: 5_000, demand: () => 2.4 },
+  'burst of 5, 0.3 in use': { use: 0.3, faultMs: 3_000, demand: () => 5 },
   'half refused': { use: 0.33, faultMs: 8_000, refusing: 0.5 },
   'half refused, 0.6 in use': { use: 0.6, faultMs: 8_000, refusing: 0.5 },
   'hot account, 0.33 in use': { use: 0.33, faultMs: 5_000, demand: index => index === 1 ? ACCOUNT_FACTOR : 1 },
--- a/packages/daemon/src/testing/shortageSimulation.ts
+++ b/packages/daemon/src/testing/shortageSimulation.ts
@@ -2,7 +2,7 @@
 import type { CapacityView, Clock, Random } from '@lovagehoist/common'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
 import { ShortageAdmission, WindowedRetryBudget } from '@lovagehoist/callers'
-import type { ShortageGate } from '@lovagehoist/callers'
+import type { ShortageCandidate, ShortageDecision } from '@lovagehoist/callers'
 import { FleetStatsAggregator, LowestCostSelector, TargetRegistry, TargetRests, TargetStatsTracker } from '@lovagehoist/targets'
 import { AFTERMATH_MS, CLASSES, FAULT_FROM_MS } from './shortageLoads.js'
 import type { RequestClass, ShortageLoad, ShortageService } from './shortageLoads.js'
@@ -13,10 +13,20 @@
   readonly clock: Clock
   readonly random: Random
   readonly capacity: CapacityView
+  /** Number of daemons. */
+  readonly daemons: number
+}
+
+/** Decision of a policy; alternatives may also hold a request in the daemon and decide again. */
+export type PolicyDecision = ShortageDecision | { readonly type: 'held', readonly forMs: number }
+
+/** Policy of one daemon. */
+export interface Policy {
+  readonly decide: (candidate: ShortageCandidate) => PolicyDecision
 }
 
 /** Creates the policy of one daemon. */
-export type CreatePolicy = (context: PolicyContext) => ShortageGate
+export type CreatePolicy = (context: PolicyContext) => Policy
 
 /** Load, faults, policy and callers of a simulation. */
 export interface ShortageSimulationOptions {
@@ -47,7 +57,7 @@
   readonly tracker: TargetStatsTracker
   readonly selector: LowestCostSelector
   readonly budget: WindowedRetryBudget
-  readonly gate: ShortageGate
+  readonly gate: Policy
 }
 
 interface SimulatedRequest {
@@ -87,13 +97,13 @@
 
 /** The admission that the gateway uses. */
 export const shortageAdmission: CreatePolicy = ({ clock, random, capacity }) =>
-  ShortageAdmission.create({ clock, random, log: silentLog, capacity, metrics: { setLevel: () => {}, countRefusal: () => {} } })
+  ShortageAdmission.create({ clock, random, log: silentLog, capacity, metrics: { setLevel: () => {}, countRefusal: () => {}, setWait: () => {} } })
 
 /** Runs the gateway's decisions of a whole fleet against simulated targets and callers, in virtual time. */
 export class ShortageSimulation {
   readonly results: readonly ClassResult[] = CLASSES.map(() => ({ requests: 0, served: 0, inTime: 0, value: 0, refusals: 0 }))
-  /** Refusals of requests by the policy of the daemons, whenever they came. */
-  policyRefusals = 0
+  /** Times of the refusals by the policy of the daemons. */
+  readonly policyRefusedAtMs: number[] = []
   private readonly clock = ManualClock.create()
   private readonly random: Random
   private readonly events: SimulatedEvent[] = []
@@ -127,6 +137,11 @@
     return this.results.reduce((sum, { value }) => sum + value, 0) / most
   }
 
+  /** Refusals by the policy of the daemons, whenever they came. */
+  get policyRefusals (): number {
+    return this.policyRefusedAtMs.length
+  }
+
   private createAggregators (): readonly FleetStatsAggregator[] {
     return Array.from({ length: this.options.service.zones }, () => FleetStatsAggregator.create(this.clock))
   }
@@ -140,7 +155,7 @@
       const rests = TargetRests.create({ clock, random, log: silentLog })
       const selector = LowestCostSelector.create({ registry, rests, leaving: NOTHING_LEAVES, statsTracker: tracker, clock, random, availabilityZone: String(zone), limits: NO_LIMITS, floorShare: () => BOUNDS.floorShare, hasIdle: () => true })
       const budget = WindowedRetryBudget.create({ clock, limits: () => BOUNDS, isFirstStart: restarts === 0, fleetSize: () => daemons })
-      return { name: `${index}-${restarts}`, zone, tracker, selector, budget, gate: policy({ clock, random, capacity: selector }) }
+      return { name: `${index}-${restarts}`, zone, tracker, selector, budget, gate: policy({ clock, random, capacity: selector, daemons }) }
     })
   }
 
@@ -253,10 +268,14 @@
   private serve (request: SimulatedRequest, tried: ReadonlySet<string>, daemon: SimulatedDaemon | undefined, receivedAtMs = this.clock.monotonicMs()): void {
     const { service: { timeoutMs, objectiveMs }, hasReservedSlots = true } = this.options
     if (daemon === undefined || this.clock.monotonicMs() >= request.firstAtMs + timeoutMs) return
-    if (tried.size === 0) daemon.budget.recordRequest(SERVICE)
-    const decision = daemon.gate.decide({ requestId: request.id, service: SERVICE, rank: request.classIndex, ranks: CLASSES.length, objectiveLeftMs: receivedAtMs + objectiveMs - this.clock.monotonicMs(), isRetry: tried.size > 0 })
+    if (tried.size === 0 && receivedAtMs === this.clock.monotonicMs()) daemon.budget.recordRequest(SERVICE)
+    const decision = daemon.gate.decide({ requestId: request.id, service: SERVICE, rank: request.classIndex, ranks: CLASSES.length, receivedAtMs, objectiveMs, isRetry: tried.size > 0 })
+    if (decision.type === 'held') {
+      this.schedule(decision.forMs, () => { this.serve(request, tried, daemon, receivedAtMs) })
+      return
+    }
     if (decision.type === 'refused') {
-      this.policyRefusals++
+      this.policyRefusedAtMs.push(this.clock.monotonicMs())
       this.refuse(request, decision.retryDelayMs)
       return
     }
