Add lovagehoist accounts, which sums up client accounts from logs

No command showed which client accounts got 429 or 401 over the whole fleet, and the log line of a request refused over quota did not name its account.

The new command reads logs of any number of daemons and prints, by account, requests answered, requests refused over quota with first and last time, the periods in which the relays limited it, and unknown keys by digest. "answered by the gateway" now carries the account's name where the key was accepted. The parser of log lines is shared with explain.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { joinVerdicts, murmurHash } from '@lovagehoist/common'
-import type { TargetChoice, Invariants, ListedTarget, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
+import type { ClientAccount, TargetChoice, Invariants, ListedTarget, Log, RunVerdict, TargetSelector } from '@lovagehoist/common'
 import { notRunProblem } from '../accept/callerRequest.js'
 import type { AccountAllowances, AllowanceDecision } from '../accounts/accountAllowances.js'
 import { closeHoldAfter } from '../buffering/closeHoldAfter.js'
@@ -190,11 +190,11 @@
 const admitAccount = ({ allowances }: GatewayServeOptions, { account, forwarding }: AcceptedGatewayRequest): AllowanceDecision =>
   account === undefined || forwarding !== undefined ? { type: 'admitted', settle: () => {} } : allowances.admit(account)
 
-const respondWithProblem = (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, service: string, problem: Problem): void => {
+const respondWithProblem = (options: GatewayServeOptions, request: IncomingMessage, response: ServerResponse, service: string, problem: Problem, account?: ClientAccount): void => {
   const requestId = gatewayRequestId(request, options.headers)
   if (problem.kind === 'unknown-account' && !response.destroyed) response.setHeader('www-authenticate', 'Bearer')
   options.metrics.countRequest(service, problem.verdict, problem.kind)
-  options.log.info('answered by the gateway', { requestId, service, status: statusOf(problem).status, problem: problem.kind, verdict: problem.verdict, detail: problem.detail, retryAfterMs: problem.retryAfterMs })
+  options.log.info('answered by the gateway', { requestId, service, status: statusOf(problem).status, problem: problem.kind, verdict: problem.verdict, detail: problem.detail, account: account?.name, retryAfterMs: problem.retryAfterMs })
   if (response.destroyed) return
   if (!request.complete) response.setHeader('connection', 'close')
   if (requestId !== '') response.setHeader(options.headers.requestId, requestId)
@@ -233,7 +233,7 @@
   const { requestId, service, method } = accepted
   const allowance = admitAccount(options, accepted)
   if (allowance.type === 'over-allowance') {
-    respondWithProblem(options, request, response, service, notRunProblem('over-quota', 'the client account is over its quota', allowance.retryDelayMs))
+    respondWithProblem(options, request, response, service, notRunProblem('over-quota', 'the client account is over its quota', allowance.retryDelayMs), accepted.account)
     return
   }
   const reply = await forward(options, accepted)
@@ -244,7 +244,7 @@
     return
   }
   if (reply.type === 'problem') {
-    respondWithProblem(options, request, response, service, reply.problem)
+    respondWithProblem(options, request, response, service, reply.problem, accepted.account)
     return
   }
   const delivery = await deliver({ response, requestId, method, invariants: options.invariants, pacing: { clock: options.clock, hold: exchange.bufferHold, onStalled: () => { recordStalledCaller(options, accepted) } } }, reply.response)
--- a/packages/operators/src/cli/program.ts
+++ b/packages/operators/src/cli/program.ts
@@ -1,4 +1,5 @@
 import { Command, CommanderError } from 'commander'
+import { addAccountsCommand } from '../commands/accountsCommand.js'
 import { addConfigCheck } from '../commands/configCheck.js'
 import { addConfigHistory } from '../commands/configHistory.js'
 import { addConfigPromote } from '../commands/configPromote.js'
@@ -34,6 +35,7 @@
   addInstanceCommands(program, dependencies)
   addTargetsCommand(program, dependencies)
   addExplainCommand(program, dependencies)
+  addAccountsCommand(program, dependencies)
   return program
 }
 
--- a/packages/operators/src/explain/requestTimeline.ts
+++ b/packages/operators/src/explain/requestTimeline.ts
@@ -1,13 +1,8 @@
 /* eslint-disable no-restricted-globals -- Date parses the timestamps of log lines */
-/** A line of a daemon's log. */
-export interface LogLine {
-  /** Timestamp, ISO 8601. */
-  readonly at: string
-  readonly instance: string
-  readonly part: string
-  readonly message: string
-  readonly fields: Readonly<Record<string, unknown>>
-}
+import { compareByTime, parseLogLine } from './logLine.js'
+import type { LogLine } from './logLine.js'
+
+export type { LogLine } from './logLine.js'
 
 /** Log lines about one request, in order of time, and its outcome. */
 export interface RequestTimeline {
@@ -28,20 +23,6 @@
   'answered by the gateway': ({ status, problem, verdict, detail }) => `the gateway answered ${String(status)} (${String(problem)}, ${String(verdict)}): ${String(detail)}`
 }
 
-const parseLine = (text: string): LogLine | undefined => {
-  const begin = text.indexOf('{')
-  if (begin < 0) return undefined
-  try {
-    const { at, instance, part, message, level: _, ...fields } = JSON.parse(text.slice(begin)) as Record<string, unknown>
-    return { at: String(at ?? ''), instance: String(instance ?? ''), part: String(part ?? ''), message: String(message ?? ''), fields }
-  } catch {
-    // Not a JSON object: the files may also contain lines of other programs.
-    return undefined
-  }
-}
-
-const byTime = (a: LogLine, b: LogLine): number => a.at < b.at ? -1 : a.at > b.at ? 1 : 0
-
 /** Keeps only the first of the lines that several daemons write about the same event. */
 const deduplicateEvents = (lines: readonly LogLine[]): readonly LogLine[] => {
   const seen = new Set<string>()
@@ -62,15 +43,15 @@
  */
 export const collectRequestTimeline = (text: string, requestId: string): RequestTimeline => {
   const allLines = text.split('\n').flatMap(line => {
-    const parsed = parseLine(line)
+    const parsed = parseLogLine(line)
     return parsed === undefined ? [] : [parsed]
   })
-  const lines = allLines.filter(({ fields }) => fields.requestId === requestId).sort(byTime)
+  const lines = allLines.filter(({ fields }) => fields.requestId === requestId).sort(compareByTime)
   const targetIds = new Set(lines.flatMap(({ fields }) => typeof fields.targetId === 'string' ? [fields.targetId] : []))
   const firstMs = Date.parse(lines[0]?.at ?? '')
   const lastMs = Date.parse(lines.at(-1)?.at ?? '')
   const around = deduplicateEvents(allLines.filter(({ at, part, fields }) =>
-    part === 'targets' && targetIds.has(String(fields.targetId)) && Date.parse(at) >= firstMs - CONTEXT_WINDOW_MS && Date.parse(at) <= lastMs + CONTEXT_WINDOW_MS).sort(byTime))
+    part === 'targets' && targetIds.has(String(fields.targetId)) && Date.parse(at) >= firstMs - CONTEXT_WINDOW_MS && Date.parse(at) <= lastMs + CONTEXT_WINDOW_MS).sort(compareByTime))
   const last = lines.findLast(({ message }) => Object.hasOwn(OUTCOME_DESCRIPTIONS, message))
   const ending = last === undefined ? 'no answer is in these logs' : OUTCOME_DESCRIPTIONS[last.message]?.(last.fields) ?? ''
   return { requestId, lines, around, ending }
