Check a gateway's configuration before it is sent

Daemons accept a configuration whose routes shadow each other, whose routes name services that it does not list, or in which two accounts hold the same key; nothing reported it before the configuration was in force.

Documents are checked as before.

Not done: reading a version from the store, and quotas against slots, which the command line does not know.

--- a/packages/common/src/text/readJsonc.ts
+++ b/packages/common/src/text/readJsonc.ts
@@ -1,5 +1,5 @@
 import { findNodeAtLocation, parse, parseTree, printParseErrorCode, getNodeValue } from 'jsonc-parser'
-import type { Node, ParseError } from 'jsonc-parser'
+import type { Node, ParseError, ParseOptions } from 'jsonc-parser'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { z } from 'zod'
@@ -13,11 +13,19 @@
   return { line: before.length, column: (before.at(-1) ?? '').length + 1 }
 }
 
-const syntaxError = (file: string, text: string, error: ParseError): LocatedError => ({
+/** Syntax that is accepted. */
+export type JsonSyntax = 'json' | 'json-with-comments'
+
+const SYNTAXES: Readonly<Record<JsonSyntax, { readonly expected: string, readonly options: ParseOptions }>> = {
+  json: { expected: 'JSON without comments and trailing commas', options: { disallowComments: true, allowTrailingComma: false } },
+  'json-with-comments': { expected: 'JSON with comments', options: { allowTrailingComma: true } }
+}
+
+const syntaxError = (file: string, text: string, syntax: JsonSyntax, error: ParseError): LocatedError => ({
   file,
   ...positionOf(text, error.offset),
   field: '',
-  expected: `JSON with comments (${printParseErrorCode(error.error)})`
+  expected: `${SYNTAXES[syntax].expected} (${printParseErrorCode(error.error)})`
 })
 
 const nodeAt = (root: Node, path: readonly PropertyKey[]): Node => {
@@ -66,13 +74,14 @@
  * @param file - File name for error messages.
  * @param text - Content.
  * @param schema - Schema; where it is strict, unknown fields are errors.
+ * @param syntax - Syntax that is accepted.
  * @returns The validated value with defaults filled in, or all errors.
  */
-export const readJsonc = <T>(file: string, text: string, schema: z.ZodType<T>): Result<LocatedValue<T>, readonly LocatedError[]> => {
+export const readJsonc = <T>(file: string, text: string, schema: z.ZodType<T>, syntax: JsonSyntax = 'json-with-comments'): Result<LocatedValue<T>, readonly LocatedError[]> => {
   const parseErrors: ParseError[] = []
-  const root = parseTree(text, parseErrors, { allowTrailingComma: true })
+  const root = parseTree(text, parseErrors, SYNTAXES[syntax].options)
   if (parseErrors.length > 0 || root === undefined) {
-    const errors = parseErrors.map(error => syntaxError(file, text, error))
+    const errors = parseErrors.map(error => syntaxError(file, text, syntax, error))
     return err(errors.length > 0 ? errors : [{ file, line: 1, column: 1, field: '', expected: 'a JSON object' }])
   }
   const checked = schema.safeParse(getNodeValue(root))
--- a/packages/operators/src/cli/commandContext.ts
+++ b/packages/operators/src/cli/commandContext.ts
@@ -1,6 +1,6 @@
 import { readFile } from 'node:fs/promises'
 import { formatLocatedError, readJsonc } from '@lovagehoist/common'
-import type { Clock, JsonValue, Platform, Random } from '@lovagehoist/common'
+import type { Clock, GatewayConfigFormat, JsonValue, Platform, Random } from '@lovagehoist/common'
 import type { Command } from 'commander'
 import type { AdminClient } from './adminClient.js'
 import { operatorSettingsSchema } from './operatorSettings.js'
@@ -21,6 +21,8 @@
   readonly random: Random
   readonly openPlatform: (settings: OperatorSettings) => Platform
   readonly openAdmin: (settings: OperatorSettings) => AdminClient
+  /** Format of the gateway's configuration. */
+  readonly gatewayConfigFormat: GatewayConfigFormat
   readonly print: (line: string) => void
   readonly printError: (line: string) => void
 }
@@ -87,7 +89,6 @@
  */
 export const createContext = async (dependencies: CommandDependencies, command: Command): Promise<CommandContext> => {
   const settings = await readOperatorSettings(command.optsWithGlobals<CommonOptions>().settings)
-  const { clock, random, openPlatform, openAdmin, print, printError } = dependencies
   const printData = createDataPrinter(dependencies, command)
-  return { clock, random, openPlatform, openAdmin, print, printError, settings, platform: openPlatform(settings), admin: openAdmin(settings), printData }
+  return { ...dependencies, settings, platform: dependencies.openPlatform(settings), admin: dependencies.openAdmin(settings), printData }
 }
--- a/packages/operators/src/cli/main.ts
+++ b/packages/operators/src/cli/main.ts
@@ -1,5 +1,6 @@
 import { randomBytes, randomInt } from 'node:crypto'
 import { SeededRandom, SystemClock } from '@lovagehoist/common'
+import { CONFIG_FORMAT } from '@lovagehoist/platform'
 import { createPlatform } from '@lovagehoist/store'
 import { createAdminClient } from './adminClient.js'
 import type { CommandDependencies } from './commandContext.js'
@@ -22,6 +23,7 @@
       return clients
     },
     openAdmin: createAdminClient,
+    gatewayConfigFormat: CONFIG_FORMAT,
     print: line => { process.stdout.write(`${line}\n`) },
     printError: line => { process.stderr.write(`${line}\n`) },
     close: async () => { await Promise.all(closeFunctions.map(async close => { await close() })) }
--- a/packages/operators/src/cli/program.spec.ts
+++ b/packages/operators/src/cli/program.spec.ts
@@ -1,10 +1,12 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { expect } from 'chai'
 import { err, ok } from 'neverthrow'
 import { SeededRandom } from '@lovagehoist/common'
 import type { JsonValue } from '@lovagehoist/common'
 import { FakePlatform, ManualClock } from '@lovagehoist/common/fakes'
+import { CONFIG_FORMAT } from '@lovagehoist/platform'
 import { expectSnapshot } from '@lovagehoist/common/testing'
 import type { FleetView } from '../inForce/fleetView.js'
 import type { AdminClient } from './adminClient.js'
@@ -16,6 +18,24 @@
   "services": { "sackpay": { "plannedTargets": 2, "slotsPerTarget": 6, "floorSlots": 6, "connectionsPerTarget": 300 } },
   "routes": [{ "id": "payout", "methods": ["POST"], "path": "/payouts", "service": "sackpay" }]
 }`
+const GATEWAY_CONFIG = `{
+  "version": "r12",
+  "routes": [
+    { "name": "pay", "host": "shop.example", "path_prefix": "/pay/", "kind": "safe", "timeout": "4s", "target_latency": "1s", "priority": 1, "max_attempts": 2, "service": "sackpay" }
+  ],
+  "services": [{ "name": "sackpay", "max_connections": 300 }],
+  "limits": { "max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3s", "idle_timeout": "15s" },
+  "tenants": [
+    { "name": "acme", "api_keys": ["secret-acme"], "rate_per_s": 10, "burst": 5 },
+    { "name": "bare", "api_keys": ["secret-bare"] }
+  ]
+}`
+const ACCOUNTS_LOG = [
+  { at: '2026-12-04T10:00:00.000Z', instance: 'a-1', part: 'accounts', message: 'account limited to its quota', account: 'acme' },
+  { at: '2026-12-04T10:00:01.000Z', instance: 'a-1', part: 'front', message: 'answered by the gateway', problem: 'over-quota', account: 'acme' },
+  { at: '2026-12-04T10:00:02.000Z', instance: 'b-1', part: 'front', message: 'answered', requestId: 'r1', account: 'bare' },
+  { at: '2026-12-04T10:00:03.000Z', instance: 'b-1', part: 'accounts', message: 'unknown key refused', keyDigest: '0a1b2c3d' }
+].map(line => JSON.stringify(line)).join('\n')
 const SETTINGS = `{
   "operator": "ada",
   "platform": { "tableUrl": "http://127.0.0.1:1/t", "objectsUrl": "http://127.0.0.1:1/o", "directoryUrl": "http://127.0.0.1:1/d" },
@@ -55,6 +75,7 @@
       random: this.random,
       openPlatform: () => this.connection.platform,
       openAdmin: () => this.createAdminClient(),
+      gatewayConfigFormat: CONFIG_FORMAT,
       print: line => { out.push(line) },
       printError: line => { error.push(line) }
     }
@@ -160,4 +181,34 @@
     results.allOut = await fixture.run('config', 'status')
     expectSnapshot(this, results)
   })
+
+  it('checks a configuration of the gateway and compares it without printing a key', async function () {
+    const inForce = fixture.writeFile('in-force.json', GATEWAY_CONFIG)
+    const write = (name: string, ...changes: ReadonlyArray<readonly [string, string]>): string =>
+      fixture.writeFile(name, changes.reduce((text, [from, to]) => text.replace(from, to), GATEWAY_CONFIG))
+    const next = write('next.json', ['r12', 'r13'], ['"4s"', '"6s"'], ['"secret-acme"', '"secret-next"'], ['"burst": 5', '"burst": 0'])
+    const wrong = write('wrong.json', ['"1s"', '"5s"'], ['"service": "sackpay"', '"service": "burnbook"'], ['secret-bare', 'secret-acme'])
+    const undecodable = write('undecodable.json', ['"4s"', '4'], ['["secret-bare"]', '["secret-bare", 7]'], ['"r12"', '"12"'])
+    const trailing = write('trailing.json', ['["secret-bare"]', '["secret-bare", ]'])
+    const results = {
+      alone: await fixture.run('config', 'check', inForce, '--gateway'),
+      unchanged: await fixture.run('config', 'check', inForce, '--against', inForce),
+      next: await fixture.run('config', 'check', next, '--against', inForce),
+      nextJson: await fixture.run('config', 'check', next, '--against', inForce, '--json'),
+      older: await fixture.run('config', 'check', inForce, '--against', next),
+      wrong: await fixture.run('config', 'check', wrong, '--against', inForce),
+      wrongJson: await fixture.run('--json', 'config', 'check', wrong, '--gateway'),
+      undecodable: await fixture.run('config', 'check', inForce, '--against', undecodable),
+      trailing: await fixture.run('config', 'check', trailing, '--gateway'),
+      noJson: await fixture.run('config', 'check', fixture.writeFile('no.json', GATEWAY_CONFIG.slice(0, -40)), '--gateway'),
+      version: await fixture.run('config', 'check', next, '--against', 'r12')
+    }
+    expect(JSON.stringify(results)).not.to.include('secret')
+    expectSnapshot(this, results)
+  })
+
+  it('sums up client accounts from logs', async function () {
+    const log = fixture.writeFile('gate.log', ACCOUNTS_LOG)
+    expectSnapshot(this, { table: await fixture.run('accounts', log), json: await fixture.run('accounts', log, '--json'), none: await fixture.run('accounts', fixture.writeFile('empty.log', '')) })
+  })
 })
