Report keys that no request can carry

A key with a character outside of RFC 6750's b64token, or a longer one than 512 characters, is decoded but each request with it gets 401. config check now reports it. The pattern moves to common, so that daemon and check use the same one.

--- a/packages/callers/src/accounts/bearerKey.ts
+++ b/packages/callers/src/accounts/bearerKey.ts
@@ -1,12 +1,13 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import { BEARER_TOKEN } from '@lovagehoist/common'
 import type { RawHeaders } from '@lovagehoist/common'
 
 /** Header field that carries the key of a client account (RFC 6750). */
 export const AUTHORIZATION_HEADER = 'authorization'
 
-/** The scheme is case-insensitive (RFC 9110); the key is a `b64token` of bounded length. */
-const BEARER = /^bearer +([a-z0-9._~+/-]{1,512}=*)$/i
+/** The scheme is case-insensitive (RFC 9110). */
+const BEARER = new RegExp(`^bearer +(${BEARER_TOKEN})$`, 'i')
 
 const valuesOf = (headers: RawHeaders, wanted: string): readonly string[] =>
   headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === wanted)
--- a/packages/operators/src/gateway/gatewayConfigRules.spec.ts
+++ b/packages/operators/src/gateway/gatewayConfigRules.spec.ts
@@ -39,6 +39,10 @@
     expect(findingsOf({ accounts: [account('a', { burst: 0.5 }), account('b', { requestsPerSecond: 0 }), account('c', { keys: [] })] })).to.deep.equal(['warning accounts.0.burst', 'warning accounts.1.burst', 'warning accounts.2.keys'])
   })
 
+  it('finds keys that the Authorization field cannot carry', () => {
+    expect(findingsOf({ accounts: [account('a', { keys: ['a~b.c+/-_==', 'a secret', 'a=b', 'x'.repeat(513)] })] })).to.deep.equal(['error accounts.0.keys.1', 'error accounts.0.keys.2', 'error accounts.0.keys.3'])
+  })
+
   it('finds keys held twice without printing them', () => {
     const findings = checkGatewayConfig(config({ accounts: [account('a', { keys: ['secret-1', 'secret-1'] }), account('b', { keys: ['secret-1'] })] }))
     expect(findings.map(({ path }) => path.join('.'))).to.deep.equal(['accounts.0.keys.1', 'accounts.1.keys.0'])
--- a/packages/operators/src/gateway/gatewayConfigRules.ts
+++ b/packages/operators/src/gateway/gatewayConfigRules.ts
@@ -1,3 +1,4 @@
+import { isBearerToken } from '@lovagehoist/common'
 import type { FieldPath, GatewayConfig, InvalidField } from '@lovagehoist/common'
 
 /** A field that no daemon refuses to decode but that can't work as written; a warning may be intended. */
@@ -65,6 +66,9 @@
     errorAt(['accounts', index, 'keys', position], earlier.name === name ? 'a key that the account does not already hold' : `a key that no earlier account holds (${earlier.name} has it)`))
 }
 
+const findUnsendableKeys: ConfigRule = ({ accounts = [] }) => accounts.flatMap(({ keys }, index) => keys.flatMap((key, position) =>
+  isBearerToken(key) ? [] : [errorAt(['accounts', index, 'keys', position], 'a key of 1 to 512 letters, digits or ._~+/- and then any number of =; daemons refuse requests with another one')]))
+
 const findIneffectiveAccounts: ConfigRule = ({ accounts = [] }) => accounts.flatMap(({ keys, requestsPerSecond, burst }, index) => [
   ...(keys.length > 0 ? [] : [warningAt(['accounts', index, 'keys'], 'a key; without one no request belongs to the account')]),
   ...(requestsPerSecond > 0 && burst < 1 ? [warningAt(['accounts', index, 'burst'], 'a burst of at least 1 request where the rate is limited')] : []),
@@ -72,7 +76,7 @@
 ])
 
 const RULES: readonly ConfigRule[] = [
-  findRepeatedNames, findUnmatchableRoutes, findUnknownServices, findUnusedServices, findContradictingRouteLimits, findKeysHeldTwice, findIneffectiveAccounts
+  findRepeatedNames, findUnmatchableRoutes, findUnknownServices, findUnusedServices, findContradictingRouteLimits, findKeysHeldTwice, findUnsendableKeys, findIneffectiveAccounts
 ]
 
 /**
