Test that the log names the account of a request over quota

lovagehoist accounts relies on the account's name in "answered by the gateway"; no test covered it. The end-to-end test makes requests over a quota of 1 per second and sums up the log of the daemon.

--- a/packages/standins/src/gateway/clientAccounts.spec.ts
+++ b/packages/standins/src/gateway/clientAccounts.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { summarizeAccountUsage } from '@lovagehoist/operators'
 import { PLATFORM_HEADERS } from '@lovagehoist/platform'
 import { GatewayFleet } from './gatewayFleet.js'
 import type { AccountOptions, CallResponse } from './gatewayFleet.js'
@@ -72,6 +73,14 @@
     expect(receivedValues('authorization')).to.deep.equal([])
   })
 
+  it('names the account of a request over quota in the log, so that operators see who was refused', async () => {
+    fleet.configure(ROUTES, [{ ...ACME, requestsPerSecond: 1, burst: 1 }, ZENITH])
+    await fleet.waitUntil(async () => (await callAs('acmesecretkey1')).status === 429)
+    const summary = summarizeAccountUsage([fleet.logText])
+    expect(summary.unnamedRefusals).to.equal(0)
+    expect(summary.accounts.map(({ account, refused }) => [account, refused])).to.deep.equal([['acme', 1]])
+  })
+
   it('writes no key to the log', async () => {
     for (const key of [...ACME.keys, 'someguessedkey']) await callAs(key)
     await callWith({ authorization: 'Basic someguessedkey' })
