--- a/packages/callers/src/admission/shortageLevel.ts
+++ b/packages/callers/src/admission/shortageLevel.ts
@@ -87,10 +87,11 @@
  *
  * @param level - Shortage of the service.
  * @param request - Request.
- * @returns Share from 0 to 1; 1 while nothing waits.
+ * @returns Share from 0 to 1; 1 while nothing waits, and where the service has requests of one priority only.
  */
 export const admittedShare = (level: ShortageLevel, request: ShortageRequest): number => {
-  if (level.waitMs === 0) return 1
+  // Among requests of one priority a refusal only takes from one caller what it gives to another.
+  if (level.waitMs === 0 || request.ranks === 1) return 1
   const pressure = level.waitMs / longestUsefulWaitMs(level, request.objectiveLeftMs)
   const firstShare = Math.max(MIN_SHARE, rampShare(pressure, FIRST_RANK_START))
   return Math.max(rampShare(pressure, startOf(request)), MIN_RELATIVE_SHARE * firstShare)
