Let groups of daemons that started apart find each other without hosts in the settings

Cause: the first relay of each group registers its daemons and then looks at the instance list again after 45 to 60 s. Two groups that write at the same time have not read each other's records; without hosts in the settings nothing else brings them together. Change: after records were written the list is read again within 0.75 to 2.25 s.

--- a/packages/daemon/src/gateway/instanceRegistration.ts
+++ b/packages/daemon/src/gateway/instanceRegistration.ts
@@ -21,6 +21,11 @@
 const MISSING_POLL_MS = 15_000
 /** As above, while this daemon knows no other. */
 const ALONE_POLL_MS = 1_000
+/**
+ * As above, after records were written: another group of daemons may have written its own at the same time, and two groups of which none has read the
+ * other's records would never meet where the settings name no hosts.
+ */
+const LOOK_AGAIN_MS = 1_500
 /** Backoff after a failed look, doubled from the minimum to the maximum. */
 const MIN_BACKOFF_MS = 1_000
 const MAX_BACKOFF_MS = 15_000
@@ -33,6 +38,7 @@
 export class InstanceRegistration {
   private nextLookAtMs = -Infinity
   private failures = 0
+  private hasWritten = false
   private readonly startedAtMs: number
   /** Hosts of the registered daemons by instance, as of the last look. */
   private registeredHosts: ReadonlyMap<string, string> = new Map()
@@ -71,13 +77,14 @@
     const { clock, peers } = this.options
     const nowMs = clock.monotonicMs()
     const isSettled = peers.size === 1 || nowMs - this.startedAtMs >= SETTLE_MS
-    return isSettled && nowMs >= (peers.size === 1 || this.missing().length > 0 ? this.nextLookAtMs : this.nextLookAtMs + POLL_MS - MISSING_POLL_MS)
+    return isSettled && nowMs >= (peers.size === 1 || this.hasWritten || this.missing().length > 0 ? this.nextLookAtMs : this.nextLookAtMs + POLL_MS - MISSING_POLL_MS)
   }
 
-  /** Time after a look until the next one if a daemon is missing then. */
+  /** Time after a look until the next one if a daemon is missing then, or others may be. */
   private pauseMs (): number {
     const { random, peers } = this.options
     if (this.failures > 0) return backoffMs(random, this.failures, MIN_BACKOFF_MS, MAX_BACKOFF_MS)
+    if (this.hasWritten) return LOOK_AGAIN_MS * (0.5 + random.next())
     return (peers.size > 1 ? MISSING_POLL_MS : ALONE_POLL_MS) * (0.5 + random.next())
   }
 
@@ -89,6 +96,7 @@
   /** Reads the list, and writes the records of daemons that are missing or have moved; returns whether that succeeded. */
   private async synchronise (): Promise<boolean> {
     const { store, peers, log } = this.options
+    this.hasWritten = false
     const read = await store.readInstances()
     if (read.isErr()) {
       log.warn('reading the instance list failed', { kind: read.error.kind, detail: read.error.message })
@@ -99,6 +107,7 @@
     const missing = this.missing()
     if (missing.length === 0) return true
     const written = await store.putInstances(missing)
+    this.hasWritten = written.isOk()
     if (written.isErr()) log.warn('registering instances failed', { instances: missing.length, kind: written.error.kind, detail: written.error.message })
     else this.registeredHosts = new Map([...this.registeredHosts, ...missing.map(({ instanceId, host }) => [instanceId, host] as const)])
     return written.isOk()
--- a/packages/daemon/src/gateway/storeCalls.load.spec.ts
+++ b/packages/daemon/src/gateway/storeCalls.load.spec.ts
@@ -35,6 +35,15 @@
     })
   }
 
+  it('let all daemons find each other where the settings name no hosts', async () => {
+    for (const seed of [1, 2, 3]) {
+      for (const load of [{}, { outages: [{ fromMs: 3_000, toMs: 4_000, includes: () => true }] }]) {
+        const { fewestKnown } = await StoreCallsSimulation.run({ seed, daemons: [6, 6, 6], targets: 33, seconds: 10, lossShare: 0.005, bootstrapHosts: [], ...load })
+        expect(fewestKnown).to.equal(18)
+      }
+    }
+  })
+
   it('are few, since one relay reads for the fleet', async () => {
     expect((await StoreCallsSimulation.run(CHANGES)).total).to.be.at.most(MAX_CALLS.quiet)
   })
--- a/packages/daemon/src/testing/storeCallsSimulation.ts
+++ b/packages/daemon/src/testing/storeCallsSimulation.ts
@@ -43,6 +43,8 @@
   readonly outages?: readonly MachinePeriod[]
   /** Machines whose datagrams and documents reach other zones no more. */
   readonly partitions?: readonly MachinePeriod[]
+  /** Hosts that the settings name; two first relays by default. */
+  readonly bootstrapHosts?: readonly string[]
 }
 
 /** Calls by cause, and the longest delays until all daemons knew of a change. */
@@ -54,6 +56,8 @@
   readonly longestNewTargetMs: number
   /** Longest time from the start of a process until it was ready. */
   readonly longestStartMs: number
+  /** Fewest daemons that any daemon knows in the end, itself included. */
+  readonly fewestKnown: number
   /** Longest time without a successful read of the listing by any daemon. */
   readonly longestReadGapMs: number
 }
@@ -79,6 +83,12 @@
 const FETCH_TIMEOUT_MS = 1_000
 const ROLES = ['first relay', 'second relay'] as const
 
+/** Number of daemons that a daemon knows, itself included. */
+const countKnown = async ({ components }: Process): Promise<number> => {
+  const metric = await components.registry.getSingleMetric('lovagehoist_peers')?.get()
+  return metric?.values[0]?.value ?? 0
+}
+
 /** Runs all daemons of a fleet in virtual time on a simulated store and counts the calls by cause. */
 export class StoreCallsSimulation {
   private readonly clock = ManualClock.create()
@@ -110,8 +120,9 @@
     this.scheduleOutages()
     for (const { fromMs } of this.options.storeFaults ?? []) this.clock.after(fromMs, () => { this.store.applyFaults() })
     await this.clock.advanceMs(seconds * 1_000)
+    const fewestKnown = Math.min(...await Promise.all([...this.processes.values()].map(countKnown)))
     for (const process of this.processes.values()) process.stop.abort()
-    return { ...this.countCalls(), longestConfigMs: this.longestMs.config, longestDrainMs: this.longestMs.drain, longestNewTargetMs: this.longestMs.newTarget, longestStartMs: this.longestMs.start, longestReadGapMs: this.longestReadGapMs() }
+    return { ...this.countCalls(), fewestKnown, longestConfigMs: this.longestMs.config, longestDrainMs: this.longestMs.drain, longestNewTargetMs: this.longestMs.newTarget, longestStartMs: this.longestMs.start, longestReadGapMs: this.longestReadGapMs() }
   }
 
   private scheduleChanges (): void {
@@ -217,7 +228,7 @@
       callers: address,
       readiness: address,
       peers: address,
-      bootstrapHosts: ['10.0.0.2', '10.1.0.2'],
+      bootstrapHosts: this.options.bootstrapHosts ?? ['10.0.0.2', '10.1.0.2'],
       store: address,
       maxDescriptors: 4_096,
       cores: index < 2 ? 1 : 0.2,
