Estimate expected work by service, request class and target

Callers lost requests to targets that had become slow, which were noticed only once a request took four times the mean and at least 2 s, and healthy targets were taken for failing ones after a single long response: in translations 3 requests in 100 take 7 times the mean.

Daemons now count prompt responses and overruns (3 times the work expected of the class, counted while the request still runs) by target.

--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -72,7 +72,7 @@
     if (awake.length === 0 && usable.length > 0) return { type: 'resting', retryDelayMs: this.options.rests.retryDelayMs(usable.map(({ target }) => target)) }
     const entries = awake.filter(({ target }) => limits.allows(target.id, criteria.hasHigherPriorityTraffic))
     if (entries.length === 0 && awake.length > 0) return { type: 'limited', retryDelayMs: limits.recordRefused(criteria.service) }
-    const candidates = entries.map(entry => statsTracker.describeCandidate(entry, availabilityZone, hasIdle(entry.target.id, criteria.isIdempotent)))
+    const candidates = entries.map(entry => statsTracker.describeCandidate(entry, availabilityZone, hasIdle(entry.target.id, criteria.isIdempotent), criteria.requestClass))
     const placement = placeRequest(candidates, this.describeRequest(criteria, nowMs), random)
     if (placement.type !== 'placed') return placement
     const index = candidates.findIndex(({ targetId }) => targetId === placement.targetId)
@@ -80,7 +80,7 @@
     const candidate = candidates[index]
     if (entry === undefined || candidate === undefined) return { type: 'no-target' }
     limits.recordSent(entry.target.id)
-    return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
+    return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service, { ...(criteria.requestClass === undefined ? {} : { requestClass: criteria.requestClass }), waitMs: placement.waitMs }) }
   }
 
   /**
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -49,10 +49,10 @@
  * @param reservedSlots - Slots that the request must leave free.
  * @returns The wait in milliseconds.
  */
-export const expectedWaitMs = ({ slots, inProgress, serviceTimeMs }: Candidate, reservedSlots = 0): number => {
+export const expectedWaitMs = ({ slots, inProgress, serviceTimeMs, slotTimeMs = serviceTimeMs }: Candidate, reservedSlots = 0): number => {
   const usable = Math.max(1, slots - reservedSlots)
   const ahead = inProgress - usable + 1
-  return ahead <= 0 ? 0 : ahead / slots * serviceTimeMs
+  return ahead <= 0 ? 0 : ahead / slots * slotTimeMs
 }
 
 /** Estimates the probability that the response arrives after the remaining time. */
