--- a/packages/targets/src/placing/probing.ts
+++ b/packages/targets/src/placing/probing.ts
@@ -27,9 +27,9 @@
  * Idle time of all slow targets of the own zone from which one of them gets a probe, and the same for requests that can't be repeated: a probe there is late,
  * but recovery has to be noticed within 2 s. Once one has recovered, each of the others gets a probe after a shorter time.
  */
-const SLOW_PROBE_IDLE_MS = 900
+const SLOW_PROBE_IDLE_MS = 800
 const UNREPEATABLE_SLOW_PROBE_IDLE_MS = 1_400
-const RECOVERING_PROBE_IDLE_MS = 300
+const RECOVERING_PROBE_IDLE_MS = 200
 const SLOW_PROBE_RAMP_MS = 600
 /** Failure probability, or refusal share, from which a target is probably failing. */
 const MIN_SUSPECT_CHANCE = 0.25
