Send unsafe requests to probably failing targets again rather than refuse them; admit by rank only where there are client accounts

Cause: refuses what could only go to a probably failing target, and the admission in a shortage acted on services with several priorities; a refusal is final for callers that don't return.

--- a/packages/callers/src/gateway/acceptGatewayRequest.ts
+++ b/packages/callers/src/gateway/acceptGatewayRequest.ts
@@ -89,6 +89,8 @@
 const NOT_READY_RETRY_AFTER_MS = 500
 /** Short, because another instance can serve the request as soon as the caller reconnects. */
 const SHUTDOWN_RETRY_AFTER_MS = 50
+/** Rank where the configuration has no client accounts: such deployments are served first come first served, as before. */
+const SINGLE_RANK: PriorityRank = { rank: 0, ranks: 1 }
 /** Assumed timeout of a request without a timeout header, before its route and the route's timeout are known. */
 const DEFAULT_TIMEOUT_MS = 2_000
 
@@ -221,7 +223,7 @@
     service,
     configVersion: active.config.version,
     hasHigherPriorityTraffic: active.routes.isOutranked(service, route.priority),
-    priorityRank: active.routes.rankOf(service, route.priority),
+    priorityRank: active.accounts === undefined ? SINGLE_RANK : active.routes.rankOf(service, route.priority),
     callerAddress: forwarding.value?.callerAddress ?? request.socket.remoteAddress ?? '',
     method: request.method ?? 'GET',
     path,
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -37,11 +37,6 @@
 const MAX_SERVICE_TIME_SHARE = 0.3
 /** Probability of being late from which a request that has to wait is refused, because it would only waste a slot. */
 const MAX_LATE_CHANCE = 0.75
-/**
- * Probability of failing from which a request that can't be retried is not sent to a target while others are only busy: a failure is final for
- * its caller, a refusal is not. In a shortage 70% of the failed requests had gone to targets that were known to be failing and therefore idle.
- */
-const MAX_FAILURE_CHANCE = 0.5
 /** Slots of each target that lower-priority requests leave free. */
 const RESERVED_SLOTS = 1
 
@@ -97,12 +92,6 @@
   }) ?? scored.find(({ costMs }) => costMs === lowestCostMs)
 }
 
-/** Leaves probably failing targets out of the choice for a request that can't be retried, unless all targets are. */
-const withoutFailing = (all: readonly ScoredCandidate[], choice: readonly ScoredCandidate[], { isIdempotent }: PlacementRequest): readonly ScoredCandidate[] => {
-  const isSound = ({ candidate: { failingChance } }: ScoredCandidate): boolean => requestFailureChance(failingChance) < MAX_FAILURE_CHANCE
-  return isIdempotent === true || !all.some(isSound) ? choice : choice.filter(isSound)
-}
-
 /**
  * Chooses the target with the lowest expected time to a response, with failures converted to time.
  *
@@ -121,7 +110,7 @@
   })
   const feasible = scored.filter(({ waitMs, lateChance }) => waitMs === 0 || lateChance < MAX_LATE_CHANCE)
   const probed = chooseProbe(candidates, request, candidate => expectedWaitMs(candidate, reserved) === 0, random)
-  const chosen = feasible.find(({ candidate }) => candidate === probed) ?? drawCandidate(withoutFailing(scored, feasible, request), random)
-  if (chosen === undefined) return { type: 'too-late', waitMs: Math.min(...withoutFailing(scored, scored, request).map(({ waitMs }) => waitMs)) }
+  const chosen = feasible.find(({ candidate }) => candidate === probed) ?? drawCandidate(feasible, random)
+  if (chosen === undefined) return { type: 'too-late', waitMs: Math.min(...scored.map(({ waitMs }) => waitMs)) }
   return { type: 'placed', targetId: chosen.candidate.targetId, waitMs: chosen.waitMs, costMs: chosen.costMs, isProbe: chosen.candidate === probed }
 }
