--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -212,14 +212,6 @@
   readonly bounds: DeploymentLimits
 }
 
-/** Counts of how long requests took, compared with the work expected of their service and class. */
-export interface PaceCounters {
-  /** Requests that got their response within a few times the expected time, since the start of the process. */
-  readonly prompt: number
-  /** Requests that took longer, counted while they still run, since the start of the process. */
-  readonly overrun: number
-}
-
 /** Request counters of one daemon, or summed over one zone, for a target. */
 export interface TargetCounters {
   /** Requests in progress now (a gauge). */
@@ -236,8 +228,6 @@
   readonly refused: number
   /** Sum of the squared latencies of the succeeded requests, in square milliseconds; yields the root mean square latency. */
   readonly latencySquares: number
-  /** Absent in counters of earlier builds. */
-  readonly pace?: PaceCounters
 }
 
 /** Statistics of a target, aggregated over the fleet. */
@@ -252,8 +242,6 @@
   readonly latencyMs: number
   /** Time since the last request of any daemon was sent to the target. */
   readonly idleMs: number
-  /** Estimated probability that the target is several times slower than others, 0 to 1; absent in stats of earlier builds. */
-  readonly slowChance?: number
   /** Whether daemons of the relay's own zone have sent it requests recently; known to the relay alone. */
   readonly isUsedHere?: boolean
 }
@@ -274,8 +262,6 @@
 export interface ChoiceCriteria {
   readonly service: string
   readonly isIdempotent: boolean
-  /** Requests of one class need similar work, as those of one route do; without it the work of the service is expected. */
-  readonly requestClass?: string
   /** Whether requests of higher priority use the same targets, so that some slots must stay free for them. */
   readonly hasHigherPriorityTraffic: boolean
   readonly triedTargetIds: ReadonlySet<string>
--- a/packages/peers/src/relay/compatibility.spec.ts
+++ b/packages/peers/src/relay/compatibility.spec.ts
@@ -58,20 +58,6 @@
     expect(message.from.instanceId).to.equal('edge-a-1')
   })
 
-  it('carry the pace of targets as further columns, which an earlier build ignores', () => {
-    const report = decode(EARLIER_MESSAGES.report)
-    const view = decode(EARLIER_MESSAGES.view)
-    if (report.type !== 'report' || view.type !== 'view') throw new Error('expected a report and a view')
-    const counters = report.counters.map(([id, counts]) => [id, { ...counts, pace: { prompt: 28, overrun: 2 } }] as const)
-    const stats = view.stats.map(([id, targetStats]) => [id, { ...targetStats, slowChance: 0.9 }] as const)
-    for (const message of [{ ...report, counters }, { ...view, stats }] as const) {
-      const [bytes = Buffer.alloc(0)] = encodeMessage(message)
-      expect(isReadByEarlierBuild(bytes)).to.equal(true)
-      expect(decodeMessage(bytes)).to.deep.include(message.type === 'report' ? { counters } : { stats })
-    }
-    expect(report.counters[0]?.[1]).to.not.have.property('pace')
-  })
-
   it('cut into parts say full with the last part alone, which is all that an earlier build reads', () => {
     const report = decode(EARLIER_MESSAGES.report)
     if (report.type !== 'report') throw new Error('expected a report')
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -73,8 +73,6 @@
 export type RelayMessage = Report | ZoneTotals | RelayView
 
 const PERCENT = 100
-/** Chance that a target is slow from which views mention it. */
-const MIN_SENT_SLOW_CHANCE = 0.1
 
 /** Length up to which a message fits into one packet; a longer datagram is lost with any of its packets. */
 const MAX_MESSAGE_BYTES = 1_200
@@ -95,19 +93,16 @@
 }
 
 const encodeCounters = ([id, targetCounters]: PerTarget<TargetCounters>[number]): Row =>
-  [id, targetCounters.inProgress, targetCounters.succeeded, targetCounters.failed, targetCounters.failedEarly, targetCounters.refused, targetCounters.latencySquares, targetCounters.failedLate, ...(targetCounters.pace === undefined ? [] : [targetCounters.pace.prompt, targetCounters.pace.overrun])]
+  [id, targetCounters.inProgress, targetCounters.succeeded, targetCounters.failed, targetCounters.failedEarly, targetCounters.refused, targetCounters.latencySquares, targetCounters.failedLate]
 
-const decodeCounters = ([id, inProgress = 0, succeeded = 0, failed = 0, failedEarly = 0, refused = 0, latencySquares = 0, failedLate = 0, prompt, overrun]: Row): PerTarget<TargetCounters>[number] =>
-  [id, { inProgress, succeeded, failed, failedLate, failedEarly, refused, latencySquares, ...(prompt === undefined || overrun === undefined ? {} : { pace: { prompt, overrun } }) }]
-
-/** Most targets are not slow, and the chance says nothing then. */
-const encodeSlowChance = (slowChance = 0): readonly number[] => slowChance < MIN_SENT_SLOW_CHANCE ? [] : [Math.round(slowChance * PERCENT)]
+const decodeCounters = ([id, inProgress = 0, succeeded = 0, failed = 0, failedEarly = 0, refused = 0, latencySquares = 0, failedLate = 0]: Row): PerTarget<TargetCounters>[number] =>
+  [id, { inProgress, succeeded, failed, failedLate, failedEarly, refused, latencySquares }]
 
 const encodeStats = ([id, targetStats]: PerTarget<FleetTargetStats>[number]): Row =>
-  [id, targetStats.inProgress, Math.round(targetStats.failingChance * PERCENT), Math.round(targetStats.refusalShare * PERCENT), Math.round(targetStats.latencyMs), Math.round(targetStats.idleMs), ...encodeSlowChance(targetStats.slowChance)]
+  [id, targetStats.inProgress, Math.round(targetStats.failingChance * PERCENT), Math.round(targetStats.refusalShare * PERCENT), Math.round(targetStats.latencyMs), Math.round(targetStats.idleMs)]
 
-const decodeStats = ([id, inProgress = 0, failing = 0, refusal = 0, latencyMs = 0, idleMs = 0, slow]: Row): PerTarget<FleetTargetStats>[number] =>
-  [id, { inProgress, failingChance: failing / PERCENT, refusalShare: refusal / PERCENT, latencyMs, idleMs, ...(slow === undefined ? {} : { slowChance: slow / PERCENT }) }]
+const decodeStats = ([id, inProgress = 0, failing = 0, refusal = 0, latencyMs = 0, idleMs = 0]: Row): PerTarget<FleetTargetStats>[number] =>
+  [id, { inProgress, failingChance: failing / PERCENT, refusalShare: refusal / PERCENT, latencyMs, idleMs }]
 
 const decodeHeldVersions = (value: unknown): HeldVersions => {
   const [configVersion, listingDigest, listingVersion, listingAgeMs, configAgeMs] = Array.isArray(value) ? value as readonly unknown[] : []
--- a/packages/peers/src/relay/viewPublisher.ts
+++ b/packages/peers/src/relay/viewPublisher.ts
@@ -158,9 +158,9 @@
   }
 
   private findChange (entry: PerTarget<FleetTargetStats>[number], nowMs: number, isRepeat: boolean): readonly ChangedStats[] {
-    const [targetId, { inProgress, failingChance, refusalShare, latencyMs, idleMs, isUsedHere, slowChance = 0 }] = entry
+    const [targetId, { inProgress, failingChance, refusalShare, latencyMs, idleMs, isUsedHere }] = entry
     const previous = this.sentStats.get(targetId)
-    const health = `${failingChance.toFixed(1)} ${refusalShare.toFixed(1)} ${slowChance.toFixed(1)}`
+    const health = `${failingChance.toFixed(1)} ${refusalShare.toFixed(1)}`
     const rounded = `${inProgress} ${Math.round(latencyMs / LATENCY_RESOLUTION_MS)} ${Math.floor((nowMs - idleMs) / LAST_SENT_RESOLUTION_MS)}`
     const isHealthChanged = previous?.health !== health
     if (!isHealthChanged && previous.rounded === rounded && !(isRepeat && (inProgress > 0 || idleMs >= IDLE_TARGET_MS))) return []
--- a/packages/targets/src/load/fleetStatsAggregator.ts
+++ b/packages/targets/src/load/fleetStatsAggregator.ts
@@ -1,8 +1,6 @@
-import type { PaceCounters, PerTarget, Clock, FleetTargetStats, TargetCounters } from '@lovagehoist/common'
+import type { PerTarget, Clock, FleetTargetStats, TargetCounters } from '@lovagehoist/common'
 import { FailureEstimator } from '../condition/failureEstimator.js'
 import { combineChances } from '../condition/failureEstimate.js'
-import { slowChanceAt, updateSlowness } from '../condition/slownessEstimate.js'
-import type { SlownessEstimate } from '../condition/slownessEstimate.js'
 import { NO_SAMPLES, addSamples } from './recentMean.js'
 import type { RecentMean } from './recentMean.js'
 import { addOutcomes, refusalShareAt } from './refusalShare.js'
@@ -27,17 +25,6 @@
 const ZERO_COUNTERS: TargetCounters = { inProgress: 0, succeeded: 0, failed: 0, failedLate: 0, failedEarly: 0, refused: 0, latencySquares: 0 }
 const NO_REFUSALS: RefusalShare = { share: 0, atMs: 0 }
 
-const NO_PACE: PaceCounters = { prompt: 0, overrun: 0 }
-
-/** Counts since an earlier report; none if either report is of a build that did not count. */
-const paceSince = (now: PaceCounters | undefined, before: PaceCounters = NO_PACE): { readonly pace?: PaceCounters } =>
-  now === undefined ? {} : { pace: { prompt: Math.max(0, now.prompt - before.prompt), overrun: Math.max(0, now.overrun - before.overrun) } }
-
-const sumOfPaces = (a: PaceCounters | undefined, b: PaceCounters | undefined): { readonly pace?: PaceCounters } => {
-  if (a === undefined || b === undefined) return a === undefined && b === undefined ? {} : { pace: a ?? b ?? NO_PACE }
-  return { pace: { prompt: a.prompt + b.prompt, overrun: a.overrun + b.overrun } }
-}
-
 const countersSince = (now: TargetCounters, before: TargetCounters): TargetCounters => ({
   inProgress: now.inProgress - before.inProgress,
   succeeded: Math.max(0, now.succeeded - before.succeeded),
@@ -45,8 +32,7 @@
   failedLate: Math.max(0, now.failedLate - before.failedLate),
   failedEarly: Math.max(0, now.failedEarly - before.failedEarly),
   refused: Math.max(0, now.refused - before.refused),
-  latencySquares: Math.max(0, now.latencySquares - before.latencySquares),
-  ...paceSince(now.pace, before.pace)
+  latencySquares: Math.max(0, now.latencySquares - before.latencySquares)
 })
 
 const sum = (a: TargetCounters, b: TargetCounters): TargetCounters => ({
@@ -56,8 +42,7 @@
   failedLate: a.failedLate + b.failedLate,
   failedEarly: a.failedEarly + b.failedEarly,
   refused: a.refused + b.refused,
-  latencySquares: a.latencySquares + b.latencySquares,
-  ...sumOfPaces(a.pace, b.pace)
+  latencySquares: a.latencySquares + b.latencySquares
 })
 
 const hasFailures = (deltas: PerTarget<TargetCounters>): boolean => deltas.some(([, { failed, failedEarly }]) => failed + failedEarly > 0)
@@ -77,7 +62,6 @@
   /** Means of squared latencies, so that fast requests don't hide the slow ones, which occupy the slots. */
   private readonly latencies = new Map<string, RecentMean>()
   private readonly refusals = new Map<string, RefusalShare>()
-  private readonly slowness = new Map<string, SlownessEstimate>()
   private readonly lastSentAtMs = new Map<string, number>()
   /** As above, for the requests of the own zone. */
   private readonly usedHereAtMs = new Map<string, number>()
@@ -152,7 +136,6 @@
       failingChance: combineChances(this.ownZoneEstimator.failingChance(targetId), this.otherZonesEstimator.failingChance(targetId)),
       refusalShare: refusalShareAt(this.refusals.get(targetId) ?? NO_REFUSALS, nowMs),
       latencyMs: Math.sqrt(this.latencies.get(targetId)?.mean ?? 0),
-      slowChance: slowChanceAt(this.slowness.get(targetId), nowMs),
       idleMs: nowMs - (this.lastSentAtMs.get(targetId) ?? nowMs),
       isUsedHere: nowMs - (this.usedHereAtMs.get(targetId) ?? -Infinity) < UNUSED_HERE_MS
     }] as const)
@@ -163,7 +146,6 @@
     this.ownZoneEstimator.forget(targetId)
     this.otherZonesEstimator.forget(targetId)
     this.latencies.delete(targetId)
-    this.slowness.delete(targetId)
     this.refusals.delete(targetId)
     this.lastSentAtMs.delete(targetId)
     this.usedHereAtMs.delete(targetId)
@@ -207,15 +189,13 @@
     return hasReactivated
   }
 
-  private recordOutcomes (estimator: FailureEstimator, targetId: string, { succeeded, failed, failedLate, failedEarly, refused, latencySquares, pace }: TargetCounters): void {
-    const nowMs = this.clock.monotonicMs()
-    if (pace !== undefined && pace.prompt + pace.overrun > 0) this.slowness.set(targetId, updateSlowness(this.slowness.get(targetId), pace, nowMs))
+  private recordOutcomes (estimator: FailureEstimator, targetId: string, { succeeded, failed, failedLate, failedEarly, refused, latencySquares }: TargetCounters): void {
     const ended = succeeded + failed + failedLate + failedEarly
     if (ended > 0) estimator.recordOutcomes(targetId, { succeeded, failed, failedLate, failedEarly })
     if (succeeded > 0) this.latencies.set(targetId, addSamples(this.latencies.get(targetId) ?? NO_SAMPLES, latencySquares / succeeded, succeeded))
     if (refused + ended === 0) return
     const before = this.refusals.get(targetId) ?? NO_REFUSALS
-    this.refusals.set(targetId, addOutcomes(before, { refused, accepted: ended }, nowMs))
+    this.refusals.set(targetId, addOutcomes(before, { refused, accepted: ended }, this.clock.monotonicMs()))
   }
 
   private inProgressOf (sources: ReadonlyMap<string, ReportSource>): ReadonlyMap<string, number> {
--- a/packages/targets/src/load/targetStatsTracker.ts
+++ b/packages/targets/src/load/targetStatsTracker.ts
@@ -5,31 +5,18 @@
 import type { Candidate } from '../placing/candidate.js'
 import type { RegisteredTarget } from '../registry/targetRegistry.js'
 import type { PathMonitor } from '../reachability/pathMonitor.js'
-import { MIN_CERTAIN_CHANCE, MIN_SLOW_CHANCE } from '../condition/slownessEstimate.js'
-import { ExpectedWork } from './expectedWork.js'
+import { NO_SAMPLES, addSamples } from './recentMean.js'
+import type { RecentMean } from './recentMean.js'
 import { REACTIVATION_IDLE_MS } from './fleetStatsAggregator.js'
 import { addOutcomes, refusalShareAt } from './refusalShare.js'
 import type { RefusalShare } from './refusalShare.js'
 
 interface RunningAttempt {
   readonly service: string
-  readonly requestClass: string | undefined
   readonly startedAtMs: number
-  /** Work expected of the request at a target of usual speed. */
-  readonly expectedMs: number
-  /** Time from which it counts as an overrun. */
-  readonly overrunMs: number
-  isOverrun: boolean
   isOverdue: boolean
 }
 
-/** What is known of a request when it is sent. */
-export interface AttemptDescription {
-  readonly requestClass?: string
-  /** Expected wait for a slot. */
-  readonly waitMs?: number
-}
-
 interface OwnStats {
   readonly running: Set<RunningAttempt>
   succeeded: number
@@ -38,8 +25,6 @@
   failedEarly: number
   refused: number
   latencySquares: number
-  prompt: number
-  overrun: number
   refusals: RefusalShare
   lastSentAtMs: number
   changedAtMs: number
@@ -51,18 +36,12 @@
   readonly atMs: number
 }
 
+/** Assumed latency of a service before its first response. */
+const DEFAULT_LATENCY_MS = 500
 /** Ratio of a target's latency to the service's mean from which the target counts as slow; smaller differences are noise. */
 const SLOW_RATIO = 1.6
-/** Cost of a target that is certainly slow, as a ratio to the usual work; slow targets take 5 to 12 times as long. */
-const SLOW_TARGET_FACTOR = 8
-/** Time after the recovery of one slow target in which others are expected to recover too; what slows many at once often ends for all. */
-const RECOVERY_MS = 1_000
-/** Ratio to the expected work from which a request counts as an overrun; work varies by half around its mean, and a queue takes up to twice the time expected. */
-const OVERRUN_RATIO = 3
-const OVERRUN_WAIT_RATIO = 2
-/** A request counts as failed once it takes this many times its expected work and at least the minimum. Slow targets take up to 12 times as long and are no failing ones; before the work is known no target counts as slow. */
-const OVERDUE_RATIO = 13
-const OVERDUE_RATIO_OF_UNKNOWN_WORK = 4
+/** A request counts as failed once it takes this many times the mean latency and at least the minimum. */
+const OVERDUE_RATIO = 4
 const MIN_OVERDUE_MS = 2_000
 /** Approximate factor by which a recently started target is slower. */
 const COLD_START_FACTOR = 2
@@ -84,7 +63,7 @@
 export class TargetStatsTracker {
   private readonly ownStats = new Map<string, OwnStats>()
   private readonly fleetStats = new Map<string, TimedFleetStats>()
-  private readonly work = ExpectedWork.create()
+  private readonly serviceLatencies = new Map<string, RecentMean>()
   private readonly estimator: FailureEstimator
   private fleetHeardAtMs = -Infinity
   private notify: (isUrgent: boolean) => void = () => {}
@@ -115,13 +94,11 @@
    *
    * @param targetId - Target that receives the request.
    * @param service - Service that the request is for.
-   * @param description - What is known of the request.
    * @returns The active attempt, to be ended by the caller.
    */
-  startAttempt (targetId: string, service: string, { requestClass, waitMs = 0 }: AttemptDescription = {}): ActiveAttempt {
+  startAttempt (targetId: string, service: string): ActiveAttempt {
     const own = this.ownStatsOf(targetId)
-    const expectedMs = this.work.expectedMs(service, requestClass)
-    const running: RunningAttempt = { service, requestClass, startedAtMs: this.clock.monotonicMs(), expectedMs, overrunMs: OVERRUN_RATIO * expectedMs + OVERRUN_WAIT_RATIO * waitMs, isOverrun: false, isOverdue: false }
+    const running: RunningAttempt = { service, startedAtMs: this.clock.monotonicMs(), isOverdue: false }
     const isReactivated = running.startedAtMs - this.lastSentAtMs(targetId) > REACTIVATION_IDLE_MS
     own.running.add(running)
     own.lastSentAtMs = running.startedAtMs
@@ -142,19 +119,18 @@
     for (const [targetId, stats] of changes) {
       this.fleetStats.set(targetId, { ...stats, atMs })
       const service = this.serviceOf(targetId)
-      if (service !== undefined) this.work.recordTarget(service, targetId, stats.latencyMs, stats.slowChance ?? 0, atMs)
+      if (service !== undefined && stats.latencyMs > 0) this.serviceLatencies.set(service, addSamples(this.serviceLatencies.get(service) ?? NO_SAMPLES, stats.latencyMs, 1))
     }
   }
 
-  /** Counts each request that takes much longer than expected as an overrun, and each overdue one as a failure of its target, once. */
+  /** Counts each overdue request as a failure of its target, once. */
   markOverdue (): void {
     const nowMs = this.clock.monotonicMs()
-    const waits = [...this.ownStats.values()].flatMap(({ running }) => [...running].map(({ startedAtMs, expectedMs }) => nowMs - startedAtMs - expectedMs))
+    const waits = [...this.ownStats.values()].flatMap(({ running }) => [...running].map(({ service, startedAtMs }) => nowMs - startedAtMs - this.serviceLatencyMs(service)))
     this.path.recordWaiting(Math.max(0, ...waits))
     for (const [targetId, own] of this.ownStats) {
       for (const running of own.running) {
-        if (nowMs - running.startedAtMs >= running.overrunMs) this.recordOverrun(targetId, own, running)
-        const limitMs = Math.max(MIN_OVERDUE_MS, running.expectedMs * (this.work.isKnown(running.service) ? OVERDUE_RATIO : OVERDUE_RATIO_OF_UNKNOWN_WORK))
+        const limitMs = Math.max(MIN_OVERDUE_MS, OVERDUE_RATIO * this.serviceLatencyMs(running.service))
         if (running.isOverdue || nowMs - running.startedAtMs < limitMs) continue
         running.isOverdue = true
         this.path.afterConfirmation(() => { this.recordFailure(targetId, 'failed') })
@@ -168,24 +144,19 @@
    * @param entry - Registered target.
    * @param zone - Availability zone of this daemon.
    * @param isConnected - Whether an idle connection to the target exists.
-   * @param requestClass - Class of the request; undefined if it has none.
    * @returns The candidate.
    */
-  describeCandidate (entry: RegisteredTarget, zone: string, isConnected: boolean, requestClass?: string): Candidate {
+  describeCandidate (entry: RegisteredTarget, zone: string, isConnected: boolean): Candidate {
     const { target, warmAtMs } = entry
     const nowMs = this.clock.monotonicMs()
     const own = this.ownStats.get(target.id)
     const fleet = this.fleetStats.get(target.id)
-    const factor = this.serviceTimeFactor(target.service, fleet, nowMs < warmAtMs)
     return {
       targetId: target.id,
       slots: target.slots,
       ...this.estimate(target.id),
       refusalShare: Math.max(own === undefined ? 0 : refusalShareAt(own.refusals, nowMs), fleet === undefined ? 0 : refusalShareAt({ share: fleet.refusalShare, atMs: fleet.atMs }, nowMs)),
-      serviceTimeMs: this.work.expectedMs(target.service, requestClass) * factor,
-      slotTimeMs: this.serviceLatencyMs(target.service) * factor,
-      isSlow: this.isSlow(target.id),
-      isRecovering: nowMs - this.work.recoveredAtMs(target.service) < RECOVERY_MS || (fleet?.slowChance ?? 0) < MIN_CERTAIN_CHANCE,
+      serviceTimeMs: this.serviceLatencyMs(target.service) * this.serviceTimeFactor(target.service, fleet, nowMs < warmAtMs),
       isOwnZone: target.availabilityZone === zone,
       isConnected,
       idleMs: target.availabilityZone === zone ? this.idleMs(entry) : Math.min(this.idleMs(entry), (fleet?.idleMs ?? Infinity) + MAX_ASSUMED_IDLE_MS),
@@ -229,8 +200,8 @@
     const limitMs = this.clock.monotonicMs() - changedWithinMs
     return [...this.ownStats].filter(([, { changedAtMs }]) => changedAtMs >= limitMs).map(([targetId, own]) => {
       own.reportedInProgress = own.running.size
-      const { succeeded, failed, failedLate, failedEarly, refused, latencySquares, prompt, overrun } = own
-      return [targetId, { inProgress: own.running.size, succeeded, failed, failedLate, failedEarly, refused, latencySquares: Math.round(latencySquares), pace: { prompt, overrun } }] as const
+      const { succeeded, failed, failedLate, failedEarly, refused, latencySquares } = own
+      return [targetId, { inProgress: own.running.size, succeeded, failed, failedLate, failedEarly, refused, latencySquares: Math.round(latencySquares) }] as const
     })
   }
 
@@ -244,16 +215,16 @@
     return this.ownStats.size
   }
 
-  /** Latency of a service's answered requests, according to the fleet statistics of its targets. */
+  /** Mean latency of a service's answered requests, according to the fleet statistics of its targets. */
   serviceLatencyMs (service: string): number {
-    return this.work.serviceLatencyMs(service)
+    const recent = this.serviceLatencies.get(service)
+    return recent === undefined || recent.samples === 0 ? DEFAULT_LATENCY_MS : recent.mean
   }
 
   /** Drops the data of a target that was removed or restarted. */
   forget (targetId: string): void {
     this.estimator.forget(targetId)
     this.fleetStats.delete(targetId)
-    this.work.forget(targetId)
     const own = this.ownStats.get(targetId)
     if (own?.running.size === 0) this.ownStats.delete(targetId)
   }
@@ -272,28 +243,7 @@
     const kind = this.classifyOutcome(running.service, outcome, latencyMs)
     if (outcome === 'disconnected') this.path.recordDisconnect()
     if (outcome === 'disconnected' || outcome === 'unreachable') this.path.afterConfirmation(() => { this.recordFailure(targetId, kind) })
-    else this.recordOutcome(targetId, own, kind, Math.min(latencyMs, running.overrunMs))
-    if (kind === 'succeeded') this.recordPace(targetId, own, running, latencyMs)
-  }
-
-  /** Counts a response as prompt or as an overrun. Until the service's latency is known neither can be told. */
-  private recordPace (targetId: string, own: OwnStats, running: RunningAttempt, latencyMs: number): void {
-    if (!this.isSlow(targetId)) this.work.recordResponse(running.service, running.requestClass, Math.min(latencyMs, running.overrunMs))
-    if (latencyMs >= running.overrunMs) this.recordOverrun(targetId, own, running)
-    else if (this.work.isKnown(running.service)) own.prompt++
-  }
-
-  private recordOverrun (targetId: string, own: OwnStats, running: RunningAttempt): void {
-    if (running.isOverrun || !this.work.isKnown(running.service)) return
-    running.isOverrun = true
-    own.overrun++
-    this.markChanged(targetId, false)
-  }
-
-  /** Whether the fleet takes a target for several times slower than others of its service. */
-  private isSlow (targetId: string): boolean {
-    const service = this.serviceOf(targetId)
-    return (this.fleetStats.get(targetId)?.slowChance ?? 0) >= MIN_SLOW_CHANCE && service !== undefined && !this.work.isSlowAsWhole(service)
+    else this.recordOutcome(targetId, own, kind, latencyMs)
   }
 
   private recordFailure (targetId: string, kind: keyof RequestOutcomeCounts): void {
@@ -326,9 +276,7 @@
 
   private serviceTimeFactor (service: string, fleet: TimedFleetStats | undefined, isCold: boolean): number {
     const ratio = fleet === undefined || fleet.latencyMs === 0 ? 1 : fleet.latencyMs / this.serviceLatencyMs(service)
-    const slowChance = this.work.isSlowAsWhole(service) ? 0 : fleet?.slowChance ?? 0
-    const slowFactor = 1 + (SLOW_TARGET_FACTOR - 1) * Math.max(0, slowChance - MIN_SLOW_CHANCE) / (1 - MIN_SLOW_CHANCE)
-    return Math.max(isCold ? COLD_START_FACTOR : 1, ratio / SLOW_RATIO, slowFactor)
+    return Math.max(isCold ? COLD_START_FACTOR : 1, ratio / SLOW_RATIO)
   }
 
   private markChanged (targetId: string, isUrgent: boolean): void {
@@ -339,7 +287,7 @@
   private ownStatsOf (targetId: string): OwnStats {
     const known = this.ownStats.get(targetId)
     if (known !== undefined) return known
-    const own: OwnStats = { running: new Set(), ...NO_OUTCOMES, refused: 0, latencySquares: 0, prompt: 0, overrun: 0, refusals: { share: 0, atMs: 0 }, lastSentAtMs: -Infinity, changedAtMs: -Infinity, reportedInProgress: 0 }
+    const own: OwnStats = { running: new Set(), ...NO_OUTCOMES, refused: 0, latencySquares: 0, refusals: { share: 0, atMs: 0 }, lastSentAtMs: -Infinity, changedAtMs: -Infinity, reportedInProgress: 0 }
     this.ownStats.set(targetId, own)
     return own
   }
--- a/packages/targets/src/placing/candidate.ts
+++ b/packages/targets/src/placing/candidate.ts
@@ -4,14 +4,6 @@
 export interface Candidate extends Omit<ChoiceInputs, 'waitMs' | 'listingAgeMs' | 'isProbe'> {
   readonly targetId: string
   readonly slots: number
-  /** Expected time for which requests of the service occupy a slot; that of the request itself by default. */
-  readonly slotTimeMs?: number
-  /** Whether the target is several times slower than others of its service. */
-  readonly isSlow?: boolean
-  /** Whether the target joined so recently that few daemons can be connected to it. */
-  readonly isJoining?: boolean
-  /** Whether a slow target may have recovered: it responded promptly, or another one of the service has just recovered. */
-  readonly isRecovering?: boolean
   /** Whether no daemon known to this one has used the target yet. */
   readonly isNew: boolean
 }
--- a/packages/targets/src/placing/lowestCostSelector.ts
+++ b/packages/targets/src/placing/lowestCostSelector.ts
@@ -32,10 +32,6 @@
 
 /** Time after the start of the daemon during which all targets are probed. */
 const RECENT_START_MS = 10_000
-/** Time after a target was first listed in which connections to it have no price, so that it gets its share as soon as it is warm. */
-const JOINING_MS = 5_000
-/** Time after the start of the daemon in which targets are not new because they are listed first. */
-const FIRST_LISTING_MS = 2_000
 /** Margin above the required share of targets in use, because it takes time to bring unused ones into use. */
 const USED_SHARE_MARGIN = 0.1
 
@@ -76,7 +72,7 @@
     if (awake.length === 0 && usable.length > 0) return { type: 'resting', retryDelayMs: this.options.rests.retryDelayMs(usable.map(({ target }) => target)) }
     const entries = awake.filter(({ target }) => limits.allows(target.id, criteria.hasHigherPriorityTraffic))
     if (entries.length === 0 && awake.length > 0) return { type: 'limited', retryDelayMs: limits.recordRefused(criteria.service) }
-    const candidates = entries.map(entry => ({ ...statsTracker.describeCandidate(entry, availabilityZone, hasIdle(entry.target.id, criteria.isIdempotent), criteria.requestClass), isJoining: this.isJoining(entry, nowMs) }))
+    const candidates = entries.map(entry => statsTracker.describeCandidate(entry, availabilityZone, hasIdle(entry.target.id, criteria.isIdempotent)))
     const placement = placeRequest(candidates, this.describeRequest(criteria, nowMs), random)
     if (placement.type !== 'placed') return placement
     const index = candidates.findIndex(({ targetId }) => targetId === placement.targetId)
@@ -84,7 +80,7 @@
     const candidate = candidates[index]
     if (entry === undefined || candidate === undefined) return { type: 'no-target' }
     limits.recordSent(entry.target.id)
-    return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service, { ...(criteria.requestClass === undefined ? {} : { requestClass: criteria.requestClass }), waitMs: placement.waitMs }) }
+    return { type: 'chosen', target: entry.target, inputs: this.describeInputs(candidate, placement), attempt: statsTracker.startAttempt(entry.target.id, criteria.service) }
   }
 
   /**
@@ -99,10 +95,6 @@
     return describeRoom(usable.map(entry => statsTracker.describeCandidate(entry, availabilityZone, true)), statsTracker.serviceLatencyMs(service))
   }
 
-  private isJoining ({ firstSeenAtMs }: RegisteredTarget, nowMs: number): boolean {
-    return firstSeenAtMs - this.startedAtMs > FIRST_LISTING_MS && nowMs - firstSeenAtMs < JOINING_MS
-  }
-
   /** Leaves out targets that said that they leave; where all did, those that may serve for a moment longer remain. */
   private selectStaying (entries: readonly RegisteredTarget[]): readonly RegisteredTarget[] {
     const { leaving } = this.options
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -15,11 +15,8 @@
 const REFUSAL_COST_MS = 1_500
 /** Traffic between zones is expensive: another zone is used only when the targets of the own zone are busy or failing. */
 const CROSS_ZONE_COST_MS = 200
-/**
- * A new connection costs work at the target and a round trip, and connections are limited, so daemons prefer targets they are connected to. With 200 ms daemons
- * opened twice as many connections under load, and callers waited no less.
- */
-const CONNECT_COST_MS = 400
+/** A new connection costs work at the target and a round trip, and connections are limited, so daemons prefer targets they are connected to. */
+const CONNECT_COST_MS = 200
 /** Share of the service time that is added to the cost of a full target, so that load spreads. */
 const FULL_TARGET_PENALTY_SHARE = 0.5
 /**
@@ -47,10 +44,10 @@
  * @param reservedSlots - Slots that the request must leave free.
  * @returns The wait in milliseconds.
  */
-export const expectedWaitMs = ({ slots, inProgress, serviceTimeMs, slotTimeMs = serviceTimeMs }: Candidate, reservedSlots = 0): number => {
+export const expectedWaitMs = ({ slots, inProgress, serviceTimeMs }: Candidate, reservedSlots = 0): number => {
   const usable = Math.max(1, slots - reservedSlots)
   const ahead = inProgress - usable + 1
-  return ahead <= 0 ? 0 : ahead / slots * slotTimeMs
+  return ahead <= 0 ? 0 : ahead / slots * serviceTimeMs
 }
 
 /** Estimates the probability that the response arrives after the remaining time. */
@@ -61,13 +58,13 @@
 }
 
 const costOf = (candidate: Candidate, waitMs: number): number => {
-  const { slots, inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected, isJoining = false } = candidate
+  const { slots, inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected } = candidate
   const load = Math.min(1, inProgress / slots)
   return waitMs + serviceTimeMs * (1 + FULL_TARGET_PENALTY_SHARE * load * load) +
     requestFailureChance(failingChance) * FAILURE_COST_MS +
     refusalShare * REFUSAL_COST_MS +
     (isOwnZone ? 0 : CROSS_ZONE_COST_MS) +
-    (isConnected || isJoining ? 0 : CONNECT_COST_MS)
+    (isConnected ? 0 : CONNECT_COST_MS)
 }
 
 const meanOf = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
--- a/packages/targets/src/placing/probing.ts
+++ b/packages/targets/src/placing/probing.ts
@@ -23,14 +23,6 @@
 const PROBE_RAMP_MS = 500
 /** As above, for trials of targets that are probably failing. */
 const TRIAL_RAMP_MS = 1_500
-/**
- * Idle time of all slow targets of the own zone from which one of them gets a probe, and the same for requests that can't be repeated: a probe there is late,
- * but recovery has to be noticed within 2 s. Once one has recovered, each of the others gets a probe after a shorter time.
- */
-const SLOW_PROBE_IDLE_MS = 800
-const UNREPEATABLE_SLOW_PROBE_IDLE_MS = 1_400
-const RECOVERING_PROBE_IDLE_MS = 200
-const SLOW_PROBE_RAMP_MS = 600
 /** Failure probability, or refusal share, from which a target is probably failing. */
 const MIN_SUSPECT_CHANCE = 0.25
 /** Mean failure probability, or mean refusal share, from which a large part of the service counts as failing. */
@@ -44,9 +36,6 @@
   readonly isTrialNeeded: boolean
   /** Number of targets of the own zone that no daemon has used yet. */
   readonly newTargets: number
-  /** Slow target of the own zone that has been idle for longest, and the time since any of them got a request. */
-  readonly slowTargetId: string | undefined
-  readonly slowIdleMs: number
 }
 
 const meanOf = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
@@ -78,23 +67,9 @@
   return rampUp(idleMs - (isIdempotent ? RETRYABLE_TRIAL_IDLE_MS : TRIAL_IDLE_MS), TRIAL_RAMP_MS)
 }
 
-/** Probability that a request is sent to a slow candidate. */
-const slowProbeChance = ({ targetId, isOwnZone, isRecovering = false, idleMs }: Candidate, { isIdempotent = false }: PlacementRequest, policy: ProbePolicy): number => {
-  if (!isOwnZone) return 0
-  if (isRecovering) return rampUp(idleMs - RECOVERING_PROBE_IDLE_MS, SLOW_PROBE_RAMP_MS)
-  return targetId === policy.slowTargetId ? rampUp(policy.slowIdleMs - (isIdempotent ? SLOW_PROBE_IDLE_MS : UNREPEATABLE_SLOW_PROBE_IDLE_MS), SLOW_PROBE_RAMP_MS) : 0
-}
-
-const describeSlowTargets = (candidates: readonly Candidate[], hasFreeSlot: (candidate: Candidate) => boolean): Pick<ProbePolicy, 'slowTargetId' | 'slowIdleMs'> => {
-  const slow = candidates.filter(({ isSlow, isOwnZone }) => isSlow === true && isOwnZone)
-  const longest = slow.filter(hasFreeSlot).reduce<Candidate | undefined>((found, candidate) => found !== undefined && found.idleMs >= candidate.idleMs ? found : candidate, undefined)
-  return { slowTargetId: longest?.targetId, slowIdleMs: Math.min(...slow.map(({ idleMs }) => idleMs)) }
-}
-
 /** Probability that a request is sent to a candidate as a probe. */
 const probeChance = (candidate: Candidate, request: PlacementRequest, policy: ProbePolicy): number => {
   if (isSuspect(candidate)) return trialChance(candidate, request, policy)
-  if (candidate.isSlow === true) return slowProbeChance(candidate, request, policy)
   const minChance = isNewInOwnZone(candidate) ? NEW_TARGET_PROBE_SHARE / policy.newTargets : 0
   const unconnectedDelayMs = policy.probesOtherZones ? SHORT_UNCONNECTED_DELAY_MS : UNCONNECTED_DELAY_MS
   const delayMs = (candidate.isOwnZone || policy.probesOtherZones ? 0 : OTHER_ZONE_DELAY_MS) + (candidate.isConnected ? 0 : unconnectedDelayMs)
@@ -116,8 +91,7 @@
     // After the loss of many daemons, a large part of a service fails for a moment; recently started daemons have not seen these failures.
     probesOtherZones: request.isRecentlyStarted === true || isFailureWidespread(candidates),
     isTrialNeeded: needsTrials(candidates, request.minUsedShare ?? DEFAULT_MIN_USED_SHARE),
-    newTargets: candidates.filter(isNewInOwnZone).length,
-    ...describeSlowTargets(candidates, hasFreeSlot)
+    newTargets: candidates.filter(isNewInOwnZone).length
   }
   return candidates
     .filter(hasFreeSlot)
