Log and measure how the configuration reaches a daemon

- One line for each configuration fetched (peer, duration, length, version in force), the same fields in the line of a failed fetch.
- Histogram of fetches by document and result, counter of their length; gauge of the configuration's age by source.
- One line whenever another source (own read, open watch, peer with its age) confirms the configuration.

--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -9,6 +9,7 @@
 import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
 import { registerBufferMetrics } from './bufferMetrics.js'
+import { createDocumentFetchMetrics } from './documentFetchMetrics.js'
 import { createAllowances, registerAllowanceMetrics } from './gatewayAllowances.js'
 import { registerGatewayMetrics } from './gatewayMetrics.js'
 import { InstanceRegistration } from './instanceRegistration.js'
@@ -234,9 +235,9 @@
   return { peerSender, forwarder }
 }
 
-const createDocumentSync = (dependencies: GatewayDependencies, config: GatewayConfigFollower, targetRegistry: TargetRegistry, listingReadAtMs: () => number, relayRank: () => number): PeerDocumentSync => {
+const createDocumentSync = (dependencies: GatewayDependencies, config: GatewayConfigFollower, targetRegistry: TargetRegistry, registry: Registry, listingReadAtMs: () => number, relayRank: () => number): PeerDocumentSync => {
   const { settings, clock, log, store, fetchDocument = fetchPeerDocument } = dependencies
-  return PeerDocumentSync.create({ settings, clock, log: log.child('peers'), fetchDocument, store, config, targetRegistry, listingReadAtMs, relayRank })
+  return PeerDocumentSync.create({ settings, clock, log: log.child('peers'), fetchDocument, metrics: createDocumentFetchMetrics(registry), store, config, targetRegistry, listingReadAtMs, relayRank })
 }
 
 const createConfigFollower = ({ store, clock, random, log }: GatewayDependencies, readTurn: ReadTurn, isStoreDoubtful: () => boolean, onConfig: (config: GatewayConfig) => void): GatewayConfigFollower =>
@@ -260,7 +261,7 @@
   })
   const self = createInstanceRecord(dependencies)
   const targets = createTargetComponents(dependencies, self, registry, invariants, () => { relay.announceVersions() })
-  const documentSync = createDocumentSync(dependencies, config, targets.targetRegistry, () => listingPoller.lastReadAtMs, () => relay.relayRank)
+  const documentSync = createDocumentSync(dependencies, config, targets.targetRegistry, registry, () => listingPoller.lastReadAtMs, () => relay.relayRank)
   const poisonDetector = PoisonRequestDetector.create(clock)
   const { relay, allowances }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -24,17 +24,31 @@
 const UNUSED_IDLE_MS = 2_000
 const MS_PER_SECOND = 1_000
 
+/** Creates gauges that are worked out when they are collected. */
+type CreateGauge = <Label extends string>(name: string, help: string, labelNames: readonly Label[], collect: (gauge: Gauge<Label>) => void) => void
+
+const createGaugesIn = (registry: Registry): CreateGauge => (name, help, labelNames, collect) => {
+  const created = new Gauge({ name: `lovagehoist_${name}`, help, labelNames: [...labelNames], registers: [registry], collect: () => { collect(created) } })
+}
+
+const registerConfigMetrics = (gauge: CreateGauge, { clock, config }: GatewayMetricsOptions): void => {
+  gauge('config_version', 'Version of the configuration in force; 0 for none.', [], metric => { metric.set(config.version) })
+  gauge('config_age_seconds', 'Time since the store was known to hold no newer configuration than the one in force, by what found it.', ['source'], metric => {
+    metric.set({ source: 'store' }, (clock.monotonicMs() - config.ownConfirmedAtMs) / MS_PER_SECOND)
+    metric.set({ source: 'peer' }, (clock.monotonicMs() - config.confirmedByOthersAtMs) / MS_PER_SECOND)
+  })
+  gauge('configs_refused', 'Configurations that could not be read.', [], metric => { metric.set(config.refusedCount) })
+}
+
 /**
  * Registers gauges of this daemon's view of the fleet. The number of label values is bounded by the services in the target list.
  *
  * @param options - Registry and the components to read.
  */
-export const registerGatewayMetrics = ({ registry, clock, config, targetRegistry, statsTracker, targetLimits, rests, leaving, relay }: GatewayMetricsOptions): void => {
-  const gauge = <Label extends string>(name: string, help: string, labelNames: readonly Label[], collect: (gauge: Gauge<Label>) => void): void => {
-    const created: Gauge<Label> = new Gauge({ name: `lovagehoist_${name}`, help, labelNames: [...labelNames], registers: [registry], collect: () => { collect(created) } })
-  }
-  gauge('config_version', 'Version of the configuration in force; 0 for none.', [], metric => { metric.set(config.version) })
-  gauge('configs_refused', 'Configurations that could not be read.', [], metric => { metric.set(config.refusedCount) })
+export const registerGatewayMetrics = (options: GatewayMetricsOptions): void => {
+  const { registry, clock, targetRegistry, statsTracker, targetLimits, rests, leaving, relay } = options
+  const gauge = createGaugesIn(registry)
+  registerConfigMetrics(gauge, options)
   gauge('target_list_age_seconds', 'Time since the store was known to hold the list of targets in force.', [], metric => { metric.set((clock.monotonicMs() - targetRegistry.confirmedAtMs) / MS_PER_SECOND) })
   gauge('targets', 'Targets by service and state.', ['service', 'state'], metric => {
     metric.reset()
--- a/packages/daemon/src/gateway/peerDocumentSync.spec.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.spec.ts
@@ -33,7 +33,7 @@
       confirm: (atMs: number) => { confirmedAtMs = Math.max(confirmedAtMs, atMs) }
     } as unknown as GatewayConfigFollower
     const settings = { availabilityZone: 'a', peers: { host: '127.0.0.1', port: 1 } } as unknown as GatewaySettings
-    sync = PeerDocumentSync.create({ settings, clock, log: silentLog, fetchDocument: async () => err('none'), store: { decodeConfig: () => ({ storeVersion: 0, config: undefined, text: undefined, error: 'none' }) }, config, targetRegistry: registry, listingReadAtMs: () => listingReadAtMs, relayRank: () => 0 })
+    sync = PeerDocumentSync.create({ settings, clock, log: silentLog, fetchDocument: async () => err('none'), metrics: { observeFetch: () => {} }, store: { decodeConfig: () => ({ storeVersion: 0, config: undefined, text: undefined, error: 'none' }) }, config, targetRegistry: registry, listingReadAtMs: () => listingReadAtMs, relayRank: () => 0 })
   })
 
   const versions = (change: Partial<HeldVersions> = {}): HeldVersions => ({ configVersion: 2, listingDigest: registry.digest, listingVersion: 1, listingAgeMs: 100, configAgeMs: 100, ...change })
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -3,6 +3,7 @@
 import { UNKNOWN_AGE_MS } from '@lovagehoist/peers'
 import type { FetchPeerDocument, HeldVersions, PeerDocument, PeerDocumentTexts, RelayMessage } from '@lovagehoist/peers'
 import type { TargetRegistry } from '@lovagehoist/targets'
+import type { DocumentFetchMetrics } from './documentFetchMetrics.js'
 import { decodePeerListing } from './peerListing.js'
 import type { PeerListing } from './peerListing.js'
 
@@ -12,6 +13,7 @@
   readonly clock: Clock
   readonly log: Log
   readonly fetchDocument: FetchPeerDocument
+  readonly metrics: DocumentFetchMetrics
   readonly store: Pick<GatewayStore, 'decodeConfig'>
   readonly config: GatewayConfigFollower
   readonly targetRegistry: TargetRegistry
@@ -101,7 +103,7 @@
     const nowMs = clock.monotonicMs()
     if (peerVersions.configVersion <= config.version) {
       this.configBehindSinceMs = undefined
-      if (config.version > 0 && this.mayConfirm(message)) config.confirm(nowMs - peerVersions.configAgeMs)
+      if (config.version > 0 && this.mayConfirm(message)) config.confirm(nowMs - peerVersions.configAgeMs, from.instanceId)
       return
     }
     this.configBehindSinceMs ??= nowMs
@@ -112,12 +114,18 @@
   }
 
   private fetch (name: PeerDocument, from: InstanceRecord): void {
-    const { clock, settings, log, fetchDocument } = this.options
+    const { clock, settings, log, fetchDocument, config, metrics } = this.options
     const nowMs = clock.monotonicMs()
     if (nowMs - (this.lastFetchAtMs.get(name) ?? -Infinity) < MIN_FETCH_INTERVAL_MS) return
     this.lastFetchAtMs.set(name, nowMs)
     fetchDocument(clock, { host: from.host, port: settings.peers.port }, name).then(result => {
-      result.match(text => { this.applyDocument(name, text, nowMs) }, reason => { log.warn('fetching a document from a peer failed', { document: name, peer: from.instanceId, reason }) })
+      const durationMs = clock.monotonicMs() - nowMs
+      const fields = { document: name, peer: from.instanceId, durationMs: Math.round(durationMs), versionInForce: config.version }
+      metrics.observeFetch({ document: name, result: result.isOk() ? 'fetched' : 'failed', durationMs, length: result.unwrapOr('').length })
+      result.match(text => {
+        if (name === 'configuration') log.info('configuration fetched from a peer', { ...fields, length: text.length })
+        this.applyDocument(name, text, nowMs)
+      }, reason => { log.warn('fetching a document from a peer failed', { ...fields, reason }) })
     }).catch((error: unknown) => { log.error('applying a document of a peer failed', { document: name, peer: from.instanceId, error: String(error) }) })
   }
 
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -1,5 +1,5 @@
 import { backoffMs } from '@lovagehoist/common'
-import type { Clock, ConfigSnapshot, GatewayConfig, GatewayStore, Log, PlatformError, Random, ReadTurn } from '@lovagehoist/common'
+import type { Clock, ConfigSnapshot, GatewayConfig, GatewayStore, Log, LogFields, PlatformError, Random, ReadTurn } from '@lovagehoist/common'
 
 /** Store, clock and callback of the follower. */
 export interface GatewayConfigFollowerOptions {
@@ -38,6 +38,7 @@
   private isWatching = false
   private readAtMs = -Infinity
   private othersConfirmedAtMs = -Infinity
+  private confirmedBy: 'nobody' | 'store' | 'watch' | 'peer' = 'nobody'
 
   private constructor (private readonly options: GatewayConfigFollowerOptions) {}
 
@@ -79,9 +80,16 @@
     return Math.max(this.ownConfirmedAtMs, this.othersConfirmedAtMs)
   }
 
-  /** Records that another daemon found nothing newer than the configuration in force in the store at a monotonic time. */
-  confirm (atMs: number): void {
-    this.othersConfirmedAtMs = Math.max(this.othersConfirmedAtMs, atMs)
+  /**
+   * Records that another daemon found nothing newer than the configuration in force in the store.
+   *
+   * @param atMs - Monotonic time at which it did.
+   * @param peer - Instance that told it.
+   */
+  confirm (atMs: number, peer: string): void {
+    if (atMs <= this.othersConfirmedAtMs) return
+    this.othersConfirmedAtMs = atMs
+    if (atMs > this.ownConfirmedAtMs) this.recordConfirmation('peer', { peer, ageMs: Math.round(this.options.clock.monotonicMs() - atMs) })
   }
 
   /** Number of configurations refused because they could not be decoded. */
@@ -152,6 +160,7 @@
     this.watchAbort = new AbortController()
     const { signal } = this.watchAbort
     this.isWatching = true
+    this.recordConfirmation('watch')
     const watched = await this.options.store.watchConfig(afterVersion, WATCH_TIMEOUT_MS, signal)
     this.isWatching = false
     if (signal.aborted) {
@@ -175,6 +184,13 @@
     return MIN_WATCH_INTERVAL_MS
   }
 
+  /** Logs each change of what confirms that the configuration in force is the newest. */
+  private recordConfirmation (source: typeof this.confirmedBy, fields: LogFields = {}): void {
+    if (this.confirmedBy === source) return
+    this.options.log.info('configuration confirmed by another source', { source, previousSource: this.confirmedBy, versionInForce: this.version, ...fields })
+    this.confirmedBy = source
+  }
+
   private onStoreFailure ({ kind, message }: PlatformError): number {
     if (this.failures++ === 0) this.options.log.warn('store lost for the configuration', { kind, detail: message, versionInForce: this.version })
     return backoffMs(this.options.random, this.failures, FIRST_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS)
@@ -184,5 +200,6 @@
     if (this.failures > 0) this.options.log.info('store regained for the configuration', { failures: this.failures })
     this.failures = 0
     this.readAtMs = this.options.clock.monotonicMs()
+    this.recordConfirmation('store')
   }
 }
