Failing tests: a large configuration over slow links, and watches whose answers were lost

- 78 daemons of one zone, links of 10 Mbit/s, 272 KB, 13 versions in 4 s: the last version is everywhere after 7,040 ms (bound 2,000).
- One daemon told of ten versions in 3.3 s starts ten fetches side by side; a fetch that still makes progress is given up after a second; 43 KB of routes take 44 KB on the wire.
- Both watching relays meet a silent store for 0.4 s between two reads of the listing, a change within: no daemon has it 3.4 s later.

--- a/packages/daemon/src/gateway/peerDocumentSync.spec.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.spec.ts
@@ -1,14 +1,16 @@
 import { expect } from 'chai'
-import { err } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
 import { silentLog } from '@lovagehoist/common'
-import type { GatewaySettings, InstanceRecord } from '@lovagehoist/common'
+import type { ConfigSnapshot, GatewaySettings, InstanceRecord } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
-import type { HeldVersions } from '@lovagehoist/peers'
+import type { FetchPeerDocument, HeldVersions } from '@lovagehoist/peers'
 import { TargetRegistry } from '@lovagehoist/targets'
 import { PeerDocumentSync } from './peerDocumentSync.js'
 
 const other: InstanceRecord = { instanceId: 'gate-9', startId: 's', host: '127.0.0.9', availabilityZone: 'b', relayFitness: 1 }
+const sibling: InstanceRecord = { instanceId: 'gate-7', startId: 's', host: '127.0.0.7', availabilityZone: 'a', relayFitness: 1 }
 
 describe('PeerDocumentSync', () => {
   let clock: ManualClock
@@ -16,16 +18,20 @@
   let confirmedAtMs: number
   let registry: TargetRegistry
   let sync: PeerDocumentSync
+  let fetchDocument: FetchPeerDocument
 
   beforeEach(() => {
     clock = ManualClock.create()
     clock.jumpMs(10_000)
     listingReadAtMs = clock.monotonicMs()
     confirmedAtMs = -Infinity
+    fetchDocument = async () => err('none')
     registry = TargetRegistry.create({ clock, log: silentLog, onForget: () => {} })
     registry.apply({ storeVersion: 1, targets: [{ ...fakeTarget('t-1'), coldForMs: 0 }], skipped: [] }, clock.monotonicMs())
+    let configVersion = 2
     const config = {
-      version: 2,
+      get version () { return configVersion },
+      applySnapshot: ({ storeVersion }: ConfigSnapshot) => { configVersion = storeVersion },
       lastResponseAtMs: -Infinity,
       get ownConfirmedAtMs () { return clock.monotonicMs() },
       get confirmedByOthersAtMs () { return confirmedAtMs },
@@ -33,7 +39,7 @@
       confirm: (atMs: number) => { confirmedAtMs = Math.max(confirmedAtMs, atMs) }
     } as unknown as GatewayConfigFollower
     const settings = { availabilityZone: 'a', peers: { host: '127.0.0.1', port: 1 } } as unknown as GatewaySettings
-    sync = PeerDocumentSync.create({ settings, clock, log: silentLog, fetchDocument: async () => err('none'), metrics: { observeFetch: () => {} }, store: { decodeConfig: () => ({ storeVersion: 0, config: undefined, text: undefined, error: 'none' }) }, config, targetRegistry: registry, listingReadAtMs: () => listingReadAtMs, relayRank: () => 0 })
+    sync = PeerDocumentSync.create({ settings, clock, log: silentLog, fetchDocument: async (...request) => await fetchDocument(...request), metrics: { observeFetch: () => {} }, store: { decodeConfig: text => ({ storeVersion: Number(text), config: undefined, text, error: undefined }) }, config, targetRegistry: registry, listingReadAtMs: () => listingReadAtMs, relayRank: () => 0 })
   })
 
   const versions = (change: Partial<HeldVersions> = {}): HeldVersions => ({ configVersion: 2, listingDigest: registry.digest, listingVersion: 1, listingAgeMs: 100, configAgeMs: 100, ...change })
@@ -59,4 +65,41 @@
     sync.handlePeerVersions(versions(), { ...other, availabilityZone: 'a' }, 'view')
     expect(sync.heldVersions('known')).to.include({ configAgeMs: 4_000, listingAgeMs: 4_000 })
   })
+
+  describe('while a configuration arrives slowly', () => {
+    let fetches: Array<{ readonly host: string, readonly finish: (result: Result<string, string>) => void }>
+
+    beforeEach(() => {
+      fetches = []
+      fetchDocument = async (_clock, { host }) => await new Promise(resolve => { fetches.push({ host, finish: resolve }) })
+    })
+
+    const hear = (configVersion: number, from = sibling): void => { sync.handlePeerVersions(versions({ configVersion }), from, 'view') }
+
+    it('does not fetch it again, which would slow down the fetch that is under way', async () => {
+      for (let version = 3; version < 13; version++) {
+        hear(version)
+        await clock.advanceMs(330)
+      }
+      expect(fetches).to.have.length(1)
+    })
+
+    it('fetches a version that was announced meanwhile without waiting to hear of it again', async () => {
+      hear(3)
+      await clock.advanceMs(1_000)
+      hear(7, { ...sibling, host: '127.0.0.8' })
+      expect(fetches).to.have.length(1)
+      fetches[0]?.finish(ok('3'))
+      await clock.advanceMs(10)
+      expect(fetches.map(({ host }) => host)).to.deep.equal([sibling.host, '127.0.0.8'])
+    })
+
+    it('asks another daemon that holds the version once a fetch has failed', async () => {
+      hear(3)
+      hear(3, { ...sibling, instanceId: 'gate-8', host: '127.0.0.8' })
+      fetches[0]?.finish(err('nothing arrived'))
+      await clock.advanceMs(400)
+      expect(fetches.map(({ host }) => host)).to.deep.equal([sibling.host, '127.0.0.8'])
+    })
+  })
 })
--- a/packages/daemon/src/gateway/storeCalls.load.spec.ts
+++ b/packages/daemon/src/gateway/storeCalls.load.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { StoreCallsSimulation } from '../testing/storeCallsSimulation.js'
-import type { StoreCallsOptions } from '../testing/storeCallsSimulation.js'
+import type { SimulatedMachine, StoreCallsOptions } from '../testing/storeCallsSimulation.js'
 
 const CHANGES: StoreCallsOptions = { seed: 1, daemons: [6, 6, 6], targets: 33, seconds: 30, lossShare: 0.005, configAtMs: [7_130, 16_130, 25_130], drainAtMs: [5_130, 12_130, 15_130, 18_130, 26_130], newTargetAtMs: [6_130, 14_130, 27_130] }
 const MAX_DRAIN_MS = 2_000
@@ -35,6 +35,20 @@
     })
   }
 
+  it('do not leave daemons behind when a large configuration changes several times a second, although slow links have to carry it to each of them', async () => {
+    const configAtMs = Array.from({ length: 13 }, (_, index) => 9_000 + index * 330)
+    const { longestConfigMs } = await StoreCallsSimulation.run({ seed: 1, daemons: [78], targets: 33, seconds: 20, lossShare: 0.005, configAtMs, configBytes: 272_000 })
+    expect(longestConfigMs).to.be.at.most(MAX_CONFIG_MS)
+  })
+
+  it('do not vouch for an old configuration when the answers to both watches were lost between two reads of the listing', async () => {
+    for (let fromMs = 9_000; fromMs < 9_800; fromMs += 100) {
+      const storeFaults = [{ fault: 'silent' as const, fromMs, toMs: fromMs + 400, includes: ({ index, zone }: SimulatedMachine) => index === 0 && ['zone-0', 'zone-1'].includes(zone) }]
+      const { longestConfigMs } = await StoreCallsSimulation.run({ seed: 1, daemons: [6, 6, 6, 6], targets: 33, seconds: 13, lossShare: 0.005, configAtMs: [fromMs + 200], storeFaults })
+      expect(longestConfigMs, `silent from ${fromMs} ms`).to.be.at.most(MAX_CONFIG_MS)
+    }
+  })
+
   it('let all daemons find each other where the settings name no hosts', async () => {
     for (const seed of [1, 2, 3]) {
       for (const load of [{}, { outages: [{ fromMs: 3_000, toMs: 4_000, includes: () => true }] }]) {
--- a/packages/daemon/src/testing/storeCallsSimulation.ts
+++ b/packages/daemon/src/testing/storeCallsSimulation.ts
@@ -6,6 +6,7 @@
 import { composeGateway } from '../gateway/gatewayComponents.js'
 import type { GatewayComponents } from '../gateway/gatewayComponents.js'
 import { LiveSettings } from '../gateway/liveSettings.js'
+import { SimulatedLinks } from './simulatedLinks.js'
 import { SimulatedStore } from './simulatedStore.js'
 import type { SimulatedStoreFault } from './simulatedStore.js'
 
@@ -43,6 +44,8 @@
   readonly outages?: readonly MachinePeriod[]
   /** Machines whose datagrams and documents reach other zones no more. */
   readonly partitions?: readonly MachinePeriod[]
+  /** Size of the configuration as one daemon sends it to another; it arrives at once by default. */
+  readonly configBytes?: number
   /** Hosts that the settings name; two first relays by default. */
   readonly bootstrapHosts?: readonly string[]
 }
@@ -81,6 +84,8 @@
 /** Calls made by a process this soon after its start are counted as calls of the start. */
 const START_PHASE_MS = 1_500
 const FETCH_TIMEOUT_MS = 1_000
+const FIT_LINK_MBPS = 200
+const SLOW_LINK_MBPS = 10
 const ROLES = ['first relay', 'second relay'] as const
 
 /** Number of daemons that a daemon knows, itself included. */
@@ -97,12 +102,15 @@
   private readonly processes = new Map<string, Process>()
   private readonly startsAtMs = new Map<string, number[]>()
   private readonly store: SimulatedStore
+  private readonly links: SimulatedLinks
   private readonly longestMs = { config: 0, drain: 0, newTarget: 0, start: 0 }
   private targetCount = 0
 
   private constructor (private readonly options: StoreCallsOptions) {
     this.random = SeededRandom.create(options.seed)
     this.machines = options.daemons.flatMap((count, zone) => Array.from({ length: count }, (_, index) => ({ instanceId: `edge-${zone}-${String(index).padStart(3, '0')}`, host: `10.${zone}.0.${index}`, zone: `zone-${zone}`, index })))
+    const fitHosts = new Set(this.machines.filter(({ index }) => index < 2).map(({ host }) => host))
+    this.links = SimulatedLinks.create(this.clock, host => fitHosts.has(host) ? FIT_LINK_MBPS : SLOW_LINK_MBPS)
     this.store = SimulatedStore.create(this.clock, instanceId => this.faultOf(instanceId))
   }
 
@@ -261,6 +269,7 @@
       // The connection is opened first.
       await this.clock.sleepMs(4 * this.delayMs(from, to.machine))
       const text = to.components.documentTexts[name]()
+      if (name === 'configuration' && this.options.configBytes !== undefined) await this.links.transfer(host, from.host, this.options.configBytes)
       return text === undefined ? err('status 404') : ok(text)
     }
   }
