Fetch a document from peers one at a time

Cause: each announced version started another fetch 300 ms after the last start, whether or not earlier ones still ran. They shared a link of 10 Mbit/s, and each took longer the more there were. Class: retries that feed the congestion that makes them fail.

Change: PeerDocumentFetch runs one fetch of a document at a time. Daemons that tell of a newer version meanwhile are remembered, the newest is fetched next, and after a failure another holder is asked at once, without waiting for it to tell its version again.

--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -4,6 +4,7 @@
 import type { FetchPeerDocument, HeldVersions, PeerDocument, PeerDocumentTexts, RelayMessage } from '@lovagehoist/peers'
 import type { TargetRegistry } from '@lovagehoist/targets'
 import type { DocumentFetchMetrics } from './documentFetchMetrics.js'
+import { PeerDocumentFetch } from './peerDocumentFetch.js'
 import { decodePeerListing } from './peerListing.js'
 import type { PeerListing } from './peerListing.js'
 
@@ -25,17 +26,21 @@
 
 /** Time for which the configuration must be behind before a daemon that watches it fetches it from another zone; usually its watch delivers it earlier. */
 const OTHER_ZONE_FETCH_DELAY_MS = 300
-/** Minimum time between two fetches of the same document. */
-const MIN_FETCH_INTERVAL_MS = 300
 /** Age of the own listing, or configuration, from which it is fetched from another zone; traffic between zones is expensive, and the relays here usually read the store. */
 const OTHER_ZONE_FETCH_AGE_MS = 1_000
 
 /** Compares the versions of configuration and target listing with those of peers and fetches newer documents from them. */
 export class PeerDocumentSync {
   private configBehindSinceMs: number | undefined
-  private readonly lastFetchAtMs = new Map<PeerDocument, number>()
 
-  private constructor (private readonly options: PeerDocumentSyncOptions) {}
+  private readonly fetches: Readonly<Record<PeerDocument, PeerDocumentFetch>>
+
+  private constructor (private readonly options: PeerDocumentSyncOptions) {
+    this.fetches = {
+      configuration: this.createFetch('configuration', () => options.config.version),
+      targets: this.createFetch('targets', () => options.targetRegistry.current?.storeVersion ?? -1)
+    }
+  }
 
   /**
    * Creates a synchronisation with peers.
@@ -76,7 +81,7 @@
     const mayFetchListing = this.mayFetchFrom(from, targetRegistry.confirmedAtMs)
     if (peerVersions.listingDigest !== '' && peerVersions.listingDigest === targetRegistry.digest) {
       if (this.mayConfirm(message)) targetRegistry.confirm(clock.monotonicMs() - peerVersions.listingAgeMs)
-    } else if (mayFetchListing && peerVersions.listingVersion > (targetRegistry.current?.storeVersion ?? -1)) this.fetch('targets', from)
+    } else if (mayFetchListing && peerVersions.listingVersion > (targetRegistry.current?.storeVersion ?? -1)) this.fetches.targets.request(from, peerVersions.listingVersion)
     this.compareConfigVersions(peerVersions, from, message)
   }
 
@@ -110,23 +115,7 @@
     if (!this.mayFetchFrom(from, config.confirmedAtMs)) return
     const isWatching = this.ageOf(this.ownConfigAtMs()) < OTHER_ZONE_FETCH_AGE_MS
     const delayMs = isWatching && from.availabilityZone !== this.options.settings.availabilityZone ? OTHER_ZONE_FETCH_DELAY_MS : 0
-    if (nowMs - this.configBehindSinceMs >= delayMs) this.fetch('configuration', from)
-  }
-
-  private fetch (name: PeerDocument, from: InstanceRecord): void {
-    const { clock, settings, log, fetchDocument, config, metrics } = this.options
-    const nowMs = clock.monotonicMs()
-    if (nowMs - (this.lastFetchAtMs.get(name) ?? -Infinity) < MIN_FETCH_INTERVAL_MS) return
-    this.lastFetchAtMs.set(name, nowMs)
-    fetchDocument(clock, { host: from.host, port: settings.peers.port }, name).then(result => {
-      const durationMs = clock.monotonicMs() - nowMs
-      const fields = { document: name, peer: from.instanceId, durationMs: Math.round(durationMs), versionInForce: config.version }
-      metrics.observeFetch({ document: name, result: result.isOk() ? 'fetched' : 'failed', durationMs, length: result.unwrapOr('').length })
-      result.match(text => {
-        if (name === 'configuration') log.info('configuration fetched from a peer', { ...fields, length: text.length })
-        this.applyDocument(name, text, nowMs)
-      }, reason => { log.warn('fetching a document from a peer failed', { ...fields, reason }) })
-    }).catch((error: unknown) => { log.error('applying a document of a peer failed', { document: name, peer: from.instanceId, error: String(error) }) })
+    if (nowMs - this.configBehindSinceMs >= delayMs) this.fetches.configuration.request(from, peerVersions.configVersion)
   }
 
   private readonly appliers: Readonly<Record<PeerDocument, (text: string, requestedAtMs: number) => void>> = {
@@ -138,8 +127,9 @@
     }
   }
 
-  private applyDocument (name: PeerDocument, text: string, requestedAtMs: number): void {
-    this.appliers[name](text, requestedAtMs)
+  private createFetch (document: PeerDocument, heldVersion: () => number): PeerDocumentFetch {
+    const { settings, clock, log, fetchDocument, metrics } = this.options
+    return PeerDocumentFetch.create({ document, clock, log, metrics, port: settings.peers.port, fetchDocument, heldVersion, apply: this.appliers[document] })
   }
 
   private ageOf (atMs: number): number {
