Do not take an open watch of the configuration for a confirmation

What callers saw: an old configuration in use after a newer one was acknowledged, at daemons whose own links and machines were calm.

Cause: the reader of the fleet vouched for its configuration while its watch was open and reads of the listing succeeded, but those use another connection. A lost answer leaves a watch open for up to 12 s; the second watch was tested by nothing, and all other daemons rely on what the reader says. A peer that held an older version confirmed the newer one held here as well. Class: a confirmation inferred from something else than what it confirms.

Change: only answers of the store confirm: a read dates back to its start, a watch without changes to the end of its wait. With each own read of the listing, a daemon with an open watch asks for the changes since the version that the watch continues from (wait of 1 ms); what that finds is applied, and the watch is opened anew. Other zones are told of such a check as of a read of the listing. A peer's age confirms only the version that the peer holds.

Four tests of the follower, one of the sync.

Tests replaced: the calls of a fleet were bounded in total by what was measured (75 and 95); the checks are counted apart now, at most one for each read of the listing, and all other calls keep their bounds. "does not pass an open watch ..." of peerDocumentSync.spec had a fake follower whose age was always 0; that an open watch confirms nothing is now tested on the follower itself, and the sync with an age that stands still.

--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -265,7 +265,7 @@
   const poisonDetector = PoisonRequestDetector.create(clock)
   const { relay, allowances }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
-  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(maxListingAgeMs), clock, random, log: log.child('targets'), onStoreRecovered: config.restart })
+  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(maxListingAgeMs), clock, random, log: log.child('targets'), onReadStarted: config.check, onStoreRecovered: config.restart })
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
   const { peerSender, forwarder } = createForwarder(dependencies, relay)
--- a/packages/daemon/src/gateway/peerDocumentSync.spec.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.spec.ts
@@ -32,10 +32,9 @@
     const config = {
       get version () { return configVersion },
       applySnapshot: ({ storeVersion }: ConfigSnapshot) => { configVersion = storeVersion },
-      lastResponseAtMs: -Infinity,
-      get ownConfirmedAtMs () { return clock.monotonicMs() },
-      get confirmedByOthersAtMs () { return confirmedAtMs },
-      get confirmedAtMs () { return clock.monotonicMs() },
+      isWatching: true,
+      ownConfirmedAtMs: clock.monotonicMs(),
+      get confirmedAtMs () { return Math.max(config.ownConfirmedAtMs, confirmedAtMs) },
       confirm: (atMs: number) => { confirmedAtMs = Math.max(confirmedAtMs, atMs) }
     } as unknown as GatewayConfigFollower
     const settings = { availabilityZone: 'a', peers: { host: '127.0.0.1', port: 1 } } as unknown as GatewaySettings
@@ -44,7 +43,7 @@
 
   const versions = (change: Partial<HeldVersions> = {}): HeldVersions => ({ configVersion: 2, listingDigest: registry.digest, listingVersion: 1, listingAgeMs: 100, configAgeMs: 100, ...change })
 
-  it('does not pass an open watch for a confirmation once the own reads of the store fail, although other zones confirm the listing', () => {
+  it('does not vouch for the configuration with what others confirm of the listing', () => {
     expect(sync.heldVersions('known').configAgeMs).to.equal(0)
     clock.jumpMs(4_000)
     registry.confirm(clock.monotonicMs() - 100)
@@ -52,6 +51,12 @@
     expect(sync.heldVersions('own').configAgeMs).to.equal(4_000)
   })
 
+  it('does not take the age of an older configuration for that of the newer one held here', () => {
+    clock.jumpMs(4_000)
+    sync.handlePeerVersions(versions({ configVersion: 1 }), other, 'zone')
+    expect(sync.heldVersions('known').configAgeMs).to.equal(4_000)
+  })
+
   it('takes over what other zones confirm while its own reads fail', () => {
     clock.jumpMs(4_000)
     sync.handlePeerVersions(versions(), other, 'zone')
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -56,7 +56,7 @@
   readonly heldVersions = (ages: 'own' | 'known'): HeldVersions => {
     const { config, targetRegistry, listingReadAtMs } = this.options
     const listingAtMs = ages === 'own' ? listingReadAtMs() : targetRegistry.confirmedAtMs
-    const configAtMs = ages === 'own' ? this.ownConfigAtMs() : Math.max(this.ownConfigAtMs(), config.confirmedByOthersAtMs)
+    const configAtMs = ages === 'own' ? config.ownConfirmedAtMs : config.confirmedAtMs
     return {
       configVersion: config.version,
       listingDigest: targetRegistry.digest,
@@ -97,24 +97,18 @@
     return message === 'view' && this.options.relayRank() !== 0
   }
 
-  /** Monotonic time at which this daemon itself last found that the store held no newer configuration; an open watch counts only up to the last own read of the listing, since its connection may be dead. */
-  private ownConfigAtMs (): number {
-    const { config, listingReadAtMs } = this.options
-    return Math.max(config.lastResponseAtMs, Math.min(listingReadAtMs(), config.ownConfirmedAtMs))
-  }
-
   private compareConfigVersions (peerVersions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']): void {
     const { config, clock } = this.options
     const nowMs = clock.monotonicMs()
     if (peerVersions.configVersion <= config.version) {
       this.configBehindSinceMs = undefined
-      if (config.version > 0 && this.mayConfirm(message)) config.confirm(nowMs - peerVersions.configAgeMs, from.instanceId)
+      // A daemon that vouches for an older version knows less than this one.
+      if (config.version > 0 && peerVersions.configVersion === config.version && this.mayConfirm(message)) config.confirm(nowMs - peerVersions.configAgeMs, from.instanceId)
       return
     }
     this.configBehindSinceMs ??= nowMs
     if (!this.mayFetchFrom(from, config.confirmedAtMs)) return
-    const isWatching = this.ageOf(this.ownConfigAtMs()) < OTHER_ZONE_FETCH_AGE_MS
-    const delayMs = isWatching && from.availabilityZone !== this.options.settings.availabilityZone ? OTHER_ZONE_FETCH_DELAY_MS : 0
+    const delayMs = config.isWatching && from.availabilityZone !== this.options.settings.availabilityZone ? OTHER_ZONE_FETCH_DELAY_MS : 0
     if (nowMs - this.configBehindSinceMs >= delayMs) this.fetches.configuration.request(from, peerVersions.configVersion)
   }
 
--- a/packages/daemon/src/gateway/storeCalls.load.spec.ts
+++ b/packages/daemon/src/gateway/storeCalls.load.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { StoreCallsSimulation } from '../testing/storeCallsSimulation.js'
-import type { SimulatedMachine, StoreCallsOptions } from '../testing/storeCallsSimulation.js'
+import type { SimulatedMachine, StoreCallsOptions, StoreCallsResult } from '../testing/storeCallsSimulation.js'
 
 const CHANGES: StoreCallsOptions = { seed: 1, daemons: [6, 6, 6], targets: 33, seconds: 30, lossShare: 0.005, configAtMs: [7_130, 16_130, 25_130], drainAtMs: [5_130, 12_130, 15_130, 18_130, 26_130], newTargetAtMs: [6_130, 14_130, 27_130] }
 const MAX_DRAIN_MS = 2_000
@@ -9,9 +9,17 @@
 const MAX_START_MS = 1_000
 /** Time between two reads of the listing: the lost relay read up to then. */
 const MAX_TAKEOVER_MS = 1_050
-/** Calls of 18 daemons within 30 s, a little above those measured. */
+/** Calls of 18 daemons within 30 s, checks of the configuration watch aside, a little above those measured. */
 const MAX_CALLS = { quiet: 75, restart: 95 } as const
 
+const countOf = ({ calls }: StoreCallsResult, kind: string): number => [...calls].reduce((sum, [cause, count]) => cause.includes(kind) ? sum + count : sum, 0)
+
+const expectFewCalls = (result: StoreCallsResult, maxCalls: number): void => {
+  const checks = countOf(result, 'configuration check')
+  expect(result.total - checks).to.be.at.most(maxCalls)
+  expect(checks).to.be.at.most(countOf(result, 'listing'))
+}
+
 /** Guards against daemons that learn too late of what the store accepted, because others read it for them. */
 describe('calls of a fleet to the store (fleet in virtual time)', function () {
   this.timeout(60_000)
@@ -59,11 +67,11 @@
   })
 
   it('are few, since one relay reads for the fleet', async () => {
-    expect((await StoreCallsSimulation.run(CHANGES)).total).to.be.at.most(MAX_CALLS.quiet)
+    expectFewCalls(await StoreCallsSimulation.run(CHANGES), MAX_CALLS.quiet)
   })
 
   it('are few when all daemons are restarted at once, since others tell them', async () => {
-    expect((await StoreCallsSimulation.run({ ...CHANGES, ...LOADS['all daemons are restarted at once'] })).total).to.be.at.most(MAX_CALLS.restart)
+    expectFewCalls(await StoreCallsSimulation.run({ ...CHANGES, ...LOADS['all daemons are restarted at once'] }), MAX_CALLS.restart)
   })
 
   it('go on within a second when the relay that reads for all is lost, even with both relays of its zone', async () => {
--- a/packages/daemon/src/testing/simulatedStore.ts
+++ b/packages/daemon/src/testing/simulatedStore.ts
@@ -5,7 +5,7 @@
 export type SimulatedStoreFault = 'none' | 'refused' | 'reset' | 'silent'
 
 /** What a call to the store asks for. */
-export type SimulatedStoreCallKind = 'listing' | 'configuration' | 'configuration watch' | 'instances' | 'registration'
+export type SimulatedStoreCallKind = 'listing' | 'configuration' | 'configuration watch' | 'configuration check' | 'instances' | 'registration'
 
 /** A call that arrived at the store, or was turned away by it; each is billed. */
 export interface SimulatedStoreCall {
@@ -25,6 +25,8 @@
 /** Timeouts of the store's client. */
 const CALL_TIMEOUT_MS = 1_200
 const WATCH_TIMEOUT_MARGIN_MS = 2_000
+/** Watches that wait no longer than this check another one. */
+const MAX_CHECK_WAIT_MS = 10
 /** Rows of targets are written again all the time, since they expire otherwise. */
 const VERSIONS_PER_MS = 0.02
 
@@ -115,8 +117,9 @@
 
   private async watch (instanceId: string, afterStoreVersion: number, waitMs: number, signal: AbortSignal): PlatformResult<ConfigWatchResult> {
     const fault = this.faultOf(instanceId)
-    if (fault === 'refused' || fault === 'reset') return await this.call<ConfigWatchResult>('configuration watch', instanceId, () => ({ type: 'history-lost' }))
-    const call = this.record('configuration watch', instanceId)
+    const kind = waitMs <= MAX_CHECK_WAIT_MS ? 'configuration check' : 'configuration watch'
+    if (fault === 'refused' || fault === 'reset') return await this.call<ConfigWatchResult>(kind, instanceId, () => ({ type: 'history-lost' }))
+    const call = this.record(kind, instanceId)
     const isChanged = fault === 'none' && this.configStoreVersion > afterStoreVersion
     const result = isChanged ? 'changed' : await this.waitForChange(instanceId, waitMs, signal)
     if (result === 'changed') {
--- a/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.spec.ts
@@ -95,4 +95,39 @@
     expect(follower.version).to.equal(4)
     expect(follower.refusedCount).to.equal(1)
   })
+
+  describe('with a watch whose connection has died unnoticed', () => {
+    beforeEach(async () => {
+      reads = [async () => ok(snapshot(1, 10))]
+      watches = [async () => await new Promise<never>(() => {})]
+      await run(100)
+    })
+
+    it('does not take the open watch for a confirmation', async () => {
+      await clock.advanceMs(4_000)
+      expect(follower.isWatching).to.equal(true)
+      expect(follower.ownConfirmedAtMs).to.equal(0)
+    })
+
+    it('confirms nothing by a check that gets no response', async () => {
+      follower.check()
+      await clock.advanceMs(4_000)
+      expect(follower.ownConfirmedAtMs).to.equal(0)
+    })
+
+    it('is confirmed by a check that finds nothing newer', async () => {
+      await clock.advanceMs(900)
+      watches = [async () => ok({ type: 'unchanged', storeVersion: 11 })]
+      follower.check()
+      await clock.advanceMs(100)
+      expect(follower.ownConfirmedAtMs).to.equal(1_000)
+    })
+
+    it('applies a change that a check finds', async () => {
+      watches = [async () => ok({ type: 'reading', snapshot: snapshot(2, 12) })]
+      follower.check()
+      await clock.advanceMs(100)
+      expect(applied).to.deep.equal([1, 2])
+    })
+  })
 })
--- a/packages/operators/src/gateway/gatewayConfigFollower.ts
+++ b/packages/operators/src/gateway/gatewayConfigFollower.ts
@@ -1,5 +1,5 @@
 import { backoffMs } from '@lovagehoist/common'
-import type { Clock, ConfigSnapshot, GatewayConfig, GatewayStore, Log, LogFields, PlatformError, Random, ReadTurn } from '@lovagehoist/common'
+import type { Clock, ConfigSnapshot, ConfigWatchResult, GatewayConfig, GatewayStore, Log, LogFields, PlatformError, Random, ReadTurn } from '@lovagehoist/common'
 
 /** Store, clock and callback of the follower. */
 export interface GatewayConfigFollowerOptions {
@@ -15,8 +15,11 @@
   readonly onConfig: (config: GatewayConfig) => void
 }
 
-/** Longest wait of one watch; also bounds how long a dead connection goes unnoticed when no call to `restart` ends it earlier. */
+/** Longest wait of one watch. */
 const WATCH_TIMEOUT_MS = 10_000
+/** Wait and time limit of a check, which asks for changes that an open watch should have delivered. */
+const CHECK_WAIT_MS = 1
+const CHECK_TIMEOUT_MS = 600
 /** Pause between two watches, so that changes in quick succession arrive together. */
 const MIN_WATCH_INTERVAL_MS = 250
 /** Time for which a read is recent enough for a watch to continue from it. */
@@ -35,10 +38,12 @@
   private watchAbort = new AbortController()
   private failures = 0
   private refusals = 0
-  private isWatching = false
+  private hasOpenWatch = false
+  private isChecking = false
   private readAtMs = -Infinity
+  private provenAtMs = -Infinity
   private othersConfirmedAtMs = -Infinity
-  private confirmedBy: 'nobody' | 'store' | 'watch' | 'peer' = 'nobody'
+  private confirmedBy: 'nobody' | 'store' | 'peer' = 'nobody'
 
   private constructor (private readonly options: GatewayConfigFollowerOptions) {}
 
@@ -60,14 +65,14 @@
     return this.config?.version ?? 0
   }
 
-  /** Monotonic time of the last response of the store; -Infinity if there was none. */
-  get lastResponseAtMs (): number {
-    return this.readAtMs
+  /** Whether a watch is open, which delivers changes unless its connection has died. */
+  get isWatching (): boolean {
+    return this.hasOpenWatch && this.failures === 0
   }
 
-  /** Monotonic time at which this daemon last found nothing newer in the store: now while a watch is open; -Infinity if never. */
+  /** Monotonic time at which a response of the store last proved that it held nothing newer; -Infinity if none did. */
   get ownConfirmedAtMs (): number {
-    return this.isWatching && this.failures === 0 ? this.options.clock.monotonicMs() : this.readAtMs
+    return this.provenAtMs
   }
 
   /** Monotonic time at which another daemon last did. */
@@ -120,9 +125,20 @@
   /** Aborts the watch, which may hang on a connection from before an outage, and reads the configuration again. */
   readonly restart = (): void => {
     this.options.log.info('restarting the configuration watch', { versionInForce: this.version })
+    this.storeVersion = undefined
     this.watchAbort.abort()
   }
 
+  /** Asks the store for changes that the open watch has not delivered: its connection may have died unnoticed. Does nothing without an open watch. */
+  readonly check = (): void => {
+    const { storeVersion } = this
+    if (!this.isWatching || this.isChecking || storeVersion === undefined) return
+    this.isChecking = true
+    this.checkAfter(storeVersion)
+      .catch((error: unknown) => { this.options.log.error('checking the configuration watch failed', { error: String(error) }) })
+      .finally(() => { this.isChecking = false })
+  }
+
   /**
    * Reads and watches the store until stopped.
    *
@@ -148,40 +164,76 @@
   }
 
   private async read (): Promise<number> {
+    const startedAtMs = this.options.clock.monotonicMs()
     const read = await this.options.store.readConfig()
     if (read.isErr()) return this.onStoreFailure(read.error)
     this.onStoreRecovered()
+    this.recordProof(startedAtMs)
     this.storeVersion = read.value.storeVersion
     this.applySnapshot(read.value, 'store')
     return 0
   }
 
   private async watch (afterVersion: number): Promise<number> {
+    const { store, clock } = this.options
     this.watchAbort = new AbortController()
     const { signal } = this.watchAbort
-    this.isWatching = true
-    this.recordConfirmation('watch')
-    const watched = await this.options.store.watchConfig(afterVersion, WATCH_TIMEOUT_MS, signal)
-    this.isWatching = false
-    if (signal.aborted) {
-      this.storeVersion = undefined
-      return 0
-    }
+    const startedAtMs = clock.monotonicMs()
+    this.hasOpenWatch = true
+    const watched = await store.watchConfig(afterVersion, WATCH_TIMEOUT_MS, signal)
+    this.hasOpenWatch = false
+    if (signal.aborted) return 0
     if (watched.isErr()) {
       // A read finds changes made during the failure, even if the store's history was lost.
       this.storeVersion = undefined
       return this.onStoreFailure(watched.error)
     }
     this.onStoreRecovered()
-    const result = watched.value
+    if (watched.value.type !== 'history-lost') this.recordProof(this.provenByWatch(watched.value, startedAtMs))
+    return this.applyWatchResult(watched.value) ? MIN_WATCH_INTERVAL_MS : 0
+  }
+
+  /** The store answers a watch without changes at the end of its wait, and any other one at a time that is not known. */
+  private provenByWatch ({ type }: ConfigWatchResult, startedAtMs: number): number {
+    const waitedUntilMs = startedAtMs + WATCH_TIMEOUT_MS
+    return type === 'unchanged' && this.options.clock.monotonicMs() >= waitedUntilMs ? waitedUntilMs : startedAtMs
+  }
+
+  /** Applies what a watch or a check found; returns false if the configuration has to be read, since the store's history is gone. */
+  private applyWatchResult (result: ConfigWatchResult): boolean {
     if (result.type === 'history-lost') {
       this.options.log.info('history of the store lost; reading the configuration again')
       this.storeVersion = undefined
-      return 0
+      return false
     }
     this.storeVersion = result.type === 'reading' ? result.snapshot.storeVersion : result.storeVersion
     if (result.type === 'reading') this.applySnapshot(result.snapshot, 'store')
-    return MIN_WATCH_INTERVAL_MS
+    return true
+  }
+
+  private async checkAfter (afterVersion: number): Promise<void> {
+    const { store, clock, log } = this.options
+    const timeout = new AbortController()
+    const cancelTimeout = clock.after(CHECK_TIMEOUT_MS, () => { timeout.abort() })
+    const startedAtMs = clock.monotonicMs()
+    const checked = await store.watchConfig(afterVersion, CHECK_WAIT_MS, timeout.signal)
+    cancelTimeout()
+    if (checked.isErr()) {
+      log.debug('no response to a check of the configuration watch', { detail: checked.error.message, versionInForce: this.version })
+      return
+    }
+    const hasWatchProgressed = this.storeVersion !== afterVersion
+    if (hasWatchProgressed) return
+    if (checked.value.type !== 'history-lost') this.recordProof(startedAtMs)
+    if (checked.value.type === 'unchanged') return
+    log.info('change found that the open watch has not delivered; watching again', { versionInForce: this.version, found: checked.value.type })
+    this.applyWatchResult(checked.value)
+    this.watchAbort.abort()
+  }
+
+  private recordProof (atMs: number): void {
+    this.provenAtMs = Math.max(this.provenAtMs, atMs)
+    this.recordConfirmation('store')
   }
 
   /** Logs each change of what confirms that the configuration in force is the newest. */
@@ -200,6 +252,5 @@
     if (this.failures > 0) this.options.log.info('store regained for the configuration', { failures: this.failures })
     this.failures = 0
     this.readAtMs = this.options.clock.monotonicMs()
-    this.recordConfirmation('store')
   }
 }
--- a/packages/peers/src/relay/zoneTotalsSender.ts
+++ b/packages/peers/src/relay/zoneTotalsSender.ts
@@ -22,7 +22,7 @@
   private lastFullAtMs = -Infinity
   private fullCount = 0
   private sentVersions: HeldVersions | undefined
-  private sentReadAtMs = -Infinity
+  private sentReadsAtMs: readonly number[] = []
 
   private constructor (private readonly options: RelayNodeOptions, private readonly peers: PeerTable, private readonly news: NewsBoard) {}
 
@@ -49,8 +49,8 @@
     const otherZones = this.peers.zones().filter(zone => zone !== this.options.self.availabilityZone)
     const isDue = nowMs - this.lastRegularAtMs >= INTERVAL_MS
     const heldVersions = this.options.heldVersions('own')
-    const readAtMs = nowMs - heldVersions.listingAgeMs
-    const hasRead = heldVersions.listingAgeMs < INTERVAL_MS && readAtMs > this.sentReadAtMs + ROUNDING_MS
+    const readsAtMs = [heldVersions.listingAgeMs, heldVersions.configAgeMs].map(ageMs => nowMs - ageMs)
+    const hasRead = readsAtMs.some((atMs, index) => nowMs - atMs < INTERVAL_MS && atMs > (this.sentReadsAtMs[index] ?? -Infinity) + ROUNDING_MS)
     if (!isUrgent && !isDue && !hasRead) return false
     if (!isDue && nowMs - this.lastUrgentAtMs < otherZones.length * URGENT_INTERVAL_PER_ZONE_MS) return true
     const isFull = isDue && nowMs - this.lastFullAtMs >= FULL_INTERVAL_MS
@@ -62,7 +62,7 @@
     if (isEmpty && !hasNewVersions && nowMs - this.lastSentAtMs < INTERVAL_MS) return false
     this.lastSentAtMs = nowMs
     this.sentVersions = heldVersions
-    this.sentReadAtMs = readAtMs
+    this.sentReadsAtMs = readsAtMs
     if (!isDue) this.lastUrgentAtMs = nowMs
     if (isDue && !isEmpty) this.lastRegularAtMs = nowMs
     if (isFull) this.lastFullAtMs = nowMs
--- a/packages/targets/src/registry/listingPoller.ts
+++ b/packages/targets/src/registry/listingPoller.ts
@@ -11,6 +11,8 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
+  /** Called with the start of each read. */
+  readonly onReadStarted?: () => void
   /** Called when the store responds again after failures. */
   readonly onStoreRecovered?: () => void
 }
@@ -70,13 +72,14 @@
 
   private isDue (): boolean {
     const { clock, registry, readTurn } = this.options
-    // The reader of the fleet reads whatever others confirm: its reads also show whether its watch of the configuration can still be trusted.
+    // The reader of the fleet reads whatever others confirm: with each read it also checks its watch of the configuration.
     return clock.monotonicMs() >= this.retryAtMs && readTurn.isDue(readTurn.order === 0 ? this.readAtMs : registry.confirmedAtMs)
   }
 
   private async readListing (): Promise<void> {
     const { clock, registry, store, log } = this.options
     const startedAtMs = clock.monotonicMs()
+    this.options.onReadStarted?.()
     const read = await store.readTargets()
     if (read.isErr()) {
       this.handleFailure(read.error)
