Reject header fields with a space before the colon whatever Node's parser does

What callers saw: with the Node.js of this machine (20.19.0, parser 8.1.2) a field "A : b" was passed on to targets under the name "A ", which a target may read as another field. Framing fields in this form are rejected by the parser itself.

Cause: the check was left to the parser, whose versions differ.

--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -6,7 +6,7 @@
 import { waitUntilListening } from '@lovagehoist/common'
 import type { Clock, Log, Settings } from '@lovagehoist/common'
 import { ANNOUNCED_IDLE_MS, CallerConnection, IDLE_MARGIN_MS } from './callerConnection.js'
-import { rejectUnsupported } from './rejectUnsupported.js'
+import { rejectMalformedFields, rejectUnsupported } from './rejectUnsupported.js'
 
 /** Place of a request on its connection. */
 export interface CallerExchange {
@@ -137,7 +137,7 @@
 
   private async handle (connection: CallerConnection, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const receivedAtMs = this.options.clock.monotonicMs()
-    if (!await connection.untilServable(response)) return
+    if (!await connection.untilServable(response) || rejectMalformedFields(request, response)) return
     await this.options.handler(request, response, { receivedAtMs, untilFirst: async () => await connection.untilFirst(response) })
   }
 }
--- a/packages/callers/src/server/rejectUnsupported.ts
+++ b/packages/callers/src/server/rejectUnsupported.ts
@@ -20,6 +20,20 @@
   ERR_HTTP_REQUEST_TIMEOUT: { kind: 'request-too-slow', verdict: 'not-run', detail: 'the request did not arrive in time' }
 }
 
+/**
+ * Responds with a problem to a request with a header field that Node's parser lets pass, depending on its version, with a space before the colon; closes the connection.
+ *
+ * @param request - Request of the caller, in its turn on the connection.
+ * @param response - Response to it.
+ * @returns Whether the request was rejected.
+ */
+export const rejectMalformedFields = ({ rawHeaders }: IncomingMessage, response: ServerResponse): boolean => {
+  if (!rawHeaders.some((name, index) => index % 2 === 0 && name.endsWith(' '))) return false
+  response.shouldKeepAlive = false
+  sendProblem(response, MALFORMED)
+  return true
+}
+
 const endWithProblem = (socket: Duplex, problem: Problem): void => {
   const body = problemBody(problem)
   const { status, reason } = statusOf(problem)
