Read the store when a newer version that others announced does not arrive

The same holds for the listing, whose draining targets get requests on.

Cause: the way out, a read of the store, starts from the age of what is known: 1.6 s plus up to 0.25 s for each daemon of the zone, since a daemon that hears its relays expects them to deliver. A relay that is heard, but from which nothing can be fetched, leaves all of them behind; so do relays of a parted zone that the store refuses.

Change: a daemon that was told of a newer version, and does not hold it 0.7 to 1 s later, reads the store, once for that version.

--- a/packages/common/src/fleet/readTurn.spec.ts
+++ b/packages/common/src/fleet/readTurn.spec.ts
@@ -9,8 +9,8 @@
 const TURN_MS = 500
 
 describe('ReadTurn', () => {
-  const create = (clock: ManualClock, relayRank: number, random = SeededRandom.create(1), { isAwaitingPeers = false, isHearingRelay = false, zone = 'a' } = {}): ReadTurn =>
-    ReadTurn.create({ clock, random, maxAgeMs: maxListingAgeMs, relayRank: () => relayRank, zones: () => ['c', 'a', 'b'], zone, isAwaitingPeers: () => isAwaitingPeers, isHearingRelay: () => isHearingRelay, zoneSize: () => DAEMONS })
+  const create = (clock: ManualClock, relayRank: number, random = SeededRandom.create(1), { isOverdue = false, isAwaitingPeers = false, isHearingRelay = false, zone = 'a' } = {}): ReadTurn =>
+    ReadTurn.create({ clock, random, maxAgeMs: maxListingAgeMs, relayRank: () => relayRank, zones: () => ['c', 'a', 'b'], zone, isOverdue: () => isOverdue, isAwaitingPeers: () => isAwaitingPeers, isHearingRelay: () => isHearingRelay, zoneSize: () => DAEMONS })
 
   it('lets all daemons of a zone read within a moment when they hear nothing from its relays, but not at once', async () => {
     const clock = ManualClock.create()
--- a/packages/common/src/fleet/readTurn.ts
+++ b/packages/common/src/fleet/readTurn.ts
@@ -16,6 +16,8 @@
   readonly zones: () => readonly string[]
   /** The own one. */
   readonly zone: string
+  /** Whether others hold something newer that did not arrive from them in time. */
+  readonly isOverdue: () => boolean
   /** Whether a daemon that has just started should wait for other daemons to answer before it reads the store. */
   readonly isAwaitingPeers: () => boolean
   /** Whether a relay of the zone has been heard from recently. */
@@ -92,6 +94,7 @@
     const { clock, random, maxAgeMs, isAwaitingPeers } = this.options
     const nowMs = clock.monotonicMs()
     if (isAwaitingPeers()) return false
+    if (this.options.isOverdue()) return true
     const { order } = this
     if (nowMs - confirmedAtMs < maxAgeMs(order)) {
       this.hasBeenFresh = true
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -4,7 +4,7 @@
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
 import { GatewayConfigFollower } from '@lovagehoist/operators'
 import { RelayNode, createPeerDocumentHandler, fetchPeerDocument, relayFitnessOf } from '@lovagehoist/peers'
-import type { Datagrams, FetchPeerDocument, PeerDocumentTexts } from '@lovagehoist/peers'
+import type { Datagrams, FetchPeerDocument, PeerDocument, PeerDocumentTexts } from '@lovagehoist/peers'
 import { ConnectionSender, CrashConfirmer, FleetLimits, FleetStatsAggregator, LeavingTargets, ListingPoller, PathMonitor, TargetStatsTracker, LowestCostSelector, TargetRegistry, TargetRests } from '@lovagehoist/targets'
 import type { OpenSocket } from '@lovagehoist/targets'
 import type { Registry } from 'prom-client'
@@ -220,12 +220,12 @@
 }
 
 /** Creates the turns in which this daemon reads the store. */
-const createReaders = (dependencies: GatewayDependencies, relay: () => RelayNode) => {
+const createReaders = (dependencies: GatewayDependencies, relay: () => RelayNode, documentSync: () => PeerDocumentSync) => {
   const { clock, random, settings } = dependencies
   const startedAtMs = clock.monotonicMs()
   const isAwaitingPeers = (): boolean => relay().peers.size === 1 && clock.monotonicMs() - startedAtMs < peerAnswerMs(dependencies)
-  const createTurn = (maxAgeMs: ReadTurnOptions['maxAgeMs']): ReadTurn =>
-    ReadTurn.create({ clock, random, maxAgeMs, relayRank: () => relay().relayRank, zones: () => [...settings.availabilityZones, ...relay().peers.zones()], zone: settings.availabilityZone, isAwaitingPeers, isHearingRelay: () => relay().viewAgeMs < RELAY_SILENCE_MS, zoneSize: () => relay().peers.zoneSize })
+  const createTurn = (document: PeerDocument, maxAgeMs: ReadTurnOptions['maxAgeMs']): ReadTurn =>
+    ReadTurn.create({ clock, random, maxAgeMs, isOverdue: () => documentSync().isOverdue(document), relayRank: () => relay().relayRank, zones: () => [...settings.availabilityZones, ...relay().peers.zones()], zone: settings.availabilityZone, isAwaitingPeers, isHearingRelay: () => relay().viewAgeMs < RELAY_SILENCE_MS, zoneSize: () => relay().peers.zoneSize })
   return { isAwaitingPeers, createTurn }
 }
 
@@ -236,8 +236,8 @@
 }
 
 const createDocumentSync = (dependencies: GatewayDependencies, config: GatewayConfigFollower, targetRegistry: TargetRegistry, registry: Registry, listingReadAtMs: () => number, relayRank: () => number): PeerDocumentSync => {
-  const { settings, clock, log, store, fetchDocument = fetchPeerDocument } = dependencies
-  return PeerDocumentSync.create({ settings, clock, log: log.child('peers'), fetchDocument, metrics: createDocumentFetchMetrics(registry), store, config, targetRegistry, listingReadAtMs, relayRank })
+  const { settings, clock, random, log, store, fetchDocument = fetchPeerDocument } = dependencies
+  return PeerDocumentSync.create({ settings, clock, random, log: log.child('peers'), fetchDocument, metrics: createDocumentFetchMetrics(registry), store, config, targetRegistry, listingReadAtMs, relayRank })
 }
 
 const createConfigFollower = ({ store, clock, random, log }: GatewayDependencies, readTurn: ReadTurn, isStoreDoubtful: () => boolean, onConfig: (config: GatewayConfig) => void): GatewayConfigFollower =>
@@ -254,8 +254,8 @@
   const registry = createRegistry({ instance: dependencies.settings.instanceId })
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let activeConfig: ActiveConfig | undefined
-  const readers = createReaders(dependencies, () => relay)
-  const config = createConfigFollower(dependencies, readers.createTurn(maxConfigAgeMs), () => listingPoller.isStoreDoubtful, next => {
+  const readers = createReaders(dependencies, () => relay, () => documentSync)
+  const config = createConfigFollower(dependencies, readers.createTurn('configuration', maxConfigAgeMs), () => listingPoller.isStoreDoubtful, next => {
     activeConfig = createActiveConfig(next)
     relay.announceVersions()
   })
@@ -265,7 +265,7 @@
   const poisonDetector = PoisonRequestDetector.create(clock)
   const { relay, allowances }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
-  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn(maxListingAgeMs), clock, random, log: log.child('targets'), onReadStarted: config.check, onStoreRecovered: config.restart })
+  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn('targets', maxListingAgeMs), clock, random, log: log.child('targets'), onReadStarted: config.check, onStoreRecovered: config.restart })
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
   const { peerSender, forwarder } = createForwarder(dependencies, relay)
--- a/packages/daemon/src/gateway/peerDocumentFetch.ts
+++ b/packages/daemon/src/gateway/peerDocumentFetch.ts
@@ -1,4 +1,4 @@
-import type { Clock, InstanceRecord, Log } from '@lovagehoist/common'
+import type { Clock, InstanceRecord, Log, Random } from '@lovagehoist/common'
 import type { FetchPeerDocument, PeerDocument } from '@lovagehoist/peers'
 import type { DocumentFetchMetrics } from './documentFetchMetrics.js'
 
@@ -6,6 +6,7 @@
 export interface PeerDocumentFetchOptions {
   readonly document: PeerDocument
   readonly clock: Clock
+  readonly random: Random
   readonly log: Log
   readonly metrics: DocumentFetchMetrics
   /** Port at which daemons serve documents. */
@@ -23,6 +24,16 @@
   readonly heardAtMs: number
 }
 
+/** The oldest version not held here that another daemon told, and the monotonic time from which it should have arrived. */
+interface AwaitedVersion {
+  readonly version: number
+  readonly toldAtMs: number
+  readonly overdueAtMs: number
+}
+
+/** Time after which a version that others hold should have arrived from them, and its spread over daemons. */
+const OVERDUE_AFTER_MS = 700
+const OVERDUE_SPREAD_MS = 300
 /** Minimum time between the starts of two fetches. */
 const MIN_INTERVAL_MS = 300
 /** Time for which a daemon that told its version is asked for it. */
@@ -31,6 +42,7 @@
 /** Fetches the newest version of a document that other daemons hold, one fetch at a time: several at once would share a slow link, and each would take longer. */
 export class PeerDocumentFetch {
   private readonly holders = new Map<string, Holder>()
+  private awaited: AwaitedVersion | undefined
   private startedAtMs = -Infinity
   private isFetching = false
   private isScheduled = false
@@ -54,11 +66,24 @@
    * @param version - Version that it holds.
    */
   request (peer: InstanceRecord, version: number): void {
+    const { clock, random, heldVersion } = this.options
+    const nowMs = clock.monotonicMs()
+    if (this.awaited === undefined || heldVersion() >= this.awaited.version) this.awaited = { version, toldAtMs: nowMs, overdueAtMs: nowMs + OVERDUE_AFTER_MS + random.next() * OVERDUE_SPREAD_MS }
     this.holders.delete(peer.instanceId)
-    this.holders.set(peer.instanceId, { peer, version, heardAtMs: this.options.clock.monotonicMs() })
+    this.holders.set(peer.instanceId, { peer, version, heardAtMs: nowMs })
     this.startNext()
   }
 
+  /**
+   * Tells whether a version that others hold has not arrived in time, so that this daemon has to read the store; one read since then is enough.
+   *
+   * @param readAtMs - Monotonic time of the last own read of the store.
+   */
+  isOverdue (readAtMs: number): boolean {
+    const { awaited } = this
+    return awaited !== undefined && this.options.heldVersion() < awaited.version && this.options.clock.monotonicMs() >= awaited.overdueAtMs && readAtMs < awaited.toldAtMs
+  }
+
   private startNext (): void {
     const { clock } = this.options
     if (this.isFetching || this.isScheduled) return
--- a/packages/daemon/src/gateway/peerDocumentSync.spec.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.spec.ts
@@ -2,7 +2,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { ManualClock, fakeTarget } from '@lovagehoist/common/testing'
-import { silentLog } from '@lovagehoist/common'
+import { SeededRandom, silentLog } from '@lovagehoist/common'
 import type { ConfigSnapshot, GatewaySettings, InstanceRecord } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
 import type { FetchPeerDocument, HeldVersions } from '@lovagehoist/peers'
@@ -16,6 +16,7 @@
   let clock: ManualClock
   let listingReadAtMs: number
   let confirmedAtMs: number
+  let ownConfirmedAtMs: number
   let registry: TargetRegistry
   let sync: PeerDocumentSync
   let fetchDocument: FetchPeerDocument
@@ -25,6 +26,7 @@
     clock.jumpMs(10_000)
     listingReadAtMs = clock.monotonicMs()
     confirmedAtMs = -Infinity
+    ownConfirmedAtMs = clock.monotonicMs()
     fetchDocument = async () => err('none')
     registry = TargetRegistry.create({ clock, log: silentLog, onForget: () => {} })
     registry.apply({ storeVersion: 1, targets: [{ ...fakeTarget('t-1'), coldForMs: 0 }], skipped: [] }, clock.monotonicMs())
@@ -33,12 +35,12 @@
       get version () { return configVersion },
       applySnapshot: ({ storeVersion }: ConfigSnapshot) => { configVersion = storeVersion },
       isWatching: true,
-      ownConfirmedAtMs: clock.monotonicMs(),
-      get confirmedAtMs () { return Math.max(config.ownConfirmedAtMs, confirmedAtMs) },
+      get ownConfirmedAtMs () { return ownConfirmedAtMs },
+      get confirmedAtMs () { return Math.max(ownConfirmedAtMs, confirmedAtMs) },
       confirm: (atMs: number) => { confirmedAtMs = Math.max(confirmedAtMs, atMs) }
     } as unknown as GatewayConfigFollower
     const settings = { availabilityZone: 'a', peers: { host: '127.0.0.1', port: 1 } } as unknown as GatewaySettings
-    sync = PeerDocumentSync.create({ settings, clock, log: silentLog, fetchDocument: async (...request) => await fetchDocument(...request), metrics: { observeFetch: () => {} }, store: { decodeConfig: text => ({ storeVersion: Number(text), config: undefined, text, error: undefined }) }, config, targetRegistry: registry, listingReadAtMs: () => listingReadAtMs, relayRank: () => 0 })
+    sync = PeerDocumentSync.create({ settings, clock, random: SeededRandom.create(1), log: silentLog, fetchDocument: async (...request) => await fetchDocument(...request), metrics: { observeFetch: () => {} }, store: { decodeConfig: text => ({ storeVersion: Number(text), config: undefined, text, error: undefined }) }, config, targetRegistry: registry, listingReadAtMs: () => listingReadAtMs, relayRank: () => 0 })
   })
 
   const versions = (change: Partial<HeldVersions> = {}): HeldVersions => ({ configVersion: 2, listingDigest: registry.digest, listingVersion: 1, listingAgeMs: 100, configAgeMs: 100, ...change })
@@ -89,6 +91,17 @@
       expect(fetches).to.have.length(1)
     })
 
+    it('asks for a read of the store when the version does not arrive in time, and only for one', async () => {
+      await clock.advanceMs(1)
+      hear(3)
+      await clock.advanceMs(600)
+      expect(sync.isOverdue('configuration')).to.equal(false)
+      await clock.advanceMs(600)
+      expect(sync.isOverdue('configuration')).to.equal(true)
+      ownConfirmedAtMs = clock.monotonicMs()
+      expect(sync.isOverdue('configuration')).to.equal(false)
+    })
+
     it('fetches a version that was announced meanwhile without waiting to hear of it again', async () => {
       hear(3)
       await clock.advanceMs(1_000)
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -1,4 +1,4 @@
-import type { Clock, GatewaySettings, GatewayStore, InstanceRecord, Log } from '@lovagehoist/common'
+import type { Clock, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
 import { UNKNOWN_AGE_MS } from '@lovagehoist/peers'
 import type { FetchPeerDocument, HeldVersions, PeerDocument, PeerDocumentTexts, RelayMessage } from '@lovagehoist/peers'
@@ -12,6 +12,7 @@
 export interface PeerDocumentSyncOptions {
   readonly settings: GatewaySettings
   readonly clock: Clock
+  readonly random: Random
   readonly log: Log
   readonly fetchDocument: FetchPeerDocument
   readonly metrics: DocumentFetchMetrics
@@ -75,6 +76,12 @@
     }
   }
 
+  /** Whether other daemons hold a newer version of a document that did not arrive from them in time. */
+  isOverdue (document: PeerDocument): boolean {
+    const { config, listingReadAtMs } = this.options
+    return this.fetches[document].isOverdue(document === 'configuration' ? config.ownConfirmedAtMs : listingReadAtMs())
+  }
+
   /** Compares the versions that a peer holds with those held here, and fetches what is newer. */
   readonly handlePeerVersions = (peerVersions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']): void => {
     const { targetRegistry, clock } = this.options
@@ -122,8 +129,8 @@
   }
 
   private createFetch (document: PeerDocument, heldVersion: () => number): PeerDocumentFetch {
-    const { settings, clock, log, fetchDocument, metrics } = this.options
-    return PeerDocumentFetch.create({ document, clock, log, metrics, port: settings.peers.port, fetchDocument, heldVersion, apply: this.appliers[document] })
+    const { settings, clock, random, log, fetchDocument, metrics } = this.options
+    return PeerDocumentFetch.create({ document, clock, random, log, metrics, port: settings.peers.port, fetchDocument, heldVersion, apply: this.appliers[document] })
   }
 
   private ageOf (atMs: number): number {
--- a/packages/daemon/src/gateway/storeCalls.load.spec.ts
+++ b/packages/daemon/src/gateway/storeCalls.load.spec.ts
@@ -43,6 +43,28 @@
     })
   }
 
+  it('come soon enough from a parted zone whose relays the store refuses, although these still answer the daemons of their zone', async () => {
+    const isParted = ({ zone }: SimulatedMachine): boolean => zone === 'zone-1'
+    for (const seed of [1, 2]) {
+      const { longestConfigMs } = await StoreCallsSimulation.run({
+        seed,
+        daemons: [23, 23, 23, 22],
+        targets: 33,
+        seconds: 20,
+        lossShare: 0.005,
+        configAtMs: [11_130, 14_130, 17_130],
+        partitions: [{ fromMs: 9_000, toMs: 20_000, includes: isParted }],
+        storeFaults: [{ fault: 'refused', fromMs: 9_000, toMs: 20_000, includes: machine => isParted(machine) && machine.index < 2 }]
+      })
+      expect(longestConfigMs, `seed ${seed}`).to.be.at.most(MAX_CONFIG_MS)
+    }
+  })
+
+  it('come from daemons that know of a newer configuration which they cannot fetch from others', async () => {
+    const { longestConfigMs } = await StoreCallsSimulation.run({ ...CHANGES, daemons: [23], documentFaults: [{ fromMs: 5_000, toMs: 30_000, includes: ({ index }) => index >= 2 }] })
+    expect(longestConfigMs).to.be.at.most(MAX_CONFIG_MS)
+  })
+
   it('do not leave daemons behind when a large configuration changes several times a second, although slow links have to carry it to each of them', async () => {
     const configAtMs = Array.from({ length: 13 }, (_, index) => 9_000 + index * 330)
     const { longestConfigMs } = await StoreCallsSimulation.run({ seed: 1, daemons: [78], targets: 33, seconds: 20, lossShare: 0.005, configAtMs, configBytes: 272_000 })
--- a/packages/daemon/src/testing/storeCallsSimulation.ts
+++ b/packages/daemon/src/testing/storeCallsSimulation.ts
@@ -44,6 +44,8 @@
   readonly outages?: readonly MachinePeriod[]
   /** Machines whose datagrams and documents reach other zones no more. */
   readonly partitions?: readonly MachinePeriod[]
+  /** Machines that can't fetch documents from others, although datagrams pass. */
+  readonly documentFaults?: readonly MachinePeriod[]
   /** Size of the configuration as one daemon sends it to another; it arrives at once by default. */
   readonly configBytes?: number
   /** Hosts that the settings name; two first relays by default. */
@@ -262,7 +264,7 @@
   private fetchFor (from: SimulatedMachine): FetchPeerDocument {
     return async (_clock, { host }, name) => {
       const to = this.processes.get(host)
-      if (to === undefined || !this.isConnected(from, to.machine)) {
+      if (to === undefined || !this.isConnected(from, to.machine) || this.isIn(this.options.documentFaults, from)) {
         await this.clock.sleepMs(FETCH_TIMEOUT_MS)
         return err('no answer')
       }
@@ -278,6 +280,11 @@
     return from.zone === to.zone ? IN_ZONE_DELAY_MS : CROSS_ZONE_DELAY_MS
   }
 
+  private isIn (periods: readonly MachinePeriod[] = [], machine: SimulatedMachine): boolean {
+    const atMs = this.clock.monotonicMs()
+    return periods.some(({ fromMs, toMs, includes }) => atMs >= fromMs && atMs < toMs && includes(machine))
+  }
+
   private isConnected (from: SimulatedMachine, to: SimulatedMachine): boolean {
     const atMs = this.clock.monotonicMs()
     return from.zone === to.zone || !(this.options.partitions ?? []).some(({ fromMs, toMs, includes }) => atMs >= fromMs && atMs < toMs && includes(from) !== includes(to))
--- a/packages/targets/src/registry/targetRegistry.spec.ts
+++ b/packages/targets/src/registry/targetRegistry.spec.ts
@@ -90,7 +90,7 @@
     }
     const stop = new AbortController()
     const random = SeededRandom.create(1)
-    const readTurn = ReadTurn.create({ clock, random, maxAgeMs: maxListingAgeMs, relayRank: () => rank, zones: () => ['a'], zone: 'a', isAwaitingPeers: () => false, isHearingRelay: () => true, zoneSize: () => 5 })
+    const readTurn = ReadTurn.create({ clock, random, maxAgeMs: maxListingAgeMs, relayRank: () => rank, zones: () => ['a'], zone: 'a', isOverdue: () => false, isAwaitingPeers: () => false, isHearingRelay: () => true, zoneSize: () => 5 })
     ListingPoller.create({ store: { readTargets }, registry, readTurn, clock, random, log: silentLog }).run(stop.signal).catch(() => {})
     const confirm = async (): Promise<void> => {
       for (let passedMs = 0; passedMs < 10_000; passedMs += 100) {
