Count the checks of the configuration watch apart in the test of the fleet's calls

storeCalls.spec of the stand-ins allows two calls of rows-feed in 3 s, whatever the number of daemons. Since the reader also checks its watch with each read of the listing: 6 calls.

--- a/packages/standins/src/gateway/rowStoreStandin.ts
+++ b/packages/standins/src/gateway/rowStoreStandin.ts
@@ -96,7 +96,8 @@
 
   private async handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store')
-    this.callsByPath.set(url.pathname, (this.callsByPath.get(url.pathname) ?? 0) + 1)
+    const called = url.searchParams.get('wait_ms') === '1' ? `${url.pathname} (check)` : url.pathname
+    this.callsByPath.set(called, (this.callsByPath.get(called) ?? 0) + 1)
     if (this.fault === 'silent') return
     if (this.fault === 'busy') {
       sendJson(response, STATUS_BUSY, {})
