--- a/packages/common/src/time/systemClock.ts
+++ b/packages/common/src/time/systemClock.ts
@@ -1,6 +1,9 @@
 /* eslint-disable no-restricted-globals -- the only module that reads the system clocks */
 import type { CancelTimer, Clock } from './clock.js'
 
+/** Longest time that a timer of Node.js can wait; with a longer one it would run at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1
+
 /** The clocks and timers of the system. */
 export class SystemClock implements Clock {
   private constructor () {}
@@ -26,13 +29,13 @@
         signal?.removeEventListener('abort', finish)
         resolve()
       }
-      const timer = setTimeout(finish, durationMs)
+      const timer = setTimeout(finish, Math.min(durationMs, MAX_TIMER_MS))
       signal?.addEventListener('abort', finish, { once: true })
     })
   }
 
   readonly after = (durationMs: number, run: () => void): CancelTimer => {
-    const timer = setTimeout(run, durationMs)
+    const timer = setTimeout(run, Math.min(durationMs, MAX_TIMER_MS))
     return () => { clearTimeout(timer) }
   }
 }
