Skip odd rows of targets and instances one by one

A row with port 70000 made the sender throw instead of failing one attempt, and a time or number beyond what JSON can carry made all other daemons refuse the whole listing of the reader, which then reached nobody.

Cause: ports, addresses, times and numbers of rows were checked for their type, not their range, and a peer's listing was taken whole or not at all. Class: one bad entry costs more than itself.

A peer's listing loses its invalid entries alone; it is refused only if none is valid, since then the other build lacks what this one needs. A connection whose socket can't be created counts as refused. The gateway decodes rows without zod because of its time to load (docs/ARCHITECTURE.md); that stays.

--- a/packages/daemon/src/gateway/unexpectedInput.spec.ts
+++ b/packages/daemon/src/gateway/unexpectedInput.spec.ts
@@ -77,6 +77,14 @@
     expect(decodePeerListing('{').isErr()).to.equal(true)
   })
 
+  it('does not refuse the whole listing of a peer for one odd entry', () => {
+    const [target] = listing.targets
+    const odd = [{ ...target, id: 't-2', slots: null }, { ...target, id: 't-3', port: 70_000 }, { ...target, id: 't-4', coldForMs: -1 }, null]
+    const decoded = decodePeerListing(JSON.stringify({ listing: { ...listing, targets: [...odd, target] }, ageMs: 5 }))._unsafeUnwrap().listing
+    expect(decoded.targets).to.deep.equal([target])
+    expect(decoded.skipped.map(({ key }) => key)).to.deep.equal(['t-2', 't-3', 't-4', '(unknown)'])
+  })
+
   it('ignores fields that only newer builds know', () => {
     const newer = { listing: { ...listing, targets: [{ ...listing.targets[0], weight: 3 }], region: 'x' }, ageMs: 5, build: 'b' }
     expect(decodePeerListing(JSON.stringify(newer))._unsafeUnwrap().listing.targets[0]?.id).to.equal('t-1')
--- a/packages/targets/src/connections/connection.ts
+++ b/packages/targets/src/connections/connection.ts
@@ -33,9 +33,22 @@
 const RESET_CODE = 'ERR_CONNECTION_RESET'
 const CONNECTION_CLOSED = Object.assign(new Error('the connection is closed'), { code: 'ERR_CONNECTION_USED_UP' })
 
+/** Node.js throws at once for some addresses, such as ports out of range. */
+const createSocket = (openSocket: OpenSocket, { host, port }: Target): Socket | Error => {
+  try {
+    return openSocket({ host, port, noDelay: true, keepAlive: true })
+  } catch (error) {
+    return error instanceof Error ? error : new Error(String(error))
+  }
+}
+
 const connectSocket = async ({ target, clock, connectTimeoutMs, signal, openSocket = connect }: OpenOptions): Promise<Result<Socket, OpenError>> =>
   await new Promise(resolve => {
-    const socket = openSocket({ host: target.host, port: target.port, noDelay: true, keepAlive: true })
+    const socket = createSocket(openSocket, target)
+    if (socket instanceof Error) {
+      resolve(err({ outcome: 'refused', message: socket.message }))
+      return
+    }
     const finish = (result: Result<Socket, OpenError>): void => {
       cancelTimer()
       signal?.removeEventListener('abort', cancel)
--- a/packages/targets/src/connections/connectionSender.spec.ts
+++ b/packages/targets/src/connections/connectionSender.spec.ts
@@ -220,4 +220,10 @@
     while (raw.sockets.size > 0) await turn()
     expect(await send()).to.equal('answer 200 8 bytes')
   })
+
+  it('reports not-run instead of throwing when no socket can be created for an address', async () => {
+    const target = fakeTarget('t1', { port: 70_000 })
+    expect(await outcomeOf(await sender.send(target, createRequest(), NEVER))).to.equal('not-run refused')
+    expect(await sender.openIdle(target)).to.equal(false)
+  })
 })
