Do not take a repeated refusal for that of a later request with the same id

Tried here: a refusal that repeats another id, arrives together with the answer before, while the connection is idle, or bears no id is not taken. One way was open: a later request with the same id, or a later one without any, on the connection that was refused. A daemon sends one request to a target only once, but callers may use an id again.

Change: a connection remembers the last 64 ids that were refused on it and does not carry them again.

The standalone program's sender does not name ids and keeps its behaviour.

--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -85,7 +85,7 @@
 const isProvenAnswer = (headerNames: GatewayHeaders, { headers }: TargetResponse): boolean =>
   findHeader(headers, headerNames.signature) !== undefined || findHeader(headers, headerNames.notRun) !== undefined
 
-const classifyStatus = (headerNames: GatewayHeaders, { status, headers }: TargetResponse): Pick<GatewayAttemptResult, 'outcome' | 'verdict'> => {
+const classifyStatus = (headerNames: GatewayHeaders, status: number, headers: RawHeaders): Pick<GatewayAttemptResult, 'outcome' | 'verdict'> => {
   if (status === MISDIRECTED_REQUEST) return { outcome: 'wrong-target', verdict: 'not-run' }
   if (findHeader(headers, headerNames.notRun) !== undefined) return { outcome: 'shed', verdict: 'not-run' }
   return { outcome: status >= FIRST_SERVER_ERROR ? 'server-error' : 'ok', verdict: 'ran' }
@@ -122,7 +122,7 @@
 }
 
 const completedAttempt = async (options: GatewayAttemptOptions, accepted: AcceptedGatewayRequest, target: ListedTarget, response: TargetResponse): Promise<GatewayAttemptResult> => {
-  const classified = classifyStatus(options.headers, response)
+  const classified = classifyStatus(options.headers, response.status, response.headers)
   const attempt = { target, ...classified, isSent: true, latencyMs: response.latencyMs, detail: `status ${response.status}` }
   const buffered = await bufferUntilDeadline(options.clock, accepted, response)
   if (buffered !== undefined) return { ...attempt, response: classified.verdict === 'ran' ? buffered : undefined }
@@ -154,6 +154,8 @@
     isIdempotent: accepted.route.isIdempotent,
     headTimeoutMs: remainingMs,
     bodyIdleTimeoutMs: remainingMs,
+    id: accepted.requestId,
+    isRefusal: (status, answerHeaders) => classifyStatus(headers, status, answerHeaders).verdict === 'not-run',
     findResponseMismatch: responseValidator(headers, accepted.requestId),
     isStillWanted: () => options.isUsable?.(target) !== false,
     allowsCloseDelimitedBody: true
--- a/packages/common/src/contracts/targets.ts
+++ b/packages/common/src/contracts/targets.ts
@@ -116,6 +116,10 @@
   readonly bodyIdleTimeoutMs: number
   /** Returns why a response cannot belong to this request, and undefined if it can; a mismatch closes the connection. Without this function, any response is accepted. */
   readonly findResponseMismatch?: (status: number, headers: RawHeaders) => string | undefined
+  /** Id that responses repeat. A connection on which a request with this id, or without any, was refused is not used for it: the refusal may arrive there once more. */
+  readonly id?: string
+  /** Whether a response says that the request was refused and has not run. */
+  readonly isRefusal?: (status: number, headers: RawHeaders) => boolean
   /** Asked right before the first byte is sent; the request is not sent when the target has become unusable in the meantime. */
   readonly isStillWanted?: () => boolean
   /** Whether the response body may be delimited by the close of the connection; otherwise its length or chunked framing must be explicit. */
--- a/packages/targets/src/connections/connection.ts
+++ b/packages/targets/src/connections/connection.ts
@@ -29,6 +29,8 @@
 /** Idle time after which the HTTP client closes a connection by itself, unless the target states a shorter one. */
 const KEEP_ALIVE_MS = 60_000
 const MAX_RESPONSE_HEAD_BYTES = 65_536
+/** A refusal that is repeated later than after this many others is not expected. */
+const MAX_REFUSED_IDS = 64
 
 const RESET_CODE = 'ERR_CONNECTION_RESET'
 const CONNECTION_CLOSED = Object.assign(new Error('the connection is closed'), { code: 'ERR_CONNECTION_USED_UP' })
@@ -68,6 +70,8 @@
   /** HTTP client bound to this one socket. */
   readonly client: Client
   readonly openedAtMs: number
+  /** Ids of requests that were refused on this connection, the latest last. */
+  private readonly refusedIds = new Set<string>()
   private exchangeCount = 0
   private lastCompletedMs: number
   private isSocketProvided = false
@@ -114,6 +118,18 @@
     return this.exchangeCount === 0
   }
 
+  /** Records that a request was refused on this connection. */
+  recordRefusal (requestId: string): void {
+    this.refusedIds.add(requestId)
+    const [oldest] = this.refusedIds
+    if (this.refusedIds.size > MAX_REFUSED_IDS && oldest !== undefined) this.refusedIds.delete(oldest)
+  }
+
+  /** Whether a request was refused on this connection, so that the refusal could be taken for that of a later one with the same id. */
+  hasRefused (requestId: string): boolean {
+    return this.refusedIds.has(requestId)
+  }
+
   /** Whether an exchange can start on it. */
   get isUsable (): boolean {
     return !this.isDestroyed && !this.socket.destroyed && !this.socket.readableEnded
--- a/packages/targets/src/connections/connectionPool.ts
+++ b/packages/targets/src/connections/connectionPool.ts
@@ -67,11 +67,12 @@
    * Takes an idle connection from the pool.
    *
    * @param isIdempotent - Whether the request may be sent again; otherwise the connection must have worked recently.
+   * @param requestId - Id that responses to the request repeat; empty for none.
    * @returns The most recently used suitable connection; undefined if a new one has to be opened.
    */
-  acquire (isIdempotent: boolean): Connection | undefined {
+  acquire (isIdempotent: boolean, requestId = ''): Connection | undefined {
     this.sweep()
-    const index = this.findIdle(isIdempotent)
+    const index = this.findIdle(isIdempotent, requestId)
     const [found] = index < 0 ? [] : this.idle.splice(index, 1)
     if (found !== undefined) this.busy.add(found)
     return found
@@ -159,11 +160,11 @@
     return { target, clock, connectTimeoutMs, ...(openSocket === undefined ? {} : { openSocket }) }
   }
 
-  private findIdle (isIdempotent: boolean): number {
+  private findIdle (isIdempotent: boolean, requestId?: string): number {
     const nowMs = this.clock.monotonicMs()
     const openedAfterMs = this.suspectOpenedBeforeMs(nowMs)
     return this.idle.findIndex(connection => connection.isUsable &&
-      connection.openedAtMs >= openedAfterMs && (isIdempotent || nowMs - connection.lastCompletedAtMs <= MAX_UNCONFIRMED_MS))
+      connection.openedAtMs >= openedAfterMs && (requestId === undefined || !connection.hasRefused(requestId)) && (isIdempotent || nowMs - connection.lastCompletedAtMs <= MAX_UNCONFIRMED_MS))
   }
 
   private recordResponse (connection: Connection): void {
--- a/packages/targets/src/connections/connectionSender.ts
+++ b/packages/targets/src/connections/connectionSender.ts
@@ -73,7 +73,7 @@
 
   readonly send = async (target: Target, request: TargetRequest, signal: AbortSignal): Promise<TargetResponse | TargetFailure> => {
     const pool = this.poolOf(target)
-    const reused = pool.acquire(request.isIdempotent)
+    const reused = pool.acquire(request.isIdempotent, request.id)
     if (reused !== undefined) {
       const result = await this.exchange(pool, reused, request, signal)
       if (result.type === 'answer' || !result.wasUnsent) return result
--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -124,6 +124,8 @@
     }
     if (framing.type === 'length') this.expectedBytes = framing.bytes
     this.stage = 'answering'
+    const { id = '', isRefusal } = this.options.request
+    if (isRefusal?.(status, headers) === true) this.options.connection.recordRefusal(id)
     this.options.monitor.headReceived()
     this.startTimer(this.options.request.bodyIdleTimeoutMs, 'the response body stalled')
     const latencyMs = this.options.clock.monotonicMs() - this.startedAtMs
