--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -33,7 +33,6 @@
 /** Compares the versions of configuration and target listing with those of peers and fetches newer documents from them. */
 export class PeerDocumentSync {
   private configBehindSinceMs: number | undefined
-
   private readonly fetches: Readonly<Record<PeerDocument, PeerDocumentFetch>>
 
   private constructor (private readonly options: PeerDocumentSyncOptions) {
