Stand-in: reset the responses that are to end in a reset when the target ends before

Change: a target that ends resets the connections whose responses are to end in a reset; the check stays. gatewayPath.spec "answers 502 when a target ends before it has reset a close-delimited response" got 200 before.

--- a/packages/standins/src/gateway/gatewayPath.spec.ts
+++ b/packages/standins/src/gateway/gatewayPath.spec.ts
@@ -72,6 +72,17 @@
     expect((await fleet.call({ path: '/p/pay/1', method: 'POST', body: 'x' })).status).to.equal(502)
   })
 
+  it('answers 502 when a target ends before it has reset a close-delimited response, which an orderly close would make complete', async () => {
+    const target = await fleet.addTarget('t1', 's')
+    target.responseMode = 'unframed-reset'
+    await fleet.addDaemon()
+    const response = fleet.call({ path: '/p/pay/1', method: 'POST', body: 'x' })
+    while (target.runs.length === 0) await fleet.clock.sleepMs(1)
+    await fleet.clock.sleepMs(10)
+    await target.close()
+    expect((await response).status).to.equal(502)
+  })
+
   it('answers 503 with retry-after when the target refused the request without running it', async () => {
     const target = await fleet.addTarget('t1', 's')
     target.responseMode = 'refuse'
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Clock } from '@lovagehoist/common'
 import { PLATFORM_HEADERS } from '@lovagehoist/platform'
 import { readBytes } from '../process/httpBody.js'
@@ -65,6 +65,8 @@
   /** Requests that arrived, with the host of the daemon that sent each, and whether it was refused. */
   readonly arrivals: TargetArrival[] = []
   readonly runs: TargetRun[] = []
+  /** Connections with a response that is to end in a reset; an orderly close would make it complete. */
+  private readonly resetAtClose = new Set<Socket>()
 
   private constructor (readonly id: string, private readonly server: Server, private readonly clock: Clock) {
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
@@ -100,6 +102,7 @@
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
       this.server.close(() => { resolve() })
+      for (const socket of this.resetAtClose) socket.resetAndDestroy()
       this.server.closeAllConnections()
     })
   }
@@ -161,7 +164,11 @@
     unsigned: (_request, response) => { response.writeHead(STATUS_OK).end('unsigned') },
     coded: (_request, response) => { this.sign(response).writeHead(STATUS_OK, { 'content-encoding': 'gzip' }).end('coded') },
     unframed: (request, response) => { this.sendCloseDelimited(request, response, () => { request.socket.end() }) },
-    'unframed-reset': (request, response) => { this.sendCloseDelimited(request, response, () => { request.socket.resetAndDestroy() }) }
+    'unframed-reset': (request, response) => {
+      this.resetAtClose.add(request.socket)
+      request.socket.once('close', () => { this.resetAtClose.delete(request.socket) })
+      this.sendCloseDelimited(request, response, () => { request.socket.resetAndDestroy() })
+    }
   }
 
   /** Sends a response without a length, which the end of the connection delimits. */
