--- /dev/null
+++ b/review/lib/unframed.mjs
@@ -0,0 +1,91 @@
+import { Machines, createHosts } from './gateway.mjs'
+import { Record, sleepMs, waitUntil } from './record.mjs'
+import { Store } from './store.mjs'
+import { Upstream, bodyOf, signatureOf } from './upstream.mjs'
+import { callOnce } from './client.mjs'
+
+const HOST_NAME = 'jepu9.example'
+const SERVICE = 'huvo11a'
+const BODY_BYTES = 3_000_000
+const FIRST_BYTES = 1_600_000
+const PIECE_BYTES = 50_000
+const PIECE_MS = 240
+const TIMEOUT_MS = 8_000
+const DEADLINE_MS = 8_000
+const TROUBLE_AFTER_MS = 500
+const GRACE_MS = 6_000
+
+/** Answers a download without a length: its end is the end of the connection. The first half is there at once, the rest comes over 6.7 s. */
+const answerUnframed = (run, request, response, upstream) => {
+  const { socket } = request
+  const body = bodyOf(run.id, BODY_BYTES)
+  socket.write(`HTTP/1.1 200 OK\r\nX-Lovagehoist-Request-Id: ${run.id}\r\nX-Lovagehoist-Upstream-Signature: ${signatureOf(run.id)}\r\nConnection: close\r\n\r\n`)
+  socket.write(body.subarray(0, FIRST_BYTES))
+  let sent = FIRST_BYTES
+  const timer = setInterval(() => {
+    socket.write(body.subarray(sent, sent + PIECE_BYTES))
+    sent += PIECE_BYTES
+    if (sent < BODY_BYTES) return
+    clearInterval(timer)
+    socket.end()
+    upstream.record.add('answered whole', { upstream: upstream.id, id: run.id, bytes: BODY_BYTES })
+  }, PIECE_MS)
+  socket.once('close', () => { clearInterval(timer) })
+}
+
+const route = { name: 'r-1', host: HOST_NAME, path_prefix: '/fiti832/ti23/', kind: 'download', timeout: `${TIMEOUT_MS}ms`, target_latency: '2000ms', priority: 2, service: SERVICE, max_attempts: 2 }
+const config = { version: 'r7', routes: [route], services: [{ name: SERVICE, health_path: '/health', max_connections: 390, protocol: 'h1', tls: false }], limits: { max_header_bytes: 16384, max_body_bytes: 67108864, header_timeout: '3000ms', idle_timeout: '15000ms' } }
+
+/**
+ * Plays a download whose answer has no length through one of two machines, and lets trouble strike that machine while the answer is on its way.
+ * Returns the exit code of the script.
+ */
+export const playUnframed = async ({ recordPath, strike }) => {
+  const record = new Record(recordPath)
+  const hasTrouble = process.env.TROUBLE !== '0'
+  const nextHost = createHosts()
+  const store = new Store()
+  const machines = new Machines({ record })
+  const upstreams = []
+  try {
+    for (const number of [1, 2]) upstreams.push(new Upstream({ id: `i-7f3a91c${number}`, service: SERVICE, host: nextHost(), record, answer: answerUnframed }))
+    for (const upstream of upstreams) {
+      await upstream.start()
+      store.put('servers', upstream.id, upstream.row)
+    }
+    store.put('op', 'config', config)
+    for (const number of [1, 2]) {
+      const host = nextHost()
+      machines.start(await machines.add({ name: `edge-${number}`, host, store: await store.open(host) }))
+    }
+    if (!await waitUntil(async () => (await Promise.all(machines.all.map(async machine => await machines.isReady(machine)))).every(Boolean), 15_000)) {
+      record.add('the machines did not become ready')
+      return 2
+    }
+    await sleepMs(3_000)
+    const [machine] = machines.all
+    const id = '9c41d07be2a35f68'
+    record.add('sent', { id, to: machine.name })
+    const called = callOnce({ host: machine.host, port: machines.ports.front, path: '/fiti832/ti23/2f', id, deadlineMs: DEADLINE_MS, headerHost: HOST_NAME })
+    await sleepMs(TROUBLE_AFTER_MS)
+    if (hasTrouble) {
+      await strike(machines, machine)
+      // As the platform does: SIGKILL after grace_period.
+      setTimeout(() => { if (machine.child.exitCode === null && machine.child.signalCode === null) machines.signal(machine, 'SIGKILL') }, GRACE_MS).unref()
+    }
+    const answer = await called
+    const whole = bodyOf(id, BODY_BYTES)
+    const isWhole = answer.body.equals(whole)
+    const isBeginning = whole.subarray(0, answer.body.length).equals(answer.body)
+    record.add('answer', { id, status: answer.status, framing: answer.framing, signature: answer.headers.get('x-lovagehoist-upstream-signature'), bytes: answer.body.length, ofBytes: BODY_BYTES, isBeginning, isWhole, looksComplete: answer.isComplete, error: answer.error })
+    if (upstreams.flatMap(({ runs }) => runs).length === 0) return 2
+    const isBroken = answer.status >= 200 && answer.status < 300 && answer.isComplete && !isWhole
+    record.add(isBroken ? 'rule broken: a success that looks complete, with a part of the body' : 'rule held')
+    if (!hasTrouble && !(answer.isComplete && isWhole)) return 2
+    return isBroken ? 1 : 0
+  } finally {
+    await machines.close()
+    for (const upstream of upstreams) upstream.stop()
+    store.close()
+  }
+}
