--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -26,6 +26,8 @@
     parts.push(part)
     if (isWhole(Buffer.concat(parts.length > 4 ? [parts[0]] : parts), parts)) finish()
   })
+  // Node.js may report data that was followed by a reset as an orderly end; a connection that was reset has no peer address any more.
+  socket.on('end', () => { if (socket.remoteAddress === undefined) error ??= 'ECONNRESET' })
   socket.on('error', ({ code }) => { error = code })
   socket.on('close', finish)
 })
