--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,6 +1,8 @@
 import { fileURLToPath } from 'node:url'
+import { createConfig } from '../lib/config.mjs'
 import { Machines, createHosts } from '../lib/gateway.mjs'
 import { Record, sleepMs, waitUntil } from '../lib/record.mjs'
+import { hasTrouble, runCase } from '../lib/runCase.mjs'
 import { Store } from '../lib/store.mjs'
 import { Upstream, bodyOf } from '../lib/upstream.mjs'
 import { callOnce } from '../lib/client.mjs'
@@ -19,7 +21,6 @@
 const PAUSE_MS = 3_500
 
 const record = new Record(fileURLToPath(new URL('record.txt', import.meta.url)))
-const hasTrouble = process.env.TROUBLE !== '0'
 
 const answer = (run, request, response, upstream) => {
   const timer = setTimeout(() => {
@@ -33,8 +34,7 @@
   })
 }
 
-const route = { name: 'r-1', host: HOST_NAME, path_prefix: '/xapu221/ny95/', kind: 'unsafe', timeout: '3000ms', target_latency: '2000ms', priority: 1, service: SERVICE, max_attempts: 2 }
-const config = { version: 'r7', routes: [route], services: [{ name: SERVICE, health_path: '/health', max_connections: 390, protocol: 'h1', tls: false }], limits: { max_header_bytes: 16384, max_body_bytes: 67108864, header_timeout: '3000ms', idle_timeout: '15000ms' } }
+const config = createConfig({ host: HOST_NAME, service: SERVICE, prefix: '/xapu221/ny95/', kind: 'unsafe', timeoutMs: 3_000 })
 
 const play = async () => {
   const nextHost = createHosts()
@@ -72,7 +72,7 @@
       const host = nextHost()
       machines.start(await machines.add({ name: `edge-${number}`, host, store: await store.open(host) }))
     }
-    if (!await waitUntil(async () => (await Promise.all(machines.all.map(async machine => await machines.isReady(machine)))).every(Boolean), 15_000)) return 2
+    if (!await machines.untilReady()) return 2
     await sleepMs(4_000)
     const [first, second, third] = machines.all
     let number = 0
@@ -126,9 +126,4 @@
   }
 }
 
-play().then(
-  code => { process.exit(code) },
-  error => {
-    console.error(error)
-    process.exit(2)
-  })
+runCase(play)
--- a/review/lib/gateway.mjs
+++ b/review/lib/gateway.mjs
@@ -5,6 +5,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { waitUntil } from './record.mjs'
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url))
 const READINESS_PATH = '/readiness'
@@ -144,12 +145,9 @@
     })
   }
 
-  logOf (machine) {
-    try {
-      return readFileSync(machine.log, 'utf8')
-    } catch {
-      return ''
-    }
+  /** Waits until all machines are ready; returns whether they are in time. */
+  async untilReady () {
+    return await waitUntil(async () => (await Promise.all(this.all.map(async machine => await this.isReady(machine)))).every(Boolean), 15_000)
   }
 
   /** Ends all processes that were started here. */
--- a/review/lib/unframed.mjs
+++ b/review/lib/unframed.mjs
@@ -1,5 +1,7 @@
+import { createConfig } from './config.mjs'
 import { Machines, createHosts } from './gateway.mjs'
-import { Record, sleepMs, waitUntil } from './record.mjs'
+import { Record, sleepMs } from './record.mjs'
+import { hasTrouble } from './runCase.mjs'
 import { Store } from './store.mjs'
 import { Upstream, bodyOf, signatureOf } from './upstream.mjs'
 import { callOnce } from './client.mjs'
@@ -33,8 +35,7 @@
   socket.once('close', () => { clearInterval(timer) })
 }
 
-const route = { name: 'r-1', host: HOST_NAME, path_prefix: '/fiti832/ti23/', kind: 'download', timeout: `${TIMEOUT_MS}ms`, target_latency: '2000ms', priority: 2, service: SERVICE, max_attempts: 2 }
-const config = { version: 'r7', routes: [route], services: [{ name: SERVICE, health_path: '/health', max_connections: 390, protocol: 'h1', tls: false }], limits: { max_header_bytes: 16384, max_body_bytes: 67108864, header_timeout: '3000ms', idle_timeout: '15000ms' } }
+const config = createConfig({ host: HOST_NAME, service: SERVICE, prefix: '/fiti832/ti23/', kind: 'download', timeoutMs: TIMEOUT_MS })
 
 /**
  * Plays a download whose answer has no length through one of two machines, and lets trouble strike that machine while the answer is on its way.
@@ -42,7 +43,6 @@
  */
 export const playUnframed = async ({ recordPath, strike }) => {
   const record = new Record(recordPath)
-  const hasTrouble = process.env.TROUBLE !== '0'
   const nextHost = createHosts()
   const store = new Store()
   const machines = new Machines({ record })
@@ -58,7 +58,7 @@
       const host = nextHost()
       machines.start(await machines.add({ name: `edge-${number}`, host, store: await store.open(host) }))
     }
-    if (!await waitUntil(async () => (await Promise.all(machines.all.map(async machine => await machines.isReady(machine)))).every(Boolean), 15_000)) {
+    if (!await machines.untilReady()) {
       record.add('the machines did not become ready')
       return 2
     }
