--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -80,13 +80,12 @@
     const caller = setInterval(() => {
       if (!isCalling) return
       const id = `9c41d07b${String(++number).padStart(8, '0')}`
+      record.add('sent', { id, to: third.name })
       const call = callOnce({ host: third.host, port: machines.ports.front, method: 'POST', path: '/xapu221/ny95/2f', id, deadlineMs: 6_000, headerHost: HOST_NAME, body: Buffer.from(`order ${number}`) }).then(({ status, isComplete }) => {
+        record.add('answered', { id, status, isComplete })
         if (status === 200 && isComplete) answers.served++
         else if (status === 503 || status === 429) answers.refused++
-        else {
-          answers.failed++
-          record.add('failed', { id, status })
-        }
+        else answers.failed++
         calls.delete(call)
       })
       calls.add(call)
