--- a/review/lib/unframed.mjs
+++ b/review/lib/unframed.mjs
@@ -16,6 +16,16 @@
 const DEADLINE_MS = 8_000
 const TROUBLE_AFTER_MS = 500
 const GRACE_MS = 6_000
+const REQUEST_ID = '9c41d07be2a35f68'
+/** Other downloads, whose answers have a length: one answer of 31 has none, fewer than one in twenty. */
+const ORDINARY_REQUESTS = 30
+const ORDINARY_BYTES = 5_000
+const ORDINARY_INTERVAL_MS = 100
+
+const answerFramed = (run, response) => {
+  const body = bodyOf(run.id, ORDINARY_BYTES)
+  response.writeHead(200, { 'content-length': body.length }).end(body)
+}
 
 /** Answers a download without a length: its end is the end of the connection. The first half is there at once, the rest comes over 6.7 s. */
 const answerUnframed = (run, request, response, upstream) => {
@@ -35,6 +45,11 @@
   socket.once('close', () => { clearInterval(timer) })
 }
 
+const answer = (run, request, response, upstream) => {
+  if (run.id === REQUEST_ID) answerUnframed(run, request, response, upstream)
+  else answerFramed(run, response)
+}
+
 const config = createConfig({ host: HOST_NAME, service: SERVICE, prefix: '/fiti832/ti23/', kind: 'download', timeoutMs: TIMEOUT_MS })
 
 /**
@@ -48,7 +63,7 @@
   const machines = new Machines({ record })
   const upstreams = []
   try {
-    for (const number of [1, 2]) upstreams.push(new Upstream({ id: `i-7f3a91c${number}`, service: SERVICE, host: nextHost(), record, answer: answerUnframed }))
+    for (const number of [1, 2]) upstreams.push(new Upstream({ id: `i-7f3a91c${number}`, service: SERVICE, host: nextHost(), record, answer }))
     for (const upstream of upstreams) {
       await upstream.start()
       store.put('servers', upstream.id, upstream.row)
@@ -62,26 +77,36 @@
       record.add('the machines did not become ready')
       return 2
     }
-    await sleepMs(3_000)
+    const call = async (machine, id) => await callOnce({ host: machine.host, port: machines.ports.front, path: '/fiti832/ti23/2f', id, deadlineMs: DEADLINE_MS, headerHost: HOST_NAME })
+    const ordinary = []
+    for (let number = 0; number < ORDINARY_REQUESTS; number++) {
+      const ordinaryId = `c0ffee${String(number).padStart(10, '0')}`
+      const { status, body, isComplete } = await call(machines.all[number % 2], ordinaryId)
+      const isServed = status === 200 && isComplete && body.equals(bodyOf(ordinaryId, ORDINARY_BYTES))
+      record.add('ordinary answer', { id: ordinaryId, status, isServed })
+      ordinary.push(isServed)
+      await sleepMs(ORDINARY_INTERVAL_MS)
+    }
+    if (!ordinary.every(Boolean)) return 2
     const [machine] = machines.all
-    const id = '9c41d07be2a35f68'
+    const id = REQUEST_ID
     record.add('sent', { id, to: machine.name })
-    const called = callOnce({ host: machine.host, port: machines.ports.front, path: '/fiti832/ti23/2f', id, deadlineMs: DEADLINE_MS, headerHost: HOST_NAME })
+    const called = call(machine, id)
     await sleepMs(TROUBLE_AFTER_MS)
     if (hasTrouble) {
       await strike(machines, machine)
       // As the platform does: SIGKILL after grace_period.
       setTimeout(() => { if (machine.child.exitCode === null && machine.child.signalCode === null) machines.signal(machine, 'SIGKILL') }, GRACE_MS).unref()
     }
-    const answer = await called
+    const received = await called
     const whole = bodyOf(id, BODY_BYTES)
-    const isWhole = answer.body.equals(whole)
-    const isBeginning = whole.subarray(0, answer.body.length).equals(answer.body)
-    record.add('answer', { id, status: answer.status, framing: answer.framing, signature: answer.headers.get('x-lovagehoist-upstream-signature'), bytes: answer.body.length, ofBytes: BODY_BYTES, isBeginning, isWhole, looksComplete: answer.isComplete, error: answer.error })
-    if (upstreams.flatMap(({ runs }) => runs).length === 0) return 2
-    const isBroken = answer.status >= 200 && answer.status < 300 && answer.isComplete && !isWhole
+    const isWhole = received.body.equals(whole)
+    const isBeginning = whole.subarray(0, received.body.length).equals(received.body)
+    record.add('answer', { id, status: received.status, framing: received.framing, signature: received.headers.get('x-lovagehoist-upstream-signature'), bytes: received.body.length, ofBytes: BODY_BYTES, isBeginning, isWhole, looksComplete: received.isComplete, error: received.error })
+    if (!upstreams.some(({ runs }) => runs.some(run => run.id === id))) return 2
+    const isBroken = received.status >= 200 && received.status < 300 && received.isComplete && !isWhole
     record.add(isBroken ? 'rule broken: a success that looks complete, with a part of the body' : 'rule held')
-    if (!hasTrouble && !(answer.isComplete && isWhole)) return 2
+    if (!hasTrouble && !(received.isComplete && isWhole)) return 2
     return isBroken ? 1 : 0
   } finally {
     await machines.close()
