--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -15,8 +15,13 @@
   readonly response: BufferedResponse | undefined
   readonly detail: string
   readonly latencyMs: number
+  /** Time from the choice of the target until the request was sent, or given up. */
+  readonly sendDelayMs: number
 }
 
+/** Result of an attempt, before the time of its sending is added. */
+type AttemptOutcomeResult = Omit<GatewayAttemptResult, 'sendDelayMs'>
+
 /** Head of a target's answer. */
 export interface TargetAnswerHead {
   readonly status: number
@@ -91,7 +96,7 @@
   return { outcome: status >= FIRST_SERVER_ERROR ? 'server-error' : 'ok', verdict: 'ran' }
 }
 
-const failedAttempt = (target: ListedTarget, failure: TargetFailure): GatewayAttemptResult => ({
+const failedAttempt = (target: ListedTarget, failure: TargetFailure): AttemptOutcomeResult => ({
   target,
   outcome: failure.outcome,
   verdict: failure.verdict,
@@ -121,7 +126,7 @@
   }
 }
 
-const completedAttempt = async (options: GatewayAttemptOptions, accepted: AcceptedGatewayRequest, target: ListedTarget, response: TargetResponse): Promise<GatewayAttemptResult> => {
+const completedAttempt = async (options: GatewayAttemptOptions, accepted: AcceptedGatewayRequest, target: ListedTarget, response: TargetResponse): Promise<AttemptOutcomeResult> => {
   const classified = classifyStatus(options.headers, response.status, response.headers)
   const attempt = { target, ...classified, isSent: true, latencyMs: response.latencyMs, detail: `status ${response.status}` }
   const buffered = await bufferUntilDeadline(options.clock, accepted, response)
@@ -160,10 +165,11 @@
     isStillWanted: () => options.isUsable?.(target) !== false,
     allowsCloseDelimitedBody: true
   }, abortSignal)
+  const sendDelayMs = Math.max(0, clock.monotonicMs() - startedAtMs - sendResult.latencyMs)
   if (sendResult.type === 'answer' && sendResult.status !== MISDIRECTED_REQUEST) {
     options.onTargetAnswer?.(target, { status: sendResult.status, headers: sendResult.headers, isProven: isProvenAnswer(headers, sendResult), sentAtMs: startedAtMs })
   }
   const result = sendResult.type === 'failure' ? failedAttempt(target, sendResult) : await completedAttempt(options, accepted, target, sendResult)
   activeAttempt.end(REPORTED_OUTCOME[result.outcome], clock.monotonicMs() - startedAtMs)
-  return result
+  return { ...result, sendDelayMs }
 }
--- a/packages/callers/src/gateway/gatewayParts.spec.ts
+++ b/packages/callers/src/gateway/gatewayParts.spec.ts
@@ -53,7 +53,7 @@
 })
 
 describe('WindowedRetryBudget', () => {
-  const BOUNDS = { graceMs: 1, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
+  const BOUNDS = { graceMs: 1, targetDrainMs: 2_000, configApplyMs: 2_000, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
   const FLEET = 36
   const REQUEST_MS = 300
 
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -34,6 +34,8 @@
 /** Dependencies for serving a request. */
 export interface GatewayServeOptions extends GatewayAcceptOptions, GatewayAttemptOptions {
   readonly targetSelector: TargetSelector
+  /** Waits for a moment if the listing of targets is so old that one that leaves could be chosen. */
+  readonly untilListingRecent: () => Promise<void>
   readonly retryBudget: WindowedRetryBudget
   readonly poisonDetector: PoisonRequestDetector
   /** Runs an action if a target that broke a request off has crashed; resolves once the target has been checked. */
@@ -163,6 +165,7 @@
     const needsConnection = !isOwnPathUsed && options.path.areConnectionsAlive
     const shortage = isOwnPathUsed ? options.shortage.decide(describeForShortage(accepted, history)) : ADMITTED
     if (shortage.type === 'refused') return replyInShortage(history, shortage.retryDelayMs)
+    await options.untilListingRecent()
     const choice: TargetChoice = isOwnPathUsed || needsConnection
       ? options.targetSelector.choose({ service, isIdempotent: route.isIdempotent, hasHigherPriorityTraffic, needsConnection, triedTargetIds: history.triedTargetIds, deadlineAtMs })
       : { type: 'no-target' }
@@ -171,7 +174,7 @@
     options.log.info('target chosen', { requestId, service, targetId: choice.target.id, ...choice.inputs, leftMs: Math.round(deadlineAtMs - options.clock.monotonicMs()) })
     const result = await sendGatewayAttempt(options, accepted, choice.target, choice.attempt)
     options.metrics.countAttempt(service, result.outcome === 'wrong-target' ? 'refused' : result.outcome)
-    options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, latencyMs: Math.round(result.latencyMs), detail: result.detail })
+    options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, sendDelayMs: Math.round(result.sendDelayMs), latencyMs: Math.round(result.latencyMs), detail: result.detail })
     if ((result.response?.status ?? Infinity) < FIRST_REDIRECT) options.poisonDetector.recordServed(() => accepted)
     const crashCheck = result.isSent && CRASH_OUTCOMES.has(result.outcome) ? options.confirmCrash(result.target, () => { recordCrash(options, accepted, result) }) : undefined
     history = addAttempt(history, result)
--- a/packages/common/src/contracts/gateway.ts
+++ b/packages/common/src/contracts/gateway.ts
@@ -159,6 +159,10 @@
 export interface DeploymentLimits {
   /** Time between SIGTERM and SIGKILL. */
   readonly graceMs: number
+  /** Time after the store accepted that a target leaves from which no request may reach it. */
+  readonly targetDrainMs: number
+  /** Time after the store accepted a configuration from which no request may be handled by an older one. */
+  readonly configApplyMs: number
   /** Retry budget: retries allowed per request to a service, as a ratio. */
   readonly retryShare: number
   /** Retries that the whole fleet may make in each window beyond that ratio. */
--- a/packages/common/src/fleet/readTurn.ts
+++ b/packages/common/src/fleet/readTurn.ts
@@ -9,7 +9,9 @@
   readonly clock: Clock
   readonly random: Random
   /** Age of what is known from which a daemon reads the store. */
-  readonly maxAgeMs: (order: ReaderOrder) => number
+  readonly maxAgeMs: (order: ReaderOrder, boundMs: number) => number
+  /** Time after the store accepted a change from which every daemon has to act on it. */
+  readonly boundMs: () => number
   /** Rank of this daemon among the relays of its zone: 0 is the first relay, -1 means it is not a relay. */
   readonly relayRank: () => number
   /** Names of all availability zones that are known. */
@@ -20,45 +22,56 @@
   readonly isOverdue: () => boolean
   /** Whether a daemon that has just started should wait for other daemons to answer before it reads the store. */
   readonly isAwaitingPeers: () => boolean
-  /** Whether a relay of the zone has been heard from recently. */
+  /** Whether a relay of the zone has been heard from recently, through which others of the zone are heard. */
   readonly isHearingRelay: () => boolean
-  /** Number of daemons of the zone. */
-  readonly zoneSize: () => number
+  /** Rank of this daemon among those of its zone that are no relays: 0 reads first when the relays can't. */
+  readonly rankBehindRelays: () => number
 }
 
-/** Age at which the reader of the fleet reads. With the time that the result takes to all daemons this stays well below 2 s, the time within which a draining target must get no more requests. */
+/** Age at which the reader of the fleet reads, unless the bound is short. */
 const READER_AGE_MS = 700
+const READER_AGE_SHARE = 0.35
 /** Age at which the first standby reads: within 1 s of the loss of the reader, and later than the reader's result arrives. */
-const STANDBY_AGE_MS = 950
+const STANDBY_DELAY_MS = 250
 const STANDBY_STEP_MS = 100
-const MAX_STANDBY_AGE_MS = 1_400
-/** Age at which daemons that are no relays read: above what views that arrive late make of it. */
-const OTHER_AGE_MS = 1_600
+/** Shares of the bound: the last standby reads by then, and the first of a zone's other daemons, which views that arrive late do not make read. */
+const MAX_STANDBY_AGE_SHARE = 0.7
+const OTHER_AGE_SHARE = 0.8
+/** Share of the bound at which the first daemon reads of those that hear no relay. */
+const ISOLATED_AGE_SHARE = 0.75
+/** Share of the bound by which every daemon reads, whatever it hears: what is left covers the read and the way of a request to its target. */
+const LAST_AGE_SHARE = 0.9
+/** Share of the time from the first of them to the last in which the daemons of a zone take turns, so that one reads and tells the others. */
+const TURN_SHARE = 0.5
+/** Daemons of a zone that get a turn of their own. */
+const TURNS = 2
 /** Relays that watch the configuration; the second one covers a connection of the first that died unnoticed. */
 const WATCHING_RELAYS = 2
-/** Daemons that hear no relay spread their reads over this time. */
-const ISOLATED_SPREAD_MS = 300
-/** Those that hear one wait for it longer, by this time for each daemon of their zone: the store turns their relays away, and one of them finds out whether it does so with all. */
-const SPREAD_PER_DAEMON_MS = 250
 /** Time after its start in which a daemon that hears relays leaves the store to them: first the standbys in their order, then the others. */
 const STANDBY_START_MS = 150
 const STANDBY_START_STEP_MS = 50
 const MAX_STANDBY_START_MS = 400
 const OTHER_START_MS = 600
 
-/** Age of the listing of targets from which a daemon reads it. */
-export const maxListingAgeMs = (order: ReaderOrder): number => {
-  if (order === undefined) return OTHER_AGE_MS
-  return order === 0 ? READER_AGE_MS : Math.min(MAX_STANDBY_AGE_MS, STANDBY_AGE_MS + (order - 1) * STANDBY_STEP_MS)
+/**
+ * Age of what is known from which a daemon reads the store.
+ *
+ * @param order - Position of the daemon among the readers.
+ * @param boundMs - Time after the store accepted a change from which every daemon has to act on it.
+ * @returns Age in milliseconds.
+ */
+export const maxListingAgeMs = (order: ReaderOrder, boundMs: number): number => {
+  if (order === undefined) return OTHER_AGE_SHARE * boundMs
+  const readerAgeMs = Math.min(READER_AGE_MS, READER_AGE_SHARE * boundMs)
+  return order === 0 ? readerAgeMs : Math.min(MAX_STANDBY_AGE_SHARE * boundMs, readerAgeMs + STANDBY_DELAY_MS + (order - 1) * STANDBY_STEP_MS)
 }
 
 /** Age of the configuration from which a daemon reads it, or 0 for those that always watch it. */
-export const maxConfigAgeMs = (order: ReaderOrder): number => order !== undefined && order < WATCHING_RELAYS ? 0 : maxListingAgeMs(order)
+export const maxConfigAgeMs = (order: ReaderOrder, boundMs: number): number => order !== undefined && order < WATCHING_RELAYS ? 0 : maxListingAgeMs(order, boundMs)
 
 /** Decides when a daemon reads the store: one relay does for the whole fleet, others if they hear nothing recent of what it reads. */
 export class ReadTurn {
-  private dueSinceMs: number | undefined
-  private spreadShare = 0
+  private spreadShare: number | undefined
   private hasBeenFresh = false
   private readonly startedAtMs: number
 
@@ -91,24 +104,22 @@
    * @param confirmedAtMs - Monotonic time at which the store was last known to hold what this daemon knows; -Infinity if it knows nothing.
    */
   isDue (confirmedAtMs: number): boolean {
-    const { clock, random, maxAgeMs, isAwaitingPeers } = this.options
+    const { clock, random, isAwaitingPeers } = this.options
     const nowMs = clock.monotonicMs()
     if (isAwaitingPeers()) return false
     if (this.options.isOverdue()) return true
     const { order } = this
-    if (nowMs - confirmedAtMs < maxAgeMs(order)) {
+    const ageMs = nowMs - confirmedAtMs
+    if (ageMs < this.firstAgeMs(order)) {
       this.hasBeenFresh = true
-      this.dueSinceMs = undefined
+      this.spreadShare = undefined
       return false
     }
     if (!this.hasBeenFresh) return this.isDueAfterStart(order, nowMs)
     if (order !== undefined) return true
-    if (this.dueSinceMs === undefined) {
-      this.dueSinceMs = nowMs
-      this.spreadShare = random.next()
-    }
-    if (nowMs - this.dueSinceMs < this.spreadShare * this.spreadMs()) return false
-    this.dueSinceMs = undefined
+    this.spreadShare ??= random.next()
+    if (ageMs < this.turnAgeMs(this.spreadShare)) return false
+    this.spreadShare = undefined
     return true
   }
 
@@ -119,8 +130,22 @@
     return uptimeMs >= OTHER_START_MS
   }
 
-  private spreadMs (): number {
-    const { isHearingRelay, zoneSize } = this.options
-    return isHearingRelay() ? Math.max(ISOLATED_SPREAD_MS, zoneSize() * SPREAD_PER_DAEMON_MS) : ISOLATED_SPREAD_MS
+  /**
+   * Age at which it is the turn of a daemon that is no relay: the first ones of a zone read one after the other, the rest spread their reads up to the last age.
+   * The age of what is known binds each daemon, whether or not another one was expected to read.
+   */
+  private turnAgeMs (spreadShare: number): number {
+    const firstAgeMs = this.firstAgeMs(undefined)
+    const spanMs = LAST_AGE_SHARE * this.options.boundMs() - firstAgeMs
+    if (!this.options.isHearingRelay()) return firstAgeMs + spreadShare * spanMs
+    const turnsMs = TURN_SHARE * spanMs
+    const rank = this.options.rankBehindRelays()
+    return firstAgeMs + (rank < TURNS ? rank * turnsMs / TURNS : turnsMs + spreadShare * (spanMs - turnsMs))
+  }
+
+  /** Age from which a daemon may read; without a relay nobody tells of a read, so that there is nothing to wait for. */
+  private firstAgeMs (order: ReaderOrder): number {
+    const { maxAgeMs, boundMs, isHearingRelay } = this.options
+    return order === undefined && !isHearingRelay() ? ISOLATED_AGE_SHARE * boundMs() : maxAgeMs(order, boundMs())
   }
 }
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -100,7 +100,7 @@
   const { liveSettings, clock, log, datagrams } = dependencies
   const { statsTracker, fleetStats, limits } = targets
   const allowances = createAllowances(dependencies, self, () => relay, config)
-  const relay: RelayNode = RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, news: [poisonDetector.news, targets.leaving.news, allowances.news], limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions })
+  const relay: RelayNode = RelayNode.create({ self, bootstrapHosts: () => liveSettings.current().bootstrapHosts, clock, log: log.child('peers'), datagrams, localCounters: statsTracker, fleetStats, news: [poisonDetector.news, targets.leaving.news, allowances.news], limits, heldVersions: documentSync.heldVersions, onPeerVersions: documentSync.handlePeerVersions, onReportedReads: documentSync.handleReportedReads })
   registerAllowanceMetrics(registry, allowances)
   return { relay, allowances }
 }
@@ -146,6 +146,7 @@
 interface ServeComponents {
   readonly activeConfig: () => ActiveConfig | undefined
   readonly targets: ReturnType<typeof createTargetComponents>
+  readonly listingPoller: ListingPoller
   readonly relay: RelayNode
   readonly poisonDetector: PoisonRequestDetector
   readonly drainWindow: DrainWindow
@@ -174,7 +175,7 @@
     bounds: () => liveSettings.current().bounds
   })
 
-const createServeOptions = ({ settings, clock, headers, random, liveSettings, log }: GatewayDependencies, { activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync, allowances }: ServeComponents): GatewayServeOptions => ({
+const createServeOptions = ({ settings, clock, headers, random, liveSettings, log }: GatewayDependencies, { activeConfig, targets, listingPoller, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync, allowances }: ServeComponents): GatewayServeOptions => ({
   clock,
   headers,
   invariants,
@@ -188,6 +189,7 @@
   bufferBudget: createBufferBudget(settings, registry, invariants),
   readinessGate: ReadinessGate.create({ clock, isReady: () => activeConfig() !== undefined && targets.targetRegistry.hasListing && (settings.isFirstStart || relay.hasView) }),
   targetSelector: targets.selector,
+  untilListingRecent: listingPoller.untilRecent,
   sender: targets.sender,
   onTargetAnswer: (target, { status, headers, isProven, sentAtMs }) => {
     targets.leaving.recordAnswer(target, headers)
@@ -195,7 +197,7 @@
     targets.limits.recordAnswer(target.id, headers, sentAtMs)
     targets.rests.recordAnswer(target, status, headers)
   },
-  isUsable: target => !targets.rests.isResting(target) && (!targets.leaving.has(target) || targets.leaving.isLastResort(target)),
+  isUsable: target => !listingPoller.isTooOld && targets.targetRegistry.isCurrent(target) && !targets.targetRegistry.isLeaving(target.id) && !targets.rests.isResting(target) && (!targets.leaving.has(target) || targets.leaving.isLastResort(target)),
   retryBudget: WindowedRetryBudget.create({ clock, limits: () => liveSettings.current().bounds, isFirstStart: settings.isFirstStart, fleetSize: () => relay.peers.size }),
   poisonDetector,
   confirmCrash: targets.crashConfirmer.confirm,
@@ -224,8 +226,8 @@
   const { clock, random, settings } = dependencies
   const startedAtMs = clock.monotonicMs()
   const isAwaitingPeers = (): boolean => relay().peers.size === 1 && clock.monotonicMs() - startedAtMs < peerAnswerMs(dependencies)
-  const createTurn = (document: PeerDocument, maxAgeMs: ReadTurnOptions['maxAgeMs']): ReadTurn =>
-    ReadTurn.create({ clock, random, maxAgeMs, isOverdue: () => documentSync().isOverdue(document), relayRank: () => relay().relayRank, zones: () => [...settings.availabilityZones, ...relay().peers.zones()], zone: settings.availabilityZone, isAwaitingPeers, isHearingRelay: () => relay().viewAgeMs < RELAY_SILENCE_MS, zoneSize: () => relay().peers.zoneSize })
+  const createTurn = (document: PeerDocument, maxAgeMs: ReadTurnOptions['maxAgeMs'], boundMs: () => number): ReadTurn =>
+    ReadTurn.create({ clock, random, maxAgeMs, boundMs, isOverdue: () => documentSync().isOverdue(document), relayRank: () => relay().relayRank, zones: () => [...settings.availabilityZones, ...relay().peers.zones()], zone: settings.availabilityZone, isAwaitingPeers, isHearingRelay: () => relay().viewAgeMs < RELAY_SILENCE_MS, rankBehindRelays: () => relay().peers.rankBehindRelays })
   return { isAwaitingPeers, createTurn }
 }
 
@@ -255,7 +257,7 @@
   const invariants = Invariants.create({ clock, log: log.child('invariants'), registry })
   let activeConfig: ActiveConfig | undefined
   const readers = createReaders(dependencies, () => relay, () => documentSync)
-  const config = createConfigFollower(dependencies, readers.createTurn('configuration', maxConfigAgeMs), () => listingPoller.isStoreDoubtful, next => {
+  const config = createConfigFollower(dependencies, readers.createTurn('configuration', maxConfigAgeMs, () => dependencies.liveSettings.current().bounds.configApplyMs), () => listingPoller.isStoreDoubtful, next => {
     activeConfig = createActiveConfig(next)
     relay.announceVersions()
   })
@@ -265,11 +267,12 @@
   const poisonDetector = PoisonRequestDetector.create(clock)
   const { relay, allowances }: ExchangeComponents = createExchange(dependencies, self, targets, documentSync, poisonDetector, registry, () => activeConfig?.config)
   registerGatewayMetrics({ registry, clock, config, targetRegistry: targets.targetRegistry, statsTracker: targets.statsTracker, targetLimits: targets.limits.targetLimits, rests: targets.rests, leaving: targets.leaving, relay })
-  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, readTurn: readers.createTurn('targets', maxListingAgeMs), clock, random, log: log.child('targets'), onReadStarted: config.check, onStoreRecovered: config.restart })
+  const targetDrainMs = (): number => dependencies.liveSettings.current().bounds.targetDrainMs
+  const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, boundMs: targetDrainMs, readTurn: readers.createTurn('targets', maxListingAgeMs, targetDrainMs), clock, random, log: log.child('targets'), onReadStarted: config.check, onRead: () => { relay.announceRead() }, onStoreRecovered: config.restart })
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
   const drainWindow = DrainWindow.create(clock)
   const { peerSender, forwarder } = createForwarder(dependencies, relay)
-  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync, allowances })
+  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, listingPoller, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync, allowances })
   return {
     handler: async (request, response, exchange) => { await serveGateway(serveOptions, request, response, exchange) },
     peerHandler: createPeerHandler(serveOptions, documentSync),
--- a/packages/daemon/src/gateway/peerDocumentSync.spec.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.spec.ts
@@ -73,6 +73,25 @@
     expect(sync.heldVersions('known')).to.include({ configAgeMs: 4_000, listingAgeMs: 4_000 })
   })
 
+  it('learns from what a daemon of its zone has read by itself, and tells it to other zones', () => {
+    clock.jumpMs(4_000)
+    const reads = { listingAgeMs: 50, configAgeMs: 60 }
+    expect(sync.handleReportedReads(reads, versions(), sibling)).to.equal(true)
+    expect(sync.heldVersions('known')).to.include(reads)
+    expect(sync.heldVersions('zone')).to.include(reads)
+    expect(sync.heldVersions('own')).to.include({ configAgeMs: 4_000, listingAgeMs: 4_000 })
+    expect(sync.handleReportedReads(reads, versions(), sibling)).to.equal(false)
+  })
+
+  it('learns nothing from reads of another zone or of other versions than its own', () => {
+    clock.jumpMs(4_000)
+    const reads = { listingAgeMs: 50, configAgeMs: 60 }
+    sync.handleReportedReads(reads, versions(), other)
+    sync.handleReportedReads(reads, versions({ listingDigest: 'another', configVersion: 1 }), sibling)
+    expect(sync.heldVersions('known')).to.include({ configAgeMs: 4_000, listingAgeMs: 4_000 })
+    expect(sync.heldVersions('zone')).to.include({ configAgeMs: 4_000, listingAgeMs: 4_000 })
+  })
+
   describe('while a configuration arrives slowly', () => {
     let fetches: Array<{ readonly host: string, readonly finish: (result: Result<string, string>) => void }>
 
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -1,7 +1,7 @@
 import type { Clock, GatewaySettings, GatewayStore, InstanceRecord, Log, Random } from '@lovagehoist/common'
 import type { GatewayConfigFollower } from '@lovagehoist/operators'
 import { UNKNOWN_AGE_MS } from '@lovagehoist/peers'
-import type { FetchPeerDocument, HeldVersions, PeerDocument, PeerDocumentTexts, RelayMessage } from '@lovagehoist/peers'
+import type { FetchPeerDocument, HeldVersions, PeerDocument, PeerDocumentTexts, ReadAges, RelayMessage } from '@lovagehoist/peers'
 import type { TargetRegistry } from '@lovagehoist/targets'
 import type { DocumentFetchMetrics } from './documentFetchMetrics.js'
 import { PeerDocumentFetch } from './peerDocumentFetch.js'
@@ -30,9 +30,20 @@
 /** Age of the own listing, or configuration, from which it is fetched from another zone; traffic between zones is expensive, and the relays here usually read the store. */
 const OTHER_ZONE_FETCH_AGE_MS = 1_000
 
+/** Age by which a reported read has to lower that of the listing to be passed on at once. */
+const URGENT_READ_GAIN_MS = 300
+
+/** Monotonic times at which the store was read. */
+interface ReadTimes {
+  readonly listing: number
+  readonly configuration: number
+}
+
 /** Compares the versions of configuration and target listing with those of peers and fetches newer documents from them. */
 export class PeerDocumentSync {
   private configBehindSinceMs: number | undefined
+  /** Latest reads that daemons of this zone reported of what is held here. */
+  private reportedAtMs: ReadTimes = { listing: -Infinity, configuration: -Infinity }
   private readonly fetches: Readonly<Record<PeerDocument, PeerDocumentFetch>>
 
   private constructor (private readonly options: PeerDocumentSyncOptions) {
@@ -53,19 +64,28 @@
   }
 
   /** Returns the versions of the documents that this daemon holds. */
-  readonly heldVersions = (ages: 'own' | 'known'): HeldVersions => {
-    const { config, targetRegistry, listingReadAtMs } = this.options
-    const listingAtMs = ages === 'own' ? listingReadAtMs() : targetRegistry.confirmedAtMs
-    const configAtMs = ages === 'own' ? config.ownConfirmedAtMs : config.confirmedAtMs
+  readonly heldVersions = (ages: 'own' | 'zone' | 'known'): HeldVersions => {
+    const { config, targetRegistry } = this.options
+    const { listing, configuration } = this.readsAtMs[ages]()
     return {
       configVersion: config.version,
       listingDigest: targetRegistry.digest,
       listingVersion: targetRegistry.current?.storeVersion ?? -1,
-      listingAgeMs: this.ageOf(listingAtMs),
-      configAgeMs: this.ageOf(configAtMs)
+      listingAgeMs: this.ageOf(listing),
+      configAgeMs: this.ageOf(configuration)
     }
   }
 
+  /** Monotonic times of the latest reads: by this daemon, by any of its zone, or by any daemon that it has heard of. */
+  private readonly readsAtMs: Readonly<Record<'own' | 'zone' | 'known', () => ReadTimes>> = {
+    own: () => ({ listing: this.options.listingReadAtMs(), configuration: this.options.config.ownConfirmedAtMs }),
+    zone: () => {
+      const { listing, configuration } = this.readsAtMs.own()
+      return { listing: Math.max(listing, this.reportedAtMs.listing), configuration: Math.max(configuration, this.reportedAtMs.configuration) }
+    },
+    known: () => ({ listing: this.options.targetRegistry.confirmedAtMs, configuration: this.options.config.confirmedAtMs })
+  }
+
   /** Serialised documents that this daemon holds, for peers that fetch them. */
   readonly documentTexts: PeerDocumentTexts = {
     configuration: () => this.options.config.currentText(),
@@ -97,7 +117,32 @@
     return availabilityZone === settings.availabilityZone || relayRank() === 0 || this.ageOf(confirmedAtMs) >= OTHER_ZONE_FETCH_AGE_MS
   }
 
-  /** Ages of own reads pass from readers to other zones and from relays to their zone, never back, since each hop makes them look younger by its delay. */
+  /**
+   * Learns from what a daemon of this zone has read by itself, and tells it to other zones as if it were read here.
+   *
+   * @param reads - Ages of its own reads.
+   * @param versions - Versions that it holds.
+   * @param from - The daemon.
+   * @returns Whether the listing was much older here, so that the others of the zone should hear of the read at once.
+   */
+  readonly handleReportedReads = (reads: ReadAges, versions: HeldVersions, from: InstanceRecord): boolean => {
+    const { settings, clock, config, targetRegistry } = this.options
+    if (from.availabilityZone !== settings.availabilityZone) return false
+    const nowMs = clock.monotonicMs()
+    const listingAtMs = nowMs - reads.listingAgeMs
+    const configAtMs = nowMs - reads.configAgeMs
+    const knownAtMs = targetRegistry.confirmedAtMs
+    if (versions.configVersion === config.version && config.version > 0) {
+      config.confirm(configAtMs, from.instanceId)
+      this.reportedAtMs = { ...this.reportedAtMs, configuration: Math.max(this.reportedAtMs.configuration, configAtMs) }
+    }
+    if (versions.listingDigest === '' || versions.listingDigest !== targetRegistry.digest) return false
+    targetRegistry.confirm(listingAtMs)
+    this.reportedAtMs = { ...this.reportedAtMs, listing: Math.max(this.reportedAtMs.listing, listingAtMs) }
+    return listingAtMs - knownAtMs >= URGENT_READ_GAIN_MS
+  }
+
+  /** Ages that relays tell pass from first relays to other zones and from relays to their zone, never back, since each hop makes them look younger by its delay. */
   private mayConfirm (message: RelayMessage['type']): boolean {
     if (message === 'zone') return true
     return message === 'view' && this.options.relayRank() !== 0
--- a/packages/daemon/src/gateway/storeCalls.load.spec.ts
+++ b/packages/daemon/src/gateway/storeCalls.load.spec.ts
@@ -5,6 +5,8 @@
 const CHANGES: StoreCallsOptions = { seed: 1, daemons: [6, 6, 6], targets: 33, seconds: 30, lossShare: 0.005, configAtMs: [7_130, 16_130, 25_130], drainAtMs: [5_130, 12_130, 15_130, 18_130, 26_130], newTargetAtMs: [6_130, 14_130, 27_130] }
 const MAX_DRAIN_MS = 2_000
 const MAX_CONFIG_MS = 2_000
+/** Time from the choice of a target to the arrival of the request there. */
+const SEND_MS = 100
 const MAX_NEW_TARGET_MS = 4_000
 const MAX_START_MS = 1_000
 /** Time between two reads of the listing: the lost relay read up to then. */
@@ -43,6 +45,23 @@
     })
   }
 
+  for (const { size, daemons, boundMs } of [{ size: 'a zone of three', daemons: [3], boundMs: 2_000 }, { size: 'small zones', daemons: [6, 6, 6], boundMs: 2_000 }, { size: 'large zones', daemons: [31, 30, 30], boundMs: 2_500 }]) {
+    it(`keep what daemons know younger than the bound while all relays are cut off from the store, but not from the others: ${size}`, async () => {
+      for (const seed of [1, 2, 3]) {
+        const storeFaults = [10_000, 19_000].map(fromMs => ({ fault: 'silent' as const, fromMs, toMs: fromMs + 5_500, includes: ({ index }: SimulatedMachine) => index < 2 }))
+        const result = await StoreCallsSimulation.run({ seed, daemons, boundMs, targets: 33, seconds: 28, lossShare: 0.005, storeFaults })
+        expect(result.longestListingAgeMs, `seed ${seed}`).to.be.below(boundMs - SEND_MS)
+      }
+    })
+  }
+
+  it('are made by few daemons of a zone whose relays the store turns away, since these tell the others', async () => {
+    const storeFaults = [{ fault: 'refused' as const, fromMs: 10_000, toMs: 19_000, includes: ({ index }: SimulatedMachine) => index < 2 }]
+    const result = await StoreCallsSimulation.run({ seed: 1, daemons: [60], boundMs: 2_500, targets: 33, seconds: 20, lossShare: 0.005, storeFaults })
+    const listings = countOf(result, 'steady: listing, others')
+    expect(listings).to.be.within(1, 15)
+  })
+
   it('come soon enough from a parted zone whose relays the store refuses, although these still answer the daemons of their zone', async () => {
     const isParted = ({ zone }: SimulatedMachine): boolean => zone === 'zone-1'
     for (const seed of [1, 2]) {
--- a/packages/daemon/src/gateway/unexpectedInput.spec.ts
+++ b/packages/daemon/src/gateway/unexpectedInput.spec.ts
@@ -26,7 +26,7 @@
   cores: 1,
   linkMbps: 1_000,
   memoryMb: 350,
-  bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
+  bounds: { graceMs: 6_000, targetDrainMs: 2_000, configApplyMs: 2_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
 }
 const from: InstanceRecord = { instanceId: 'gate-1', startId: 'start-1', host: '127.0.0.2', availabilityZone: 'a', relayFitness: 1 }
 const listing: TargetListing = { storeVersion: 7, targets: [{ ...fakeTarget('t-1'), coldForMs: 0 }], skipped: [] }
--- a/packages/daemon/src/testing/accountSimulation.ts
+++ b/packages/daemon/src/testing/accountSimulation.ts
@@ -178,6 +178,7 @@
       news: [allowances.news],
       limits: noLimits,
       heldVersions: () => heldVersions,
+      onReportedReads: () => false,
       onPeerVersions: () => {}
     })
     relay.peers.addKnown(this.records)
--- a/packages/daemon/src/testing/crashSimulation.ts
+++ b/packages/daemon/src/testing/crashSimulation.ts
@@ -109,6 +109,7 @@
       news: [detector.news],
       limits: { onChange: () => {}, report: () => ({ limits: [], demand: [], settled: [] }), applyReport: () => false, zoneLimits: () => ({ limits: [], demand: [] }), applyZoneLimits: () => false, view: () => ({ limits: [], permits: [] }), applyView: () => {} },
       heldVersions: () => ({ configVersion: 0, listingDigest: '', listingVersion: -1, listingAgeMs: 0, configAgeMs: 0 }),
+      onReportedReads: () => false,
       onPeerVersions: () => {}
     })
     relay.peers.addKnown(known)
--- a/packages/daemon/src/testing/exchangeSimulation.ts
+++ b/packages/daemon/src/testing/exchangeSimulation.ts
@@ -127,6 +127,7 @@
       news: [],
       limits: noLimits,
       heldVersions: () => ({ configVersion: 1, listingDigest: 'digest', listingVersion: 1, listingAgeMs: 0, configAgeMs: 0 }),
+      onReportedReads: () => false,
       onPeerVersions: () => { if (relay.relayRank < 0) this.recordSilence(record) }
     })
     relay.peers.addKnown(known)
--- a/packages/daemon/src/testing/shortageSimulation.ts
+++ b/packages/daemon/src/testing/shortageSimulation.ts
@@ -88,7 +88,7 @@
 const MAX_RETURN_SHARE = 1 / 3
 const MIN_RETRY_AFTER_MS = 250
 const MAX_RETRY_AFTER_MS = 2_000
-const BOUNDS = { graceMs: 1, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
+const BOUNDS = { graceMs: 1, targetDrainMs: 2_000, configApplyMs: 2_000, retryShare: 0.2, retrySlack: 58, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
 const NO_LIMITS = { allows: () => true, recordDemand: () => {}, recordSent: () => {}, recordRefused: () => 0 }
 const NOTHING_LEAVES = { has: () => false, isLastResort: () => false }
 
--- a/packages/daemon/src/testing/storeCallsSimulation.ts
+++ b/packages/daemon/src/testing/storeCallsSimulation.ts
@@ -48,6 +48,8 @@
   readonly documentFaults?: readonly MachinePeriod[]
   /** Size of the configuration as one daemon sends it to another; it arrives at once by default. */
   readonly configBytes?: number
+  /** Bounds on how late a change of the targets or of the configuration may have an effect. */
+  readonly boundMs?: number
   /** Hosts that the settings name; two first relays by default. */
   readonly bootstrapHosts?: readonly string[]
 }
@@ -65,6 +67,8 @@
   readonly fewestKnown: number
   /** Longest time without a successful read of the listing by any daemon. */
   readonly longestReadGapMs: number
+  /** Highest age of the listing at daemons that run and reach the store, and did for a while. */
+  readonly longestListingAgeMs: number
 }
 
 interface Process {
@@ -82,6 +86,10 @@
 /** Machines of a fleet start within this time. */
 const START_SPREAD_MS = 300
 const CHECK_MS = 20
+/** Time since a fault after which a machine counts as in touch with the store. */
+const IN_TOUCH_AFTER_MS = 3_000
+const DEFAULT_BOUND_MS = 2_000
+const LISTING_AGE = /"ageMs":(\d+(?:\.\d+)?)/g
 const MAX_DELAY_MS = 10_000
 /** Calls made by a process this soon after its start are counted as calls of the start. */
 const START_PHASE_MS = 1_500
@@ -105,7 +113,7 @@
   private readonly startsAtMs = new Map<string, number[]>()
   private readonly store: SimulatedStore
   private readonly links: SimulatedLinks
-  private readonly longestMs = { config: 0, drain: 0, newTarget: 0, start: 0 }
+  private readonly longestMs = { config: 0, drain: 0, newTarget: 0, start: 0, listingAge: 0 }
   private targetCount = 0
 
   private constructor (private readonly options: StoreCallsOptions) {
@@ -129,10 +137,11 @@
     this.scheduleChanges()
     this.scheduleOutages()
     for (const { fromMs } of this.options.storeFaults ?? []) this.clock.after(fromMs, () => { this.store.applyFaults() })
+    this.clock.after(IN_TOUCH_AFTER_MS, () => { this.measureListingAges() })
     await this.clock.advanceMs(seconds * 1_000)
     const fewestKnown = Math.min(...await Promise.all([...this.processes.values()].map(countKnown)))
     for (const process of this.processes.values()) process.stop.abort()
-    return { ...this.countCalls(), fewestKnown, longestConfigMs: this.longestMs.config, longestDrainMs: this.longestMs.drain, longestNewTargetMs: this.longestMs.newTarget, longestStartMs: this.longestMs.start, longestReadGapMs: this.longestReadGapMs() }
+    return { ...this.countCalls(), fewestKnown, longestConfigMs: this.longestMs.config, longestDrainMs: this.longestMs.drain, longestNewTargetMs: this.longestMs.newTarget, longestStartMs: this.longestMs.start, longestReadGapMs: this.longestReadGapMs(), longestListingAgeMs: this.longestMs.listingAge }
   }
 
   private scheduleChanges (): void {
@@ -185,6 +194,20 @@
     this.clock.after(CHECK_MS, check)
   }
 
+  private measureListingAges (): void {
+    for (const process of this.processes.values()) {
+      const [age] = [...process.components.documentTexts.targets()?.matchAll(LISTING_AGE) ?? []].slice(-1)
+      if (this.isInTouch(process)) this.longestMs.listingAge = Math.max(this.longestMs.listingAge, Number(age?.[1] ?? Infinity))
+    }
+    this.clock.after(CHECK_MS, () => { this.measureListingAges() })
+  }
+
+  private isInTouch ({ machine, startedAtMs }: Process): boolean {
+    const atMs = this.clock.monotonicMs()
+    const isCut = (this.options.storeFaults ?? []).some(({ fromMs, toMs, includes }) => atMs >= fromMs && atMs < toMs + IN_TOUCH_AFTER_MS && includes(machine))
+    return !isCut && atMs - startedAtMs >= IN_TOUCH_AFTER_MS
+  }
+
   private isRunning (process: Process): boolean {
     return this.processes.get(process.machine.host) === process
   }
@@ -244,7 +267,7 @@
       cores: index < 2 ? 1 : 0.2,
       linkMbps: 200,
       memoryMb: 300,
-      bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
+      bounds: { graceMs: 6_000, targetDrainMs: this.options.boundMs ?? DEFAULT_BOUND_MS, configApplyMs: this.options.boundMs ?? DEFAULT_BOUND_MS, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
     }
   }
 
--- a/packages/peers/src/relay/messages.fuzz.spec.ts
+++ b/packages/peers/src/relay/messages.fuzz.spec.ts
@@ -19,7 +19,7 @@
 const demand = fc.array(fc.tuple(fc.string(), rate))
 const permits = fc.array(fc.tuple(fc.string(), fc.string(), fc.nat(1_000)))
 const message: fc.Arbitrary<RelayMessage> = fc.oneof(
-  fc.record({ type: fc.constant('report' as const), from: instance, isFull: fc.boolean(), isLeaving: fc.boolean(), uptimeMs: count, counters, news, limits: fc.record({ limits, demand, settled: fc.array(fc.tuple(fc.string(), fc.record({ used: count, unused: count }))) }) }),
+  fc.record({ type: fc.constant('report' as const), from: instance, isFull: fc.boolean(), isLeaving: fc.boolean(), uptimeMs: count, ownReads: fc.record({ listingAgeMs: count, configAgeMs: count }), counters, news, limits: fc.record({ limits, demand, settled: fc.array(fc.tuple(fc.string(), fc.record({ used: count, unused: count }))) }) }),
   fc.record({ type: fc.constant('zone' as const), from: instance, isFull: fc.boolean(), counters, news, limits: fc.record({ limits, demand }) }),
   fc.record({
     type: fc.constant('view' as const),
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -21,6 +21,14 @@
   readonly configAgeMs: number
 }
 
+/** Ages of what a daemon has read from the store by itself. */
+export interface ReadAges {
+  /** Time since its last read of the target listing. */
+  readonly listingAgeMs: number
+  /** Time since the store last showed it that there is no newer configuration. */
+  readonly configAgeMs: number
+}
+
 /** Stands for an age that is not known. */
 export const UNKNOWN_AGE_MS = 1_000_000_000
 
@@ -38,8 +46,10 @@
   readonly counters: PerTarget<TargetCounters>
   readonly news: News
   readonly limits: LimitReport
-  /** Versions that the daemon holds; absent in messages of earlier builds. */
+  /** Versions that the daemon holds, with the ages of the latest reads that it knows of; absent in messages of earlier builds. */
   readonly heldVersions?: HeldVersions
+  /** Ages of its own reads; absent in messages of earlier builds. */
+  readonly ownReads?: ReadAges
 }
 
 /** Sent by the first relay of a zone to the relays of other zones: the zone's totals by target. */
@@ -120,6 +130,14 @@
 
 const decodeOptionalVersions = (facts: unknown): { readonly heldVersions?: HeldVersions } => facts === undefined ? {} : { heldVersions: decodeHeldVersions(facts) }
 
+const encodeReads = (reads: ReadAges | undefined): { readonly reads?: readonly unknown[] } => reads === undefined ? {} : { reads: [Math.round(reads.listingAgeMs), Math.round(reads.configAgeMs)] }
+
+const decodeReads = (value: unknown): { readonly ownReads?: ReadAges } => {
+  const [listingAgeMs, configAgeMs] = Array.isArray(value) ? value as readonly unknown[] : []
+  const isAge = (age: unknown): age is number => typeof age === 'number' && age >= 0
+  return isAge(listingAgeMs) && isAge(configAgeMs) ? { ownReads: { listingAgeMs, configAgeMs } } : {}
+}
+
 const decodeFullPart = (value: unknown): { readonly fullPart?: FullPart } => {
   const [index, count, wholeId] = Array.isArray(value) ? value as readonly unknown[] : []
   return typeof index === 'number' && typeof count === 'number' && typeof wholeId === 'number' ? { fullPart: { index, count, wholeId } } : {}
@@ -134,13 +152,14 @@
   readonly uptime?: unknown
   readonly rows?: unknown
   readonly facts?: unknown
+  readonly reads?: unknown
   readonly members?: unknown
   readonly news?: unknown
   readonly limits?: unknown
 }
 
 const encoders: { readonly [Type in RelayMessage['type']]: (message: Extract<RelayMessage, { readonly type: Type }>) => Params } = {
-  report: ({ from, isFull, isLeaving, uptimeMs, counters, news, limits, heldVersions }) => ({ ...encodeNews(news), ...encodeOptionalVersions(heldVersions), ...encodeLimitReport(limits), from: encodeInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: counters.map(encodeCounters) }),
+  report: ({ from, isFull, isLeaving, uptimeMs, counters, news, limits, heldVersions, ownReads }) => ({ ...encodeNews(news), ...encodeOptionalVersions(heldVersions), ...encodeReads(ownReads), ...encodeLimitReport(limits), from: encodeInstance(from), full: isFull, leaving: isLeaving, uptime: Math.round(uptimeMs), rows: counters.map(encodeCounters) }),
   zone: ({ from, isFull, counters, news, limits, heldVersions }) => ({ ...encodeNews(news), ...encodeOptionalVersions(heldVersions), ...encodeZoneLimits(limits), from: encodeInstance(from), full: isFull, rows: counters.map(encodeCounters) }),
   view: ({ from, heldVersions, stats, members, news, limits }) => ({
     ...encodeNews(news),
@@ -153,7 +172,7 @@
 }
 
 const decoders: Readonly<Record<RelayMessage['type'], (params: Params) => RelayMessage>> = {
-  report: ({ from, full, part, leaving, uptime, rows, news, limits, facts }) => ({ type: 'report', ...decodeOptionalVersions(facts), from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeLimitReport(limits) }),
+  report: ({ from, full, part, leaving, uptime, rows, news, limits, facts, reads }) => ({ type: 'report', ...decodeOptionalVersions(facts), ...decodeReads(reads), from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), isLeaving: leaving === true, uptimeMs: typeof uptime === 'number' ? uptime : Infinity, counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeLimitReport(limits) }),
   zone: ({ from, full, part, rows, news, limits, facts }) => ({ type: 'zone', ...decodeOptionalVersions(facts), from: decodeInstance(from), isFull: full === true, ...decodeFullPart(part), counters: decodeRows(rows).map(decodeCounters), news: decodeNews(news), limits: decodeZoneLimits(limits) }),
   view: ({ from, facts, rows, members, news, limits }) => ({
     type: 'view',
--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -170,6 +170,14 @@
     return 1 + [...this.peers.values()].filter(({ record }) => record.availabilityZone === this.self.availabilityZone).length
   }
 
+  /** Number of responsive daemons of this zone that are fitter than this one and no relays. */
+  get rankBehindRelays (): number {
+    const nowMs = this.clock.monotonicMs()
+    const self: KnownPeer = { record: this.self, heardAtMs: nowMs, totalsAtMs: -Infinity, unansweredSinceMs: undefined }
+    const fitter = [...this.peers.values()].filter(peer => peer.record.availabilityZone === this.self.availabilityZone && !this.isUnresponsive(peer.unansweredSinceMs, nowMs) && byFitness(peer, self) < 0)
+    return Math.max(0, fitter.length - RELAYS_PER_ZONE)
+  }
+
   /** Number of known daemons, including this one. */
   get size (): number {
     return this.peers.size + 1
--- a/packages/peers/src/relay/relayContracts.ts
+++ b/packages/peers/src/relay/relayContracts.ts
@@ -1,6 +1,6 @@
 import type { Clock, FleetTargetStats, InstanceRecord, LimitExchange, Log, NewsTopic, PerTarget, TargetCounters } from '@lovagehoist/common'
 import type { Datagrams } from './datagrams.js'
-import type { HeldVersions, RelayMessage } from './messages.js'
+import type { HeldVersions, ReadAges, RelayMessage } from './messages.js'
 
 /** Per-target counters of the requests that this daemon sends. */
 export interface LocalCounters {
@@ -41,8 +41,10 @@
   /** Knowledge that all daemons share. */
   readonly news: readonly NewsTopic[]
   readonly limits: LimitExchange
-  /** Versions that this daemon holds, with the ages of its own reads of the store or of the latest reads that it knows of. */
-  readonly heldVersions: (ages: 'own' | 'known') => HeldVersions
+  /** Versions that this daemon holds, with the ages of its own reads of the store, of the latest reads by daemons of its zone, or of the latest reads that it knows of. */
+  readonly heldVersions: (ages: 'own' | 'zone' | 'known') => HeldVersions
   /** Called with the versions that another daemon holds, for each message received from it. */
   readonly onPeerVersions: (versions: HeldVersions, from: InstanceRecord, message: RelayMessage['type']) => void
+  /** Called with the ages of a daemon's own reads, for each report that tells them; returns whether the others of the zone should hear of them at once. */
+  readonly onReportedReads: (reads: ReadAges, versions: HeldVersions, from: InstanceRecord) => boolean
 }
--- a/packages/peers/src/relay/relayNode.spec.ts
+++ b/packages/peers/src/relay/relayNode.spec.ts
@@ -77,6 +77,7 @@
         applyView: () => {}
       },
       heldVersions: () => ({ configVersion: 0, listingDigest: '', listingVersion: -1, listingAgeMs: 0, configAgeMs: 0 }),
+      onReportedReads: () => false,
       onPeerVersions: () => {}
     })
     this.relay.peers.addKnown(peers)
--- a/packages/peers/src/relay/relayNode.ts
+++ b/packages/peers/src/relay/relayNode.ts
@@ -30,6 +30,8 @@
 /** Reports of a large zone are less frequent, and its standby relay gets fewer: it must be able to take over, not to serve at once. */
 const LARGE_ZONE_REPORT_INTERVAL_MS = 200
 const STANDBY_REPORT_INTERVAL_MS = 400
+/** Own reads older than this are not reported. */
+const MAX_REPORTED_READ_AGE_MS = 5_000
 /** Up to this many targets, every repeat is a full report: all counters fit into a few packets. */
 const ALWAYS_FULL_MAX_TARGETS = 64
 /** With more targets, one repeat in this many is a full report. */
@@ -108,6 +110,11 @@
     this.onCountersChanged(true)
   }
 
+  /** Tells the relays at once that this daemon has read the store, which they and the others of the zone then need not; a first relay tells with its next totals. */
+  announceRead (): void {
+    if (this.relayRank !== 0) this.onCountersChanged(true)
+  }
+
   /** Ignores messages for a moment after this process was paused: those that have waited for it look newer than they are. */
   handlePause (): void {
     this.ignoresUntilMs = this.options.clock.monotonicMs() + AFTER_PAUSE_MS
@@ -210,13 +217,19 @@
     fleetStats.applyDaemonReport(self.startId, counters, isFull, uptimeMs)
     this.options.limits.applyReport(self.startId, limits)
     const relays = this.peers.relays(self.availabilityZone).filter(({ instanceId }) => instanceId !== self.instanceId)
-    const parts = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits, heldVersions: this.options.heldVersions('known') }, this.repeatCount)
+    const parts = encodeMessage({ type: 'report', from: self, isFull, isLeaving: this.isLeaving, uptimeMs, counters, news, limits, heldVersions: this.options.heldVersions('known'), ...this.recentReads() }, this.repeatCount)
     const bootstrap = this.isSearching ? bootstrapHosts().filter(host => host !== self.host) : []
     const receivers = isForStandby || this.news.hasUnrepeated(news) || limits.limits.length > 0 ? relays : relays.slice(0, 1)
     for (const { instanceId } of receivers) this.peers.recordRequest(instanceId)
     for (const host of [...receivers.map(relay => relay.host), ...bootstrap]) for (const bytes of parts) datagrams.send(host, bytes)
   }
 
+  /** Ages of own reads, unless they are too old to be of use to others. */
+  private recentReads (): Pick<Report, 'ownReads'> {
+    const ownReads = this.options.heldVersions('own')
+    return Math.min(ownReads.listingAgeMs, ownReads.configAgeMs) > MAX_REPORTED_READ_AGE_MS ? {} : { ownReads }
+  }
+
   private receive (bytes: Uint8Array, host: string): void {
     const nowMs = this.options.clock.monotonicMs()
     if (nowMs < this.ignoresUntilMs || nowMs - this.lastTickAtMs > MAX_TICK_GAP_MS) return
@@ -261,7 +274,7 @@
   }
 
   private handleReport (report: Report): void {
-    const { from, isLeaving, uptimeMs, counters, news, limits, heldVersions } = report
+    const { from, isLeaving, uptimeMs, counters, news, limits, heldVersions, ownReads } = report
     const hasUrgentNews = this.news.apply(news, 'zone')
     if (isLeaving) {
       this.views.removeReporter(from.startId)
@@ -271,8 +284,9 @@
     }
     if (this.views.recordReport(from)) this.onCountersChanged(true)
     if (heldVersions !== undefined) this.options.onPeerVersions(heldVersions, from, 'report')
+    const isReadRecent = heldVersions !== undefined && ownReads !== undefined && this.options.onReportedReads(ownReads, heldVersions, from)
     const hasUrgentLimits = this.options.limits.applyReport(from.startId, limits)
-    if (this.options.fleetStats.applyDaemonReport(from.startId, counters, this.fullParts.isWhole(from.startId, report), uptimeMs) || hasUrgentLimits || hasUrgentNews) this.onCountersChanged(true)
+    if (this.options.fleetStats.applyDaemonReport(from.startId, counters, this.fullParts.isWhole(from.startId, report), uptimeMs) || hasUrgentLimits || hasUrgentNews || isReadRecent) this.onCountersChanged(true)
   }
 
   private handleZoneTotals (totals: ZoneTotals): void {
--- a/packages/peers/src/relay/zoneTotalsSender.ts
+++ b/packages/peers/src/relay/zoneTotalsSender.ts
@@ -48,7 +48,7 @@
     const nowMs = this.options.clock.monotonicMs()
     const otherZones = this.peers.zones().filter(zone => zone !== this.options.self.availabilityZone)
     const isDue = nowMs - this.lastRegularAtMs >= INTERVAL_MS
-    const heldVersions = this.options.heldVersions('own')
+    const heldVersions = this.options.heldVersions('zone')
     const readsAtMs = [heldVersions.listingAgeMs, heldVersions.configAgeMs].map(ageMs => nowMs - ageMs)
     const hasRead = readsAtMs.some((atMs, index) => nowMs - atMs < INTERVAL_MS && atMs > (this.sentReadsAtMs[index] ?? -Infinity) + ROUNDING_MS)
     if (!isUrgent && !isDue && !hasRead) return false
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -162,7 +162,7 @@
       cores: 1,
       linkMbps: 1_000,
       memoryMb: this.memoryMb,
-      bounds: { graceMs: 6_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
+      bounds: { graceMs: 6_000, targetDrainMs: 2_000, configApplyMs: 2_000, retryShare: 0.2, retrySlack: 50, retryWindowMs: 10_000, floorShare: 0.7, keyRevocationMs: 5_000, isKeyRevocationStrict: false, quota: { windowMs: 5_000, overageShare: 0.1, slackRequests: 20 } }
     }
     const write = (line: string): void => {
       this.logText += line
--- a/packages/targets/src/registry/listingPoller.ts
+++ b/packages/targets/src/registry/listingPoller.ts
@@ -8,11 +8,15 @@
   readonly registry: TargetRegistry
   /** Decides whether this daemon reads the store or relies on others. */
   readonly readTurn: Pick<ReadTurn, 'isDue' | 'order'>
+  /** Time after the store accepted that a target leaves from which no request may reach it. */
+  readonly boundMs: () => number
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
   /** Called with the start of each read. */
   readonly onReadStarted?: () => void
+  /** Called when a read has succeeded. */
+  readonly onRead?: () => void
   /** Called when the store responds again after failures. */
   readonly onStoreRecovered?: () => void
 }
@@ -28,11 +32,18 @@
 /** Age up to which the listing shows that others read it. */
 const MAX_READ_BY_OTHERS_AGE_MS = 2_000
 
+/** Share of the bound from which the listing is too old to choose a target by: the rest is for the way there. */
+const CHOICE_AGE_SHARE = 0.95
+/** Longest time for which requests wait for one read; the store answers within a few milliseconds or not at all. */
+const MAX_HOLD_MS = 100
+
 /** Polls the store for the listing of targets unless another daemon has confirmed the listing recently. */
 export class ListingPoller {
   private failures = 0
   private retryAtMs = -Infinity
   private readAtMs = -Infinity
+  private readStartedAtMs = -Infinity
+  private reading: Promise<void> | undefined
 
   private constructor (private readonly options: ListingPollerOptions) {}
 
@@ -65,11 +76,36 @@
   async run (signal: AbortSignal): Promise<void> {
     const { clock } = this.options
     while (!signal.aborted) {
-      if (this.isDue()) await this.readListing()
+      if (this.isDue()) await this.read()
       await clock.sleepMs(CHECK_INTERVAL_MS, signal)
     }
   }
 
+  /** Whether a target that leaves may be listed as ready, although the store responds. */
+  get isTooOld (): boolean {
+    const { clock, registry, boundMs } = this.options
+    return this.failures === 0 && registry.hasListing && clock.monotonicMs() - registry.confirmedAtMs > CHOICE_AGE_SHARE * boundMs()
+  }
+
+  /** Reads a listing that is too old to choose a target by and waits for it for a moment; while the store does not respond, serving goes on without it. */
+  readonly untilRecent = async (): Promise<void> => {
+    if (!this.isTooOld) return
+    const { clock, log, registry } = this.options
+    const reading = this.read()
+    const leftMs = this.readStartedAtMs + MAX_HOLD_MS - clock.monotonicMs()
+    if (leftMs <= 0) return
+    const held = new AbortController()
+    const ageMs = Math.round(clock.monotonicMs() - registry.confirmedAtMs)
+    await Promise.race([reading, clock.sleepMs(leftMs, held.signal)])
+    held.abort()
+    log.info('request held for a read of the listing', { listingAgeMs: ageMs, isRecent: !this.isTooOld })
+  }
+
+  private async read (): Promise<void> {
+    this.reading ??= this.readListing().finally(() => { this.reading = undefined })
+    await this.reading
+  }
+
   private isDue (): boolean {
     const { clock, registry, readTurn } = this.options
     // The reader of the fleet reads whatever others confirm: with each read it also checks its watch of the configuration.
@@ -79,6 +115,7 @@
   private async readListing (): Promise<void> {
     const { clock, registry, store, log } = this.options
     const startedAtMs = clock.monotonicMs()
+    this.readStartedAtMs = startedAtMs
     this.options.onReadStarted?.()
     const read = await store.readTargets()
     if (read.isErr()) {
@@ -92,6 +129,7 @@
     this.failures = 0
     this.readAtMs = startedAtMs
     registry.apply(read.value, startedAtMs)
+    this.options.onRead?.()
   }
 
   private handleFailure ({ kind, message }: PlatformError): void {
--- a/packages/targets/src/registry/targetRegistry.spec.ts
+++ b/packages/targets/src/registry/targetRegistry.spec.ts
@@ -90,8 +90,8 @@
     }
     const stop = new AbortController()
     const random = SeededRandom.create(1)
-    const readTurn = ReadTurn.create({ clock, random, maxAgeMs: maxListingAgeMs, relayRank: () => rank, zones: () => ['a'], zone: 'a', isOverdue: () => false, isAwaitingPeers: () => false, isHearingRelay: () => true, zoneSize: () => 5 })
-    ListingPoller.create({ store: { readTargets }, registry, readTurn, clock, random, log: silentLog }).run(stop.signal).catch(() => {})
+    const readTurn = ReadTurn.create({ clock, random, maxAgeMs: maxListingAgeMs, boundMs: () => 2_000, relayRank: () => rank, zones: () => ['a'], zone: 'a', isOverdue: () => false, isAwaitingPeers: () => false, isHearingRelay: () => true, rankBehindRelays: () => 0 })
+    ListingPoller.create({ store: { readTargets }, registry, boundMs: () => 2_000, readTurn, clock, random, log: silentLog }).run(stop.signal).catch(() => {})
     const confirm = async (): Promise<void> => {
       for (let passedMs = 0; passedMs < 10_000; passedMs += 100) {
         await clock.advanceMs(100)
@@ -111,4 +111,37 @@
   it('backs off while the store fails', async () => {
     expect(await countReads(0, { kind: 'unavailable', message: 'busy' })).to.be.below(14)
   })
+
+  /** Requests arrive while nobody else reads; `readMs` is the time of a read, and without an answer it fails in the end. */
+  const holdRequests = async (ageMs: number, readMs: number, requests: number, answers: boolean) => {
+    const clock = ManualClock.create()
+    const registry = TargetRegistry.create({ clock, log: silentLog, onForget: () => {} })
+    registry.apply(listing(1, [listed('t1')]), 0)
+    let reads = 0
+    const readTargets = async () => {
+      reads++
+      await clock.sleepMs(readMs)
+      return answers ? ok(listing(2, [listed('t1', { isLeaving: true })])) : err<never, PlatformError>({ kind: 'unavailable', message: 'silent' })
+    }
+    const poller = ListingPoller.create({ store: { readTargets }, registry, boundMs: () => 2_000, readTurn: { isDue: () => false, order: undefined }, clock, random: SeededRandom.create(1), log: silentLog })
+    clock.jumpMs(ageMs)
+    const heldMs: number[] = []
+    for (let index = 0; index < requests; index++) {
+      const arrivedAtMs = clock.monotonicMs()
+      poller.untilRecent().then(() => { heldMs.push(clock.monotonicMs() - arrivedAtMs) }, () => {})
+      await clock.advanceMs(1)
+    }
+    await clock.advanceMs(readMs + 100)
+    return { reads, heldMs, isLeaving: registry.isLeaving('t1'), isTooOld: poller.isTooOld }
+  }
+
+  it('reads once for all requests that arrive while the listing is too old, and holds them until then', async () => {
+    expect(await holdRequests(1_950, 5, 3, true)).to.deep.equal({ reads: 1, heldMs: [5, 4, 3], isLeaving: true, isTooOld: false })
+    expect(await holdRequests(1_000, 5, 1, true)).to.deep.equal({ reads: 0, heldMs: [0], isLeaving: false, isTooOld: false })
+  })
+
+  it('holds requests for a moment only while the store is silent, then goes on without it', async () => {
+    const { reads, heldMs, isTooOld } = await holdRequests(1_950, 1_200, 200, false)
+    expect([reads, Math.max(...heldMs), heldMs.slice(110).every(ms => ms === 0), isTooOld]).to.deep.equal([1, 100, true, false])
+  })
 })
