Gateway: count bodies by the memory that they take, not by their bytes alone

A target that answered with chunks of one byte, or a caller that sent an upload so, ended the daemon for lack of memory, and the requests of all other callers with it; a target that sent interim responses without end kept the processor busy until the deadline. Cause: each chunk became a buffer and a queue entry of some hundred bytes, and a write to the caller with a callback; limits count bytes. Change: small chunks are joined into blocks (ChunkCollector) where bodies are collected, and passed on together once a read of the socket has been parsed; a write counts 512 bytes beside its own until the caller has read it; 64 interim responses end the attempt. The HTTP client throws if the end of the connection arrives while a response is paused: it is resumed first. Evidence: growth of the daemon's memory, one download in chunks of one byte for 2 s: 128 MB before, below 60 after (endlessResponses.spec.ts); four uploads of 0.9 MB in chunks of one byte: 594 MB before, below 60 after (smallChunks.spec.ts). An attempt at a target that sends interim responses without end is over within 1 s (before: at the deadline of 2 s).

--- a/packages/callers/src/accept/readBody.ts
+++ b/packages/callers/src/accept/readBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import { ChunkCollector } from '@lovagehoist/common'
 import type { Clock } from '@lovagehoist/common'
 import type { BodyRoom } from '../buffering/bodyRoom.js'
 
@@ -30,32 +31,28 @@
 /** Collects the chunks of a body. */
 class BodyCollector {
   lengthBytes = 0
-  private chunks: Buffer[] = []
+  private readonly chunks = ChunkCollector.create()
   private whole: Buffer | undefined
 
   constructor (private readonly statedBytes: number | undefined) {}
 
   add (chunk: Buffer): void {
-    if (this.whole === undefined) this.chunks.push(chunk)
+    if (this.whole === undefined) this.chunks.add(chunk)
     else chunk.copy(this.whole, this.lengthBytes)
     this.lengthBytes += chunk.length
     this.joinEarly()
   }
 
   join (): Buffer {
-    if (this.whole !== undefined) return this.whole.subarray(0, this.lengthBytes)
-    return this.chunks.length === 1 && this.chunks[0] !== undefined ? this.chunks[0] : Buffer.concat(this.chunks)
+    return this.whole === undefined ? this.chunks.take() : this.whole.subarray(0, this.lengthBytes)
   }
 
   /** Moves a large body into one buffer when half of it has arrived: earlier, callers that send slowly would hold what they state; later, the body is held twice. */
   private joinEarly (): void {
     const { statedBytes } = this
     if (this.whole !== undefined || statedBytes === undefined || statedBytes <= MAX_JOINED_BYTES || this.lengthBytes * 2 < statedBytes) return
-    const whole = Buffer.allocUnsafeSlow(statedBytes)
-    let at = 0
-    for (const chunk of this.chunks) at += chunk.copy(whole, at)
-    this.whole = whole
-    this.chunks = []
+    this.whole = Buffer.allocUnsafeSlow(statedBytes)
+    this.chunks.take().copy(this.whole)
   }
 }
 
--- a/packages/callers/src/exchange/bufferResponse.ts
+++ b/packages/callers/src/exchange/bufferResponse.ts
@@ -1,3 +1,4 @@
+import { ChunkCollector } from '@lovagehoist/common'
 import type { RawHeaders, TargetResponse } from '@lovagehoist/common'
 
 /** Response of a target, buffered completely or up to a limit. */
@@ -23,17 +24,15 @@
   const { status, headers, trailers, body } = response
   body.on('error', () => {})
   if (maxBytes === 0) return { status, headers, buffered: Buffer.alloc(0), rest: body, trailers }
-  const chunks: Buffer[] = []
-  let bufferedBytes = 0
+  const collector = ChunkCollector.create()
   return await new Promise((resolve, reject) => {
     const finish = (rest: TargetResponse['body'] | undefined): void => {
       body.off('data', onData).off('end', onEnd).off('error', reject).off('close', onClose)
-      resolve({ status, headers, buffered: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks), rest, trailers })
+      resolve({ status, headers, buffered: collector.take(), rest, trailers })
     }
     const onData = (chunk: Buffer): void => {
-      chunks.push(chunk)
-      bufferedBytes += chunk.length
-      if (bufferedBytes <= maxBytes && tryReserve(chunk.length)) return
+      collector.add(chunk)
+      if (collector.lengthBytes <= maxBytes && tryReserve(chunk.length)) return
       body.pause()
       finish(body)
     }
--- a/packages/callers/src/responses/pacedWriter.ts
+++ b/packages/callers/src/responses/pacedWriter.ts
@@ -19,6 +19,9 @@
 /** Bytes of one response that may be read from its target ahead of the caller. */
 const MAX_READ_AHEAD_BYTES = 4_194_304
 
+/** What a write takes beside its bytes until the caller has read it: small ones would else cost many times what is counted. */
+const WRITE_OVERHEAD_BYTES = 512
+
 /** Writes the body of one response at the pace of its caller and disconnects a caller that reads nothing. */
 export class PacedWriter {
   private pendingBytes = 0
@@ -90,8 +93,9 @@
         else if (rest.isPaused() && hasRoom()) rest.resume()
       }
       rest.on('data', (chunk: Buffer) => {
-        hold.addResponse(chunk.length)
-        this.write(chunk, () => { hold.releaseResponse(chunk.length) })
+        const heldBytes = chunk.length + WRITE_OVERHEAD_BYTES
+        hold.addResponse(heldBytes)
+        this.write(chunk, () => { hold.releaseResponse(heldBytes) })
         if (!hasRoom()) rest.pause()
       })
       rest.once('end', () => { resolve('answer') }).once('error', () => { resolve('broken') }).once('close', () => { resolve(rest.readableEnded ? 'answer' : 'broken') })
@@ -112,9 +116,10 @@
   }
 
   private write (bytes: Buffer, onWritten: () => void = () => {}): void {
-    this.pendingBytes += bytes.length
+    const pendingBytes = bytes.length + WRITE_OVERHEAD_BYTES
+    this.pendingBytes += pendingBytes
     this.response.write(bytes, () => {
-      this.pendingBytes -= bytes.length
+      this.pendingBytes -= pendingBytes
       onWritten()
       this.lastProgressAtMs = this.pacing.clock.monotonicMs()
       this.onProgress()
--- a/packages/standins/src/soak/gateway/endlessResponses.spec.ts
+++ b/packages/standins/src/soak/gateway/endlessResponses.spec.ts
@@ -10,7 +10,7 @@
 import { HOST_NAME } from './soakConfig.js'
 import { SoakFleet } from './soakFleet.js'
 
-type Bytes = 'head' | 'length' | 'chunks' | 'close-delimited' | 'second-answer' | 'idle-connection'
+type Bytes = 'head' | 'length' | 'chunks' | 'one-byte-chunks' | 'interim' | 'close-delimited' | 'second-answer' | 'idle-connection'
 
 interface Outcome {
   readonly status: number
@@ -24,6 +24,8 @@
 const MAX_GROWTH_MB = 60
 const FILLER = Buffer.alloc(65_536, 'x')
 const CHUNK = Buffer.concat([Buffer.from('10000\r\n'), FILLER, Buffer.from('\r\n')])
+const ONE_BYTE_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_000))
+const INTERIM = Buffer.from('HTTP/1.1 103 Early Hints\r\nlink: </style.css>\r\n\r\n'.repeat(1_000))
 const HEADER = Buffer.from(`${'x-filler: '.padEnd(1_000, 'x')}\r\n`)
 
 /** Bytes that a target sends before those that never end, and the ones that it repeats. */
@@ -31,6 +33,8 @@
   head: { head: id => `HTTP/1.1 200 OK\r\n${PLATFORM_HEADERS.requestId}: ${id}\r\n`, repeated: HEADER },
   length: { head: id => `${signedHead(id)}content-length: 999999999999\r\n\r\n`, repeated: FILLER },
   chunks: { head: id => `${signedHead(id)}transfer-encoding: chunked\r\n\r\n`, repeated: CHUNK },
+  'one-byte-chunks': { head: id => `${signedHead(id)}transfer-encoding: chunked\r\n\r\n`, repeated: ONE_BYTE_CHUNKS },
+  interim: { head: () => '', repeated: INTERIM },
   'close-delimited': { head: id => `${signedHead(id)}\r\n`, repeated: FILLER },
   'second-answer': { head: id => `${signedHead(id)}content-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n`, repeated: HEADER },
   'idle-connection': { head: id => `${signedHead(id)}content-length: 2\r\n\r\nok`, repeated: FILLER }
@@ -107,7 +111,7 @@
     endless.close()
   })
 
-  for (const [name, isAnswerWhole] of [['head', true], ['length', false], ['chunks', false], ['close-delimited', false], ['second-answer', true], ['idle-connection', true]] as const) {
+  for (const [name, isAnswerWhole] of [['head', true], ['length', false], ['chunks', false], ['one-byte-chunks', false], ['interim', true], ['close-delimited', false], ['second-answer', true], ['idle-connection', true]] as const) {
     it(`does not fill the memory or hold other requests up (${name})`, async () => {
       kind = name
       const daemons = fleet.instances.map(({ process: daemon }) => daemon)
@@ -118,6 +122,8 @@
       const outcome = await endlessCall
       expect(outcome.elapsedMs).to.be.below(LATEST_END_MS)
       expect(outcome.isComplete).to.equal(isAnswerWhole)
+      // Interim responses carry nothing: a target that sends nothing else is not waited for.
+      if (kind === 'interim') expect(outcome.elapsedMs).to.be.below(DEADLINE_MS / 2)
       expect(await residentMbOf(daemons) - beforeMb).to.be.below(MAX_GROWTH_MB)
       for (const endMs = fleet.clock.monotonicMs() + LATEST_END_MS; open.size > 0 && fleet.clock.monotonicMs() < endMs;) await fleet.clock.sleepMs(20)
       expect(open.size).to.equal(0)
--- a/packages/targets/src/connections/closeDelimited.spec.ts
+++ b/packages/targets/src/connections/closeDelimited.spec.ts
@@ -51,6 +51,23 @@
     expect(await bodyOf(socket => { socket.end() }, `${part}0\r\n\r\n`)).to.equal('half')
   })
 
+  for (const bytes of [10_000, 65_536, 100_000, 200_000]) {
+    it(`are whole when the target closes the connection before its ${bytes} bytes are read`, async () => {
+      const server = createServer(socket => {
+        socket.on('error', () => {})
+        socket.once('data', () => { socket.end(`HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(bytes)}`) })
+      }).listen(0, '127.0.0.1')
+      await once(server, 'listening')
+      const sender = ConnectionSender.create({ clock: ManualClock.create(), connectTimeoutMs: () => 1_000 })
+      const result = await sender.send(fakeTarget('t1', { port: (server.address() as AddressInfo).port }), REQUEST, new AbortController().signal)
+      if (result.type === 'failure') throw new Error(result.message)
+      await SystemClock.create().sleepMs(50)
+      expect(Buffer.concat(await result.body.toArray()).length).to.equal(bytes)
+      sender.close()
+      server.close()
+    })
+  }
+
   for (const [name, endUnread] of Object.entries({
     'the target resets the connection': (_body: Readable, socket: Socket): void => { socket.resetAndDestroy() },
     'the reader discards the body': (body: Readable): void => { body.destroy() }
--- a/packages/targets/src/connections/connection.ts
+++ b/packages/targets/src/connections/connection.ts
@@ -77,6 +77,7 @@
   private isSocketProvided = false
   private isDestroyed = false
   private hasFailed = false
+  private resumeResponse: () => void = () => {}
 
   private constructor (private readonly socket: Socket, private readonly clock: Clock, origin: string) {
     this.openedAtMs = clock.monotonicMs()
@@ -88,7 +89,11 @@
     })
     // If data and a reset are read at once, Node.js reports an orderly end, because libuv treats the hang-up as the end of the stream. A connection
     // that was reset has no peer address any more; this is the first query of the address, so it comes from the operating system, not a cache.
-    socket.once('end', () => { if (socket.remoteAddress === undefined) this.hasFailed = true })
+    socket.once('end', () => {
+      if (socket.remoteAddress === undefined) this.hasFailed = true
+      // The HTTP client throws if the end comes while the response is paused.
+      this.resumeResponse()
+    })
     socket.once('close', () => { this.destroy() })
     this.client = new Client(origin, {
       pipelining: 1,
@@ -155,6 +160,11 @@
     return this.socket.writableLength > 0
   }
 
+  /** Sets what resumes the response in progress; called when everything that the target sent has been read. */
+  onAllRead (resumeResponse: () => void): void {
+    this.resumeResponse = resumeResponse
+  }
+
   /** Records that an exchange completed. */
   recordExchange (): void {
     this.exchangeCount++
--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -1,5 +1,6 @@
 import { Readable } from 'node:stream'
 import type { Dispatcher } from 'undici'
+import { ChunkCollector } from '@lovagehoist/common'
 import type { CancelTimer, Clock, OutcomeKind, TargetResponse, TargetFailure, TargetRequest } from '@lovagehoist/common'
 import type { Connection } from './connection.js'
 import type { HeadMonitor } from './connectionPool.js'
@@ -15,7 +16,12 @@
   }
 }
 
+const FIRST_FINAL_STATUS = 200
 const NOT_MODIFIED = 304
+/** Small chunks are passed on together, at the latest when there are this many bytes: each one passed on costs more than its bytes. */
+const MAX_JOINED_BYTES = 16_384
+/** Interim responses to one request; a target that sends more would keep the processor busy. */
+const MAX_INTERIM_RESPONSES = 64
 const MALFORMED_RESPONSE_CODES: ReadonlySet<string> = new Set(['UND_ERR_RES_CONTENT_LENGTH_MISMATCH', 'UND_ERR_HEADERS_OVERFLOW'])
 
 const outcomeOf = (error: Error): OutcomeKind => {
@@ -52,6 +58,13 @@
   private trailers: readonly string[] = []
   private receivedBytes = 0
   private expectedBytes: number | undefined
+  private interimCount = 0
+  private lastDataAtMs = -Infinity
+  /** Bytes of the body that have not been passed on. */
+  private readonly joining = ChunkCollector.create()
+  private isFlushScheduled = false
+  /** Whether the body has asked for more and got nothing since. */
+  private isReaderWaiting = false
   private readonly body: Readable
   private readonly isFresh: boolean
   private readonly startedAtMs: number
@@ -61,7 +74,11 @@
     this.startedAtMs = options.clock.monotonicMs()
     this.isFresh = options.connection.isFresh
     this.body = new Readable({
-      read: () => { if (this.stage !== 'ended') this.controller?.resume() },
+      read: () => {
+        this.isReaderWaiting = true
+        if (this.joining.lengthBytes > 0) this.flush()
+        else if (this.stage !== 'ended') this.controller?.resume()
+      },
       destroy: (error, done) => {
         if (this.stage !== 'ended') this.abort(new ExchangeAborted('cancelled', 'the response body was discarded'))
         done(error)
@@ -109,10 +126,15 @@
     }
     this.controller = controller
     this.stage = 'sending'
+    this.options.connection.onAllRead(() => { if (this.stage === 'answering') controller.resume() })
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
-    if (status < 200 || this.stage !== 'sending') return
+    if (this.stage !== 'sending') return
+    if (status < FIRST_FINAL_STATUS) {
+      if (++this.interimCount > MAX_INTERIM_RESPONSES) this.abort(new ExchangeAborted('broken-answer', 'too many interim responses'))
+      return
+    }
     const headers = decodeHeaders(controller.rawHeaders as Buffer[])
     const { method, findResponseMismatch, allowsCloseDelimitedBody } = this.options.request
     const framing = detectFraming(method, status, headers)
@@ -127,20 +149,39 @@
     const { id = '', isRefusal } = this.options.request
     if (isRefusal?.(status, headers) === true) this.options.connection.recordRefusal(id)
     this.options.monitor.headReceived()
-    this.startTimer(this.options.request.bodyIdleTimeoutMs, 'the response body stalled')
+    this.lastDataAtMs = this.options.clock.monotonicMs()
+    this.watchForStall(this.options.request.bodyIdleTimeoutMs)
     const latencyMs = this.options.clock.monotonicMs() - this.startedAtMs
     this.settle({ type: 'answer', status, headers, trailers: () => this.trailers, body: this.body, isFreshConnection: this.isFresh, latencyMs })
     if (status === NOT_MODIFIED) this.endWithoutBody(controller)
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.stage !== 'answering') return
+    if (this.stage !== 'answering' || chunk.length === 0) return
     this.receivedBytes += chunk.length
-    this.startTimer(this.options.request.bodyIdleTimeoutMs, 'the response body stalled')
-    if (!this.body.push(chunk)) {
-      this.cancelTimer()
-      controller.pause()
-    }
+    this.joining.add(chunk)
+    if (this.joining.lengthBytes >= MAX_JOINED_BYTES) this.flush()
+    else this.scheduleFlush()
+    if (!this.isReaderWaiting && this.body.readableLength + this.joining.lengthBytes >= this.body.readableHighWaterMark) controller.pause()
+  }
+
+  /** Passes on what one read of the socket has brought, once all of it has been parsed. */
+  private scheduleFlush (): void {
+    if (this.isFlushScheduled) return
+    this.isFlushScheduled = true
+    queueMicrotask(() => {
+      this.isFlushScheduled = false
+      this.lastDataAtMs = this.options.clock.monotonicMs()
+      // While the reader is behind, small chunks are joined further; its next read passes them on.
+      if (this.stage === 'answering' && this.isReaderWaiting) this.flush()
+    })
+  }
+
+  private flush (): void {
+    this.lastDataAtMs = this.options.clock.monotonicMs()
+    if (this.joining.lengthBytes === 0) return
+    this.isReaderWaiting = false
+    this.body.push(this.joining.take())
   }
 
   onResponseEnd (controller: Dispatcher.DispatchController): void {
@@ -156,6 +197,7 @@
     this.cancelTimer()
     this.stage = 'ended'
     this.trailers = decodeHeaders(controller.rawTrailers as Buffer[])
+    this.flush()
     this.body.push(null)
     // A target that responds before the end of a body may never read the rest, behind which the next request would wait.
     this.options.onEnd(!this.options.connection.hasUnsentBytes)
@@ -179,6 +221,17 @@
     this.cancelTimer = this.options.clock.after(durationMs, () => { this.abort(new ExchangeAborted('timeout', message)) })
   }
 
+  /** Aborts the exchange once nothing has arrived for a time, unless the reader is behind. */
+  private watchForStall (durationMs: number): void {
+    this.cancelTimer = this.options.clock.after(durationMs, () => {
+      const { clock, request } = this.options
+      if (this.controller?.paused === true) this.lastDataAtMs = clock.monotonicMs()
+      const leftMs = this.lastDataAtMs + request.bodyIdleTimeoutMs - clock.monotonicMs()
+      if (leftMs > 0) this.watchForStall(leftMs)
+      else this.abort(new ExchangeAborted('timeout', 'the response body stalled'))
+    })
+  }
+
   private abort (reason: ExchangeAborted): void {
     if (this.stage === 'ended' || this.failure !== undefined) return
     this.failure = reason
