--- a/packages/peers/src/relay/peerDocuments.ts
+++ b/packages/peers/src/relay/peerDocuments.ts
@@ -4,7 +4,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { Client } from 'undici'
-import type { Dispatcher } from 'undici'
+import { collectBody } from '@lovagehoist/common'
 import type { Address, Clock } from '@lovagehoist/common'
 
 /** Name of a document that daemons fetch from each other. */
@@ -72,18 +72,6 @@
   }
 }
 
-const readBody = async (body: Dispatcher.ResponseData['body'], onProgress: () => void): Promise<Buffer> => {
-  const parts: Buffer[] = []
-  let size = 0
-  for await (const part of body as AsyncIterable<Buffer>) {
-    onProgress()
-    parts.push(part)
-    size += part.length
-    if (size > MAX_DOCUMENT_BYTES) throw new Error(`document larger than ${MAX_DOCUMENT_BYTES} bytes`)
-  }
-  return Buffer.concat(parts)
-}
-
 /**
  * Fetches a document from another daemon; gives up when nothing arrives any more.
  *
@@ -105,7 +93,7 @@
   try {
     const { statusCode, headers, body } = await client.request({ method: 'GET', path: `${PATH_PREFIX}${name}`, headers: { 'accept-encoding': ENCODING }, signal: timeout.signal })
     onProgress()
-    const bytes = await readBody(body, onProgress)
+    const bytes = await collectBody(body as AsyncIterable<Buffer>, MAX_DOCUMENT_BYTES, onProgress)
     if (statusCode !== STATUS_OK) return err(`status ${statusCode}`)
     const plain = headers['content-encoding'] === ENCODING ? await decompress(bytes, { maxOutputLength: MAX_DOCUMENT_BYTES }) : bytes
     return ok(plain.toString('utf8'))
