Gateway: pass a request on during a shutdown only if it can end before it is cut off

Cause: whether a request can still be taken was asked on arrival of its head, by a fixed time, and not again after its body. Change: DrainWindow.canFinish() is asked before each attempt, with the deadline of the request and the usual time of its service; a body that still arrives when it is too late is given up with 503, not run.

--- a/packages/callers/src/accept/acceptRequest.ts
+++ b/packages/callers/src/accept/acceptRequest.ts
@@ -42,6 +42,7 @@
 const PROBLEM_OF_BODY_ERROR: Readonly<Record<BodyError, Problem | undefined>> = {
   'too-large': notRunProblem('request-too-large', 'the body is longer than the route allows'),
   'too-slow': notRunProblem('deadline', 'the body did not arrive by the deadline'),
+  'given-up': notRunProblem('leaving', 'this instance leaves and could not end the request'),
   'no-room': notRunProblem('overload', 'this instance has no room for the body', NOT_READY_RETRY_AFTER_MS),
   'caller-gone': undefined
 }
--- a/packages/callers/src/accept/readBody.ts
+++ b/packages/callers/src/accept/readBody.ts
@@ -6,7 +6,7 @@
 import type { BodyRoom } from '../buffering/bodyRoom.js'
 
 /** Why a request's body could not be read. */
-export type BodyError = 'too-large' | 'too-slow' | 'caller-gone' | 'no-room'
+export type BodyError = 'too-large' | 'too-slow' | 'caller-gone' | 'no-room' | 'given-up'
 
 /** Limits for reading a body. */
 export interface BodyLimits {
@@ -15,6 +15,8 @@
   readonly timeoutMs: number
   /** Room that is reserved before the body is read; unlimited when absent. */
   readonly room?: BodyRoom
+  /** Aborts when the request can't be served any more, however soon its body arrives. */
+  readonly giveUpSignal?: AbortSignal
   /** Called when the body has room and is about to be read. */
   readonly onStart?: () => void
 }
@@ -28,6 +30,8 @@
 /** First reservation, in arrived bytes: room for two chunks. A caller that sends slowly holds no more than that. */
 const FIRST_ARRIVED_BYTES = 2 * MAX_CHUNK_BYTES
 
+const NEVER_GIVEN_UP = new AbortController().signal
+
 /** Collects the chunks of a body. */
 class BodyCollector {
   lengthBytes = 0
@@ -62,13 +66,14 @@
 
 /** Reads a body for whose beginning room has been reserved; reserves more, in doubling steps, before more of it is read. */
 const receiveBody = async (request: IncomingMessage, limits: BodyLimits, statedBytes: number | undefined, endAtMs: number): Promise<Result<Buffer, BodyError>> => await new Promise(resolve => {
-  const { clock, maxBytes, room } = limits
+  const { clock, maxBytes, room, giveUpSignal = NEVER_GIVEN_UP } = limits
   const collector = new BodyCollector(statedBytes)
   let reservedForBytes = FIRST_ARRIVED_BYTES
   let isFinished = false
   const finish = (result: Result<Buffer, BodyError>): void => {
     isFinished = true
     cancelTimer()
+    giveUpSignal.removeEventListener('abort', onGiveUp)
     request.off('data', onData).off('end', onEnd).off('close', onClose)
     if (result.isErr()) request.pause()
     else room?.shrinkTo(result.value.length)
@@ -83,11 +88,8 @@
   }
   const onData = (chunk: Buffer): void => {
     collector.add(chunk)
-    if (collector.lengthBytes > maxBytes) {
-      finish(err('too-large'))
-      return
-    }
-    if (collector.lengthBytes + MAX_CHUNK_BYTES <= reservedForBytes) return
+    if (collector.lengthBytes > maxBytes) finish(err('too-large'))
+    if (isFinished || collector.lengthBytes + MAX_CHUNK_BYTES <= reservedForBytes) return
     const beforeBytes = heldBytesFor(reservedForBytes, statedBytes)
     reservedForBytes *= 2
     const growthBytes = heldBytesFor(reservedForBytes, statedBytes) - beforeBytes
@@ -95,8 +97,11 @@
   }
   const onEnd = (): void => { finish(ok(collector.join())) }
   const onClose = (): void => { finish(err('caller-gone')) }
+  const onGiveUp = (): void => { finish(err('given-up')) }
   const cancelTimer = clock.after(Math.max(0, endAtMs - clock.monotonicMs()), () => { finish(err('too-slow')) })
   request.on('error', () => {}).on('data', onData).on('end', onEnd).on('close', onClose)
+  giveUpSignal.addEventListener('abort', onGiveUp, { once: true })
+  if (giveUpSignal.aborted) onGiveUp()
 })
 
 /**
--- a/packages/callers/src/gateway/acceptGatewayRequest.ts
+++ b/packages/callers/src/gateway/acceptGatewayRequest.ts
@@ -16,7 +16,8 @@
 import type { CallerExchange } from '../server/callerServer.js'
 import type { Problem } from '../responses/problem.js'
 import { endToEndHeaders } from '../exchange/headers.js'
-import type { DrainWindow } from './drainWindow.js'
+import type { DrainNeeds, DrainWindow } from './drainWindow.js'
+import type { UsualTimes } from './usualTimes.js'
 import type { PriorityRank, RouteIndex } from './routeIndex.js'
 import type { TrafficSplitter } from './trafficSplitter.js'
 import type { ReadinessGate } from './readinessGate.js'
@@ -74,6 +75,8 @@
   /** Delays requests until the daemon has finished starting. */
   readonly readinessGate: ReadinessGate
   readonly drainWindow: DrainWindow
+  /** Usual times of requests at targets. */
+  readonly usualTimes: UsualTimes
   readonly bufferBudget: BufferBudget
   /** Whether the requests come from other daemons, which received them from callers. */
   readonly isForPeers: boolean
@@ -99,9 +102,13 @@
 /** A request in progress frees its room within about this time. */
 const NO_ROOM_RETRY_AFTER_MS = 500
 
+/** Problem of a request that can't be expected to end before this instance has left. */
+export const LEAVING = notRunProblem('leaving', 'this instance leaves and could not end the request', SHUTDOWN_RETRY_AFTER_MS)
+
 const PROBLEM_OF_BODY_ERROR: Readonly<Record<BodyError, Problem | undefined>> = {
   'too-large': notRunProblem('request-too-large', 'the body is longer than the configuration allows'),
   'too-slow': notRunProblem('request-too-slow', 'the body did not arrive by the deadline'),
+  'given-up': LEAVING,
   'no-room': notRunProblem('overload', 'this instance has no room for the body', NO_ROOM_RETRY_AFTER_MS),
   'caller-gone': undefined
 }
@@ -163,6 +170,10 @@
   return ok({ active, route, path: path.value.full })
 }
 
+/** What a request of a route needs to end before a shutdown cuts it off; the slowest service of a split counts. */
+export const drainNeedsOf = ({ usualTimes }: Pick<GatewayAcceptOptions, 'usualTimes'>, { isIdempotent, objectiveMs, weightedServices }: GatewayRoute, deadlineAtMs: number): DrainNeeds =>
+  ({ usualMs: Math.max(...weightedServices.map(({ service }) => usualTimes.usualMs(service) ?? objectiveMs)), isIdempotent, deadlineAtMs })
+
 /** What reading a body depends on, once the route is known. */
 interface RoutedExchange extends GatewayExchange {
   readonly maxBytes: number
@@ -170,8 +181,6 @@
   readonly deadlineAtMs: number
 }
 
-const LEAVING = notRunProblem('leaving', 'this instance leaves and could not end the request', SHUTDOWN_RETRY_AFTER_MS)
-
 /** Reads the body once there is room for it; only then a caller that waits for that is told to send it. */
 const readRoutedBody = async (options: GatewayAcceptOptions, request: IncomingMessage, response: ServerResponse, { maxBytes, route, deadlineAtMs, bufferHold, untilFirst }: RoutedExchange): Promise<Result<Buffer | undefined, Problem | undefined>> => {
   const { clock } = options
@@ -182,7 +191,10 @@
   }
   const timeoutMs = Math.max(0, deadlineAtMs - clock.monotonicMs())
   const room = createBodyRoom({ clock, hold: bufferHold, priority: route.priority, maxWaitMs: Math.min(timeoutMs, route.objectiveMs * BODY_WAIT_SHARE) })
-  const body = await readBody(request, { clock, maxBytes, timeoutMs, room, onStart: () => { continueBody(request, response) } })
+  const giveUp = new AbortController()
+  const endWatch = options.drainWindow.watch(drainNeedsOf(options, route, deadlineAtMs), () => { giveUp.abort() })
+  const body = await readBody(request, { clock, maxBytes, timeoutMs, room, giveUpSignal: giveUp.signal, onStart: () => { continueBody(request, response) } })
+  endWatch()
   return body.mapErr(error => PROBLEM_OF_BODY_ERROR[error])
 }
 
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -11,7 +11,7 @@
 import type { Problem } from '../responses/problem.js'
 import type { BufferedResponse } from '../exchange/bufferResponse.js'
 import type { RequestMetrics } from '../metrics/requestMetrics.js'
-import { acceptGatewayRequest, gatewayRequestId } from './acceptGatewayRequest.js'
+import { LEAVING, acceptGatewayRequest, drainNeedsOf, gatewayRequestId } from './acceptGatewayRequest.js'
 import type { GatewayAcceptOptions, GatewayExchange, AcceptedGatewayRequest } from './acceptGatewayRequest.js'
 import type { PeerForwarder } from './peerForwarder.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
@@ -161,6 +161,8 @@
   for (;;) {
     // Asked again before each attempt: other daemons may have learned more in the meantime.
     if (isPoison(options, accepted)) return quarantinedReply(options, accepted, history)
+    // Asked again, since a body, a wait or an earlier attempt may have taken long.
+    if (!options.drainWindow.canFinish(drainNeedsOf(options, route, deadlineAtMs))) return history.verdict === 'not-run' ? { type: 'problem', problem: LEAVING } : finalReply(history)
     const isOwnPathUsed = accepted.forwarding !== undefined || options.path.usesOwnPath() || !options.forwarder.hasPeers
     const needsConnection = !isOwnPathUsed && options.path.areConnectionsAlive
     const shortage = isOwnPathUsed ? options.shortage.decide(describeForShortage(accepted, history)) : ADMITTED
@@ -173,6 +175,7 @@
     options.invariants.check('at-most-once', route.isIdempotent || history.verdict === 'not-run', { requestId })
     options.log.info('target chosen', { requestId, service, targetId: choice.target.id, ...choice.inputs, leftMs: Math.round(deadlineAtMs - options.clock.monotonicMs()) })
     const result = await sendGatewayAttempt(options, accepted, choice.target, choice.attempt)
+    if (result.verdict === 'ran') options.usualTimes.record(service, result.latencyMs)
     options.metrics.countAttempt(service, result.outcome === 'wrong-target' ? 'refused' : result.outcome)
     options.log.info('try ended', { requestId, targetId: result.target.id, outcome: result.outcome, verdict: result.verdict, sendDelayMs: Math.round(result.sendDelayMs), latencyMs: Math.round(result.latencyMs), detail: result.detail })
     if ((result.response?.status ?? Infinity) < FIRST_REDIRECT) options.poisonDetector.recordServed(() => accepted)
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -1,4 +1,4 @@
-import { AccountIndex, BufferBudget, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, ShortageAdmission, bufferCapacityOf, createRequestMetrics, createShortageMetrics, serveGateway } from '@lovagehoist/callers'
+import { AccountIndex, BufferBudget, DrainWindow, FORWARDING_HEADER, KeyVerifier, PeerForwarder, PoisonRequestDetector, WindowedRetryBudget, RouteIndex, TrafficSplitter, ReadinessGate, ShortageAdmission, UsualTimes, bufferCapacityOf, createRequestMetrics, createShortageMetrics, serveGateway } from '@lovagehoist/callers'
 import type { AccountAllowances, ActiveConfig, GatewayServeOptions, RequestHandler } from '@lovagehoist/callers'
 import { Invariants, ReadTurn, createRegistry, maxConfigAgeMs, maxListingAgeMs } from '@lovagehoist/common'
 import type { Clock, GatewayConfig, GatewayHeaders, GatewaySettings, GatewayStore, InstanceRecord, Log, Random, ReadTurnOptions } from '@lovagehoist/common'
@@ -184,6 +184,7 @@
   keyVerifier: createKeyVerifier({ clock, liveSettings, log }, activeConfig, documentSync),
   trafficSplitter: TrafficSplitter.create(random),
   drainWindow,
+  usualTimes: UsualTimes.create(),
   isForPeers: false,
   forwarder,
   bufferBudget: createBufferBudget(settings, registry, invariants),
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -18,8 +18,6 @@
 const MAX_HEAD_BYTES = 16_384
 /** The load balancer checks once a second and removes an instance after two failed checks; connections it opened before may still arrive then. */
 const BALANCER_LAG_MS = 2_600
-/** Time reserved for shutting down before the process would be killed. */
-const SHUTDOWN_MARGIN_MS = 800
 const HEAD_TIMEOUT_MS = 3_000
 const REQUEST_TIMEOUT_MS = 60_000
 /** File descriptors that are not available for connections of callers: files, targets, peers and the store need them. */
@@ -70,7 +68,7 @@
     const { graceMs } = liveSettings.current().bounds
     log.info('draining', { graceMs })
     this.components.drainWindow.begin(graceMs)
-    const longestExchangeMs = Math.max(0, graceMs - BALANCER_LAG_MS - SHUTDOWN_MARGIN_MS)
+    const longestExchangeMs = Math.max(0, this.components.drainWindow.endsAtMs - this.dependencies.clock.monotonicMs() - BALANCER_LAG_MS)
     const drains = await Promise.all([this.callers, this.peers].map(async server => await server.drain({ balancerLagMs: BALANCER_LAG_MS, longestExchangeMs })))
     const cutExchanges = drains.reduce((sum, drain) => sum + drain.cutExchanges, 0)
     await this.closeAll()
