Gateway: a start survives early signals, addresses in use and a taken metrics port

Cause: the handlers stood behind the loading of the program and the creation of the daemon; a failed listen was final. Change: a small entry point catches both signals before the rest is loaded; an early SIGHUP reloads the settings later, an early SIGTERM ends with code 0. Without its metrics address the daemon serves without metrics.

--- /dev/null
+++ b/packages/daemon/src/gateway/entry.ts
@@ -0,0 +1,9 @@
+import { EarlySignals } from './earlySignals.js'
+
+// Signals are caught before the rest is loaded, which takes longer than anything else at the start.
+const signals = EarlySignals.create(process)
+
+import('./main.js').then(async ({ main }) => { await main(signals) }).catch((error: unknown) => {
+  process.stderr.write(`${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
+  process.exit(1)
+})
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http'
 import { setMaxListeners } from 'node:events'
 import { CallerServer } from '@lovagehoist/callers'
+import { untilAddressFree } from '@lovagehoist/common'
 import type { Address } from '@lovagehoist/common'
 import { composeGateway } from './gatewayComponents.js'
 import type { GatewayComponents, GatewayDependencies } from './gatewayComponents.js'
@@ -52,9 +53,9 @@
     const { settings, clock, log } = dependencies
     const components = composeGateway(dependencies)
     const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
-    const callers = await CallerServer.create({ address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler })
+    const callers = await untilAddressFree(async () => await CallerServer.create({ address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler }), clock, log)
     const peerLimits = { ...limits, maxHeadBytes: limits.maxHeadBytes + MAX_FORWARDING_BYTES, maxConnections: MAX_PEER_CONNECTIONS }
-    const peers = await CallerServer.create({ address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler })
+    const peers = await untilAddressFree(async () => await CallerServer.create({ address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler }), clock, log)
     const daemon = new GatewayDaemon(dependencies, components, callers, peers)
     await daemon.start(listen)
     return daemon
@@ -95,13 +96,22 @@
   private async start ({ readinessPath, metrics }: GatewayListenOptions): Promise<void> {
     const { settings, log, clock } = this.dependencies
     const { components } = this
-    this.servers = [
-      await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown),
-      ...(metrics === undefined ? [] : [await serveMetrics(metrics, components.registry)])
-    ]
+    const readiness = await untilAddressFree(async () => await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown), clock, log)
+    this.servers = [readiness, ...await this.startMetrics(metrics)]
     for (const task of components.tasks) {
       runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
     log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port })
   }
+
+  /** Serving goes on without metrics. */
+  private async startMetrics (address: Address | undefined): Promise<readonly Server[]> {
+    if (address === undefined) return []
+    try {
+      return [await serveMetrics(address, this.components.registry)]
+    } catch (error) {
+      this.dependencies.log.error('no metrics: their address cannot be listened on', { host: address.host, port: address.port, error: String(error) })
+      return []
+    }
+  }
 }
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -4,16 +4,16 @@
 import { uptime } from 'node:os'
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { LineSink, SeededRandom, SystemClock, createLog } from '@lovagehoist/common'
-import type { GatewaySettings } from '@lovagehoist/common'
+import { LineSink, SeededRandom, SystemClock, createLog, untilAddressFree } from '@lovagehoist/common'
+import type { GatewaySettings, Log } from '@lovagehoist/common'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
+import type { EarlySignals } from './earlySignals.js'
 import { GatewayDaemon } from './gatewayDaemon.js'
 import { LiveSettings } from './liveSettings.js'
 import { StopHandler } from './stopHandler.js'
 
 const EXIT_OK = 0
-const EXIT_FAILURE = 1
 const EXIT_BAD_INPUT = 2
 const ID_BYTES = 16
 const SEED_LIMIT = 0x7fffffff
@@ -29,8 +29,19 @@
   process.exitCode = EXIT_BAD_INPUT
 }
 
-/** Starts a gateway daemon with the settings file that the platform names and runs it until it has stopped. */
-export const main = async (): Promise<void> => {
+/** Last resort: what one request or message broke must not end all others. */
+const logUnexpectedErrors = (log: Log): void => {
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, (error: unknown) => { log.error('unexpected error', { event, error: error instanceof Error ? error.stack : String(error) }) })
+  }
+}
+
+/**
+ * Starts a gateway daemon with the settings file that the platform names and runs it until it has stopped.
+ *
+ * @param signals - Signals to the process, caught since its first moment.
+ */
+export const main = async (signals: EarlySignals): Promise<void> => {
   const file = process.env[SETTINGS_VARIABLE]
   if (file === undefined) {
     reportBadInput(`${SETTINGS_VARIABLE}: expected the path of the settings file`)
@@ -49,26 +60,23 @@
   const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
   const sink = LineSink.create({ clock, linesPerSecond: MAX_LOG_LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
   const log = createLog({ level: 'info', format: 'json', clock, write: sink.write, fields: { instance: settings.value.instanceId } })
-  // Last resort: what one request or message broke must not end all others.
-  for (const event of ['uncaughtException', 'unhandledRejection']) {
-    process.on(event, (error: unknown) => { log.error('unexpected error', { event, error: error instanceof Error ? error.stack : String(error) }) })
+  logUnexpectedErrors(log)
+  if (signals.isWaiting('SIGTERM')) {
+    log.info('stopped before it served')
+    await sink.close()
+    process.exit(EXIT_OK)
   }
   const stopHandler = StopHandler.create(log)
-  process.on('SIGTERM', stopHandler.request)
+  signals.handle('SIGTERM', stopHandler.request)
   const store = RowStore.create(settings.value.store, clock)
   const liveSettings = LiveSettings.create(settings.value, readSettings, log.child('settings'))
-  const datagrams = await openDatagrams(settings.value.peers, log.child('peers'))
+  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), clock, log)
   const daemon = await GatewayDaemon.create(
     { settings: settings.value, liveSettings, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams },
     { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT } })
-  process.on('SIGHUP', () => { liveSettings.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
+  signals.handle('SIGHUP', () => { liveSettings.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
   stopHandler.attach(daemon)
   await daemon.done
   await sink.close()
   process.exit(EXIT_OK)
 }
-
-main().catch((error: unknown) => {
-  process.stderr.write(`${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
-  process.exit(EXIT_FAILURE)
-})
--- a/packages/peers/src/relay/datagrams.ts
+++ b/packages/peers/src/relay/datagrams.ts
@@ -21,9 +21,13 @@
 export const openDatagrams = async (address: Address, log: Log): Promise<Datagrams> => {
   const socket: Socket = createSocket('udp4')
   await new Promise<void>((resolve, reject) => {
-    socket.once('error', reject)
+    const fail = (error: Error): void => {
+      socket.close()
+      reject(error)
+    }
+    socket.once('error', fail)
     socket.bind(address.port, address.host, () => {
-      socket.off('error', reject)
+      socket.off('error', fail)
       resolve()
     })
   })
--- a/packages/standins/src/process/gatewayProcess.ts
+++ b/packages/standins/src/process/gatewayProcess.ts
@@ -9,7 +9,7 @@
 /** Signals that can be sent to a gateway daemon. */
 export type ProcessSignal = 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'
 
-const GATEWAY_MAIN = fileURLToPath(new URL('../../../daemon/dist/gateway/main.js', import.meta.url))
+const GATEWAY_MAIN = fileURLToPath(new URL('../../../daemon/dist/gateway/entry.js', import.meta.url))
 const MAX_OUTPUT_LINES = 400
 
 const runningChildren = new Set<ChildProcess>()
@@ -21,11 +21,14 @@
   /** Resolves when the process has exited. */
   readonly exited: Promise<void>
   hasExited = false
+  /** Exit code, or the signal that ended the process; undefined while it runs. */
+  exitCode: number | NodeJS.Signals | undefined
 
   private constructor (readonly id: string, private readonly child: ChildProcess) {
     this.exited = new Promise(resolve => {
-      child.once('exit', () => {
+      child.once('exit', (code, signal) => {
         this.hasExited = true
+        this.exitCode = code ?? signal ?? undefined
         resolve()
       })
     })
--- /dev/null
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -0,0 +1,109 @@
+import { mkdtemp, readFile, rm } from 'node:fs/promises'
+import { createServer } from 'node:net'
+import type { Server } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect } from 'chai'
+import { SystemClock } from '@lovagehoist/common'
+import { RowStoreStandin } from '../gateway/rowStoreStandin.js'
+import { GatewayProcess } from './gatewayProcess.js'
+
+/** Bit of SIGHUP in the mask of caught signals, as Linux shows it. */
+const HANGUP_BIT = 1n
+const POLL_MS = 1
+const TIMEOUT_MS = 20_000
+const METRICS_PORT = 9_464
+
+/** Guards against processes that end by themselves around their start. */
+describe('the start of a gateway process', () => {
+  const clock = SystemClock.create()
+  const host = `127.${16 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.77`
+  let folder: string
+  let store: RowStoreStandin
+  let started: GatewayProcess[]
+
+  const start = async (): Promise<GatewayProcess> => {
+    const created = await GatewayProcess.create(folder, {
+      node_name: 'gate',
+      ip: host,
+      zone: 'a',
+      first_start: true,
+      limits: { cpu_share: 1, cores: 1, max_fds: 4_096, memory_mb: 350, link_mbps: 1_000 },
+      listen: { front: `${host}:18381`, ready: `${host}:18388` },
+      internal_port_range: [17_200, 17_201],
+      seeds: [],
+      platform: { address: `127.0.0.1:${store.address.port}` },
+      bounds: { grace_period: '6s', retry_budget_ratio: 0.2, retry_budget_slack: 60, budget_window: '10s' }
+    } as { readonly node_name: string })
+    started.push(created)
+    return created
+  }
+
+  const until = async (isMet: () => boolean | Promise<boolean>): Promise<void> => {
+    const endMs = clock.monotonicMs() + TIMEOUT_MS
+    while (!await isMet()) {
+      if (clock.monotonicMs() > endMs) throw new Error(`condition not met: ${JSON.stringify(started.map(({ output, exitCode }) => [exitCode, output]))}`)
+      await clock.sleepMs(POLL_MS)
+    }
+  }
+  const catchesHangup = async ({ pid }: GatewayProcess): Promise<boolean> => {
+    const status = await readFile(`/proc/${pid}/status`, 'utf8').catch(() => '')
+    return (BigInt(`0x${/^SigCgt:\s*(\w+)/m.exec(status)?.[1] ?? '0'}`) & HANGUP_BIT) !== 0n
+  }
+  const hasLogged = ({ output }: GatewayProcess, message: string): boolean => output.some(line => line.includes(`"message":"${message}`))
+
+  beforeEach(async () => {
+    started = []
+    folder = await mkdtemp(join(tmpdir(), 'start-'))
+    store = await RowStoreStandin.create(clock)
+  })
+
+  afterEach(async () => {
+    for (const { signal } of started.map(child => ({ signal: child.signal.bind(child) }))) signal('SIGKILL')
+    await Promise.all(started.map(async ({ exited }) => { await exited }))
+    await store.close()
+    await rm(folder, { recursive: true, force: true })
+  })
+
+  it('catches signals before it loads what takes long, and reloads the settings once it serves', async () => {
+    const gateway = await start()
+    const atMs = clock.monotonicMs()
+    await until(async () => await catchesHangup(gateway))
+    const caughtAfterMs = clock.monotonicMs() - atMs
+    gateway.signal('SIGHUP')
+    await until(() => hasLogged(gateway, 'daemon started'))
+    expect(caughtAfterMs).to.be.below((clock.monotonicMs() - atMs) / 2)
+    await until(() => hasLogged(gateway, 'settings reloaded'))
+    expect(gateway.exitCode).to.equal(undefined)
+  })
+
+  it('ends in an orderly way when it is stopped at once', async () => {
+    const gateway = await start()
+    await until(async () => await catchesHangup(gateway))
+    gateway.signal('SIGTERM')
+    await until(() => gateway.hasExited)
+    expect(gateway.exitCode).to.equal(0)
+  })
+
+  it('waits for its addresses while an earlier process still leaves', async () => {
+    const earlier = await start()
+    await until(() => hasLogged(earlier, 'daemon started'))
+    earlier.signal('SIGTERM')
+    await until(() => hasLogged(earlier, 'draining'))
+    const next = await start()
+    await until(() => hasLogged(next, 'daemon started'))
+    expect([earlier.exitCode, next.exitCode, hasLogged(next, 'address in use')]).to.deep.equal([0, undefined, true])
+  })
+
+  it('serves without metrics while their port is taken', async () => {
+    const taken: Server = createServer()
+    await new Promise<void>(resolve => { taken.listen(METRICS_PORT, host, () => { resolve() }) })
+    try {
+      const gateway = await start()
+      await until(() => hasLogged(gateway, 'daemon started'))
+      expect(hasLogged(gateway, 'no metrics')).to.equal(true)
+    } finally {
+      taken.close()
+    }
+  })
+})
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,4 +1,4 @@
-// Bundles the gateway daemon from its sources into one file, so that startup loads a single script without unused modules.
+// Bundles the gateway daemon from its sources, so that startup loads a single script without unused modules, behind a small one that catches signals.
 // With --sizes, prints the number of bytes that each package contributes to the bundle.
 import { resolve } from 'node:path'
 import { build } from 'esbuild'
@@ -18,22 +18,29 @@
   }
 }
 
+const common = { bundle: true, platform: 'node', target: 'node20', format: 'cjs', legalComments: 'none', logLevel: 'warning' }
+
+/** Leaves the gateway out of the script that loads it. */
+const separateMain = {
+  name: 'separate-main',
+  setup ({ onResolve }) {
+    onResolve({ filter: /^\.\/main\.js$/ }, () => ({ path: './gateway.cjs', external: true }))
+  }
+}
+
+await build({ ...common, entryPoints: ['packages/daemon/src/gateway/entry.ts'], outfile: 'target/lovagehoistd.cjs', plugins: [separateMain], supported: { 'dynamic-import': false } })
+
 await build({
+  ...common,
   entryPoints: ['packages/daemon/src/gateway/main.ts'],
-  outfile: 'target/lovagehoistd.cjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
+  outfile: 'target/gateway.cjs',
   alias,
   plugins: [leanUndici],
-  legalComments: 'none',
   minifySyntax: true,
-  metafile: process.argv.includes('--sizes'),
-  logLevel: 'warning'
+  metafile: process.argv.includes('--sizes')
 }).then(async result => {
   if (result.metafile === undefined) return
-  const inputs = Object.entries(result.metafile.outputs['target/lovagehoistd.cjs'].inputs)
+  const inputs = Object.entries(result.metafile.outputs['target/gateway.cjs'].inputs)
   const sizes = new Map()
   for (const [path, { bytesInOutput }] of inputs) {
     const name = /node_modules\/((?:@[^/]+\/)?[^/]+)/.exec(path)?.[1] ?? 'own'
