Exchange: end the time limit of the head when the head has arrived

Evidence: closeDelimited.spec.ts, a body that drips for 300 ms behind a head with a limit of 150 ms: 'no answer in time' before, whole after. Requests without a body no longer watch for the end of the grace period while one is read.

--- a/packages/callers/src/accept/readBody.ts
+++ b/packages/callers/src/accept/readBody.ts
@@ -104,6 +104,9 @@
   if (giveUpSignal.aborted) onGiveUp()
 })
 
+/** Whether a request has a body, which may be empty. */
+export const hasBody = ({ headers }: IncomingMessage): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+
 /**
  * Reads a whole request body. Nothing is read before room for it has been reserved.
  *
@@ -113,8 +116,8 @@
  */
 export const readBody = async (request: IncomingMessage, limits: BodyLimits): Promise<Result<Buffer | undefined, BodyError>> => {
   const { clock, maxBytes, timeoutMs, room, onStart } = limits
+  if (!hasBody(request)) return ok(undefined)
   const statedLength = request.headers['content-length']
-  if (statedLength === undefined && request.headers['transfer-encoding'] === undefined) return ok(undefined)
   const statedBytes = statedLength === undefined ? undefined : Number(statedLength)
   if ((statedBytes ?? 0) > maxBytes) return err('too-large')
   const endAtMs = clock.monotonicMs() + timeoutMs
--- a/packages/callers/src/gateway/acceptGatewayRequest.ts
+++ b/packages/callers/src/gateway/acceptGatewayRequest.ts
@@ -7,7 +7,7 @@
 import { identifyClientAccount } from '../accounts/identifyClientAccount.js'
 import type { KeyVerifier } from '../accounts/keyVerifier.js'
 import { continueBody, disconnectSignalOf, hostOf, notRunProblem, parseTimeoutMs } from '../accept/callerRequest.js'
-import { readBody } from '../accept/readBody.js'
+import { hasBody, readBody } from '../accept/readBody.js'
 import type { BodyError } from '../accept/readBody.js'
 import { createBodyRoom } from '../buffering/bodyRoom.js'
 import type { BufferBudget } from '../buffering/bufferBudget.js'
@@ -189,6 +189,7 @@
     if (!await untilFirst()) return err(undefined)
     if (isLeaving(options)) return err(LEAVING)
   }
+  if (!hasBody(request)) return ok(undefined)
   const timeoutMs = Math.max(0, deadlineAtMs - clock.monotonicMs())
   const room = createBodyRoom({ clock, hold: bufferHold, priority: route.priority, maxWaitMs: Math.min(timeoutMs, route.objectiveMs * BODY_WAIT_SHARE) })
   const giveUp = new AbortController()
--- a/packages/targets/src/connections/closeDelimited.spec.ts
+++ b/packages/targets/src/connections/closeDelimited.spec.ts
@@ -95,4 +95,38 @@
       server.close()
     })
   }
+
+  it('are read to their end beyond the time limit of the head, as long as they go on', async () => {
+    const clock = SystemClock.create()
+    const server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => { socket.write('HTTP/1.1 200 OK\r\n\r\n') })
+      const sendSlowly = async (): Promise<void> => {
+        for (let part = 0; part < 6; part++) {
+          await clock.sleepMs(50)
+          socket.write('x')
+        }
+        socket.end()
+      }
+      sendSlowly().catch(() => {})
+    }).listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const sender = ConnectionSender.create({ clock, connectTimeoutMs: () => 1_000 })
+    const result = await sender.send(fakeTarget('t1', { port: (server.address() as AddressInfo).port }), { ...REQUEST, headTimeoutMs: 150, bodyIdleTimeoutMs: 150 }, new AbortController().signal)
+    if (result.type === 'failure') throw new Error(result.message)
+    expect(Buffer.concat(await result.body.toArray()).toString()).to.equal('xxxxxx')
+    sender.close()
+    server.close()
+  })
+
+  it('are broken when nothing more arrives in time', async () => {
+    const server = createServer(socket => { socket.once('data', () => { socket.write(PART) }) }).listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const sender = ConnectionSender.create({ clock: SystemClock.create(), connectTimeoutMs: () => 1_000 })
+    const result = await sender.send(fakeTarget('t1', { port: (server.address() as AddressInfo).port }), { ...REQUEST, bodyIdleTimeoutMs: 100 }, new AbortController().signal)
+    if (result.type === 'failure') throw new Error(result.message)
+    expect(await result.body.toArray().catch((error: Error) => error.message)).to.equal('the response body stalled')
+    sender.close()
+    server.close()
+  })
 })
--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -223,6 +223,7 @@
 
   /** Aborts the exchange once nothing has arrived for a time, unless the reader is behind. */
   private watchForStall (durationMs: number): void {
+    this.cancelTimer()
     this.cancelTimer = this.options.clock.after(durationMs, () => {
       const { clock, request } = this.options
       if (this.controller?.paused === true) this.lastDataAtMs = clock.monotonicMs()
