Listing: a silent store does not keep requests from new connections

Within 0.1 s of the start of such a read serving goes on now, as it does for requests that wait for it. Evidence: targetRegistry.spec.ts, a store that is silent for 1.2 s: the listing counted as too old throughout before, after 0.1 s no more now.

--- a/packages/targets/src/registry/listingPoller.ts
+++ b/packages/targets/src/registry/listingPoller.ts
@@ -81,10 +81,12 @@
     }
   }
 
-  /** Whether a target that leaves may be listed as ready, although the store responds. */
+  /** Whether a target that leaves may be listed as ready, and a read is likely to tell. */
   get isTooOld (): boolean {
     const { clock, registry, boundMs } = this.options
-    return this.failures === 0 && registry.hasListing && clock.monotonicMs() - registry.confirmedAtMs > CHOICE_AGE_SHARE * boundMs()
+    const nowMs = clock.monotonicMs()
+    const isStoreSilent = this.failures > 0 || (this.reading !== undefined && nowMs - this.readStartedAtMs >= MAX_HOLD_MS)
+    return !isStoreSilent && registry.hasListing && nowMs - registry.confirmedAtMs > CHOICE_AGE_SHARE * boundMs()
   }
 
   /** Reads a listing that is too old to choose a target by and waits for it for a moment; while the store does not respond, serving goes on without it. */
--- a/packages/targets/src/registry/targetRegistry.spec.ts
+++ b/packages/targets/src/registry/targetRegistry.spec.ts
@@ -126,12 +126,15 @@
     const poller = ListingPoller.create({ store: { readTargets }, registry, boundMs: () => 2_000, readTurn: { isDue: () => false, order: undefined }, clock, random: SeededRandom.create(1), log: silentLog })
     clock.jumpMs(ageMs)
     const heldMs: number[] = []
+    const usable: boolean[] = []
     for (let index = 0; index < requests; index++) {
       const arrivedAtMs = clock.monotonicMs()
       poller.untilRecent().then(() => { heldMs.push(clock.monotonicMs() - arrivedAtMs) }, () => {})
       await clock.advanceMs(1)
+      usable.push(!poller.isTooOld)
     }
     await clock.advanceMs(readMs + 100)
+    if (!answers) expect(usable.slice(100)).to.deep.equal(usable.slice(100).map(() => true))
     return { reads, heldMs, isLeaving: registry.isLeaving('t1'), isTooOld: poller.isTooOld }
   }
 
