ChunkCollector: keep a single chunk as it is, and blocks by what they hold

Found in the last read: each answer of one short chunk, the usual one, got a block of 16 KB and a copy at two places; and a block that was closed early kept all its 16 KB. One path joins small chunks now.

--- a/packages/common/src/bytes/chunkCollector.spec.ts
+++ b/packages/common/src/bytes/chunkCollector.spec.ts
@@ -20,6 +20,15 @@
     }), { seed: SEED, numRuns: 100 })
   })
 
+  it('does not copy a body of one chunk', () => {
+    const collector = ChunkCollector.create()
+    for (const size of [1, 10_000]) {
+      const chunk = Buffer.alloc(size)
+      collector.add(chunk)
+      expect(collector.take()).to.equal(chunk)
+    }
+  })
+
   it('takes memory by bytes, not by chunks', () => {
     const collector = ChunkCollector.create()
     const source = Buffer.alloc(1, 'x')
--- a/packages/common/src/bytes/chunkCollector.ts
+++ b/packages/common/src/bytes/chunkCollector.ts
@@ -23,33 +23,32 @@
 
   /** Adds a chunk, which must not change afterwards. */
   add (chunk: Buffer): void {
+    // A body of one chunk is the usual case and is not copied, however short.
+    const isKept = chunk.length >= MIN_CHUNK_BYTES || this.collectedBytes === 0
     this.collectedBytes += chunk.length
-    if (chunk.length >= MIN_CHUNK_BYTES) {
-      this.closeBlock()
+    if (isKept || this.blockBytes + chunk.length > BLOCK_BYTES) this.endBlock()
+    if (isKept) {
       this.parts.push(chunk)
       return
     }
-    if (this.block !== undefined && this.blockBytes + chunk.length > this.block.length) this.closeBlock()
     this.block ??= Buffer.allocUnsafeSlow(BLOCK_BYTES)
     this.blockBytes += chunk.copy(this.block, this.blockBytes)
   }
 
   /** Removes and returns all bytes, in one buffer. */
   take (): Buffer {
-    const [only] = this.parts
-    // Joining copies the rest, so that a few bytes do not keep a block.
-    const rest = this.block?.subarray(0, this.blockBytes)
-    const bytes = only !== undefined && this.parts.length === 1 && this.blockBytes === 0 ? only : Buffer.concat(rest === undefined ? this.parts : [...this.parts, rest])
+    this.endBlock()
+    const [first] = this.parts
+    const bytes = first !== undefined && this.parts.length === 1 ? first : Buffer.concat(this.parts)
     this.parts = []
-    this.blockBytes = 0
     this.collectedBytes = 0
     return bytes
   }
 
-  private closeBlock (): void {
-    if (this.block === undefined) return
-    if (this.blockBytes > 0) this.parts.push(this.block.subarray(0, this.blockBytes))
-    this.block = undefined
+  /** Keeps what the block holds in a buffer of its size, and the block for further chunks. */
+  private endBlock (): void {
+    if (this.block === undefined || this.blockBytes === 0) return
+    this.parts.push(Buffer.from(this.block.subarray(0, this.blockBytes)))
     this.blockBytes = 0
   }
 }
