Exchange: a target has its time from the moment on at which the reader wants more

Found in the last read: since the stall of a body was counted from the last data, so that a reader that had been behind for nearly the time limit gave up a sound target right after it had resumed. Data and the reader's wish for more count now, each at one place.

--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -59,7 +59,8 @@
   private receivedBytes = 0
   private expectedBytes: number | undefined
   private interimCount = 0
-  private lastDataAtMs = -Infinity
+  /** Time at which data arrived, or the reader asked for more. */
+  private lastProgressAtMs = -Infinity
   /** Bytes of the body that have not been passed on. */
   private readonly joining = ChunkCollector.create()
   private isFlushScheduled = false
@@ -76,6 +77,7 @@
     this.body = new Readable({
       read: () => {
         this.isReaderWaiting = true
+        this.lastProgressAtMs = this.options.clock.monotonicMs()
         if (this.joining.lengthBytes > 0) this.flush()
         else if (this.stage !== 'ended') this.controller?.resume()
       },
@@ -149,7 +151,7 @@
     const { id = '', isRefusal } = this.options.request
     if (isRefusal?.(status, headers) === true) this.options.connection.recordRefusal(id)
     this.options.monitor.headReceived()
-    this.lastDataAtMs = this.options.clock.monotonicMs()
+    this.lastProgressAtMs = this.options.clock.monotonicMs()
     this.watchForStall(this.options.request.bodyIdleTimeoutMs)
     const latencyMs = this.options.clock.monotonicMs() - this.startedAtMs
     this.settle({ type: 'answer', status, headers, trailers: () => this.trailers, body: this.body, isFreshConnection: this.isFresh, latencyMs })
@@ -161,7 +163,7 @@
     this.receivedBytes += chunk.length
     this.joining.add(chunk)
     if (this.joining.lengthBytes >= MAX_JOINED_BYTES) this.flush()
-    else this.scheduleFlush()
+    this.scheduleFlush()
     if (!this.isReaderWaiting && this.body.readableLength + this.joining.lengthBytes >= this.body.readableHighWaterMark) controller.pause()
   }
 
@@ -171,14 +173,13 @@
     this.isFlushScheduled = true
     queueMicrotask(() => {
       this.isFlushScheduled = false
-      this.lastDataAtMs = this.options.clock.monotonicMs()
+      this.lastProgressAtMs = this.options.clock.monotonicMs()
       // While the reader is behind, small chunks are joined further; its next read passes them on.
       if (this.stage === 'answering' && this.isReaderWaiting) this.flush()
     })
   }
 
   private flush (): void {
-    this.lastDataAtMs = this.options.clock.monotonicMs()
     if (this.joining.lengthBytes === 0) return
     this.isReaderWaiting = false
     this.body.push(this.joining.take())
@@ -226,8 +227,8 @@
     this.cancelTimer()
     this.cancelTimer = this.options.clock.after(durationMs, () => {
       const { clock, request } = this.options
-      if (this.controller?.paused === true) this.lastDataAtMs = clock.monotonicMs()
-      const leftMs = this.lastDataAtMs + request.bodyIdleTimeoutMs - clock.monotonicMs()
+      if (this.controller?.paused === true) this.lastProgressAtMs = clock.monotonicMs()
+      const leftMs = this.lastProgressAtMs + request.bodyIdleTimeoutMs - clock.monotonicMs()
       if (leftMs > 0) this.watchForStall(leftMs)
       else this.abort(new ExchangeAborted('timeout', 'the response body stalled'))
     })
