Signals: one place remembers those that come early; readiness of a soak fleet is polled in one place

The loop that polls a fleet until it is ready stood in three places and is a method of the fleet now. No behaviour changes.

--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -11,7 +11,6 @@
 import type { EarlySignals } from './earlySignals.js'
 import { GatewayDaemon } from './gatewayDaemon.js'
 import { LiveSettings } from './liveSettings.js'
-import { StopHandler } from './stopHandler.js'
 
 const EXIT_OK = 0
 const EXIT_BAD_INPUT = 2
@@ -66,8 +65,6 @@
     await sink.close()
     process.exit(EXIT_OK)
   }
-  const stopHandler = StopHandler.create(log)
-  signals.handle('SIGTERM', stopHandler.request)
   const store = RowStore.create(settings.value.store, clock)
   const liveSettings = LiveSettings.create(settings.value, readSettings, log.child('settings'))
   const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), clock, log)
@@ -75,7 +72,7 @@
     { settings: settings.value, liveSettings, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams },
     { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT } })
   signals.handle('SIGHUP', () => { liveSettings.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
-  stopHandler.attach(daemon)
+  signals.handle('SIGTERM', () => { daemon.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) })
   await daemon.done
   await sink.close()
   process.exit(EXIT_OK)
--- a/packages/daemon/src/gateway/robustness.spec.ts
+++ b/packages/daemon/src/gateway/robustness.spec.ts
@@ -1,8 +1,9 @@
+import { EventEmitter } from 'node:events'
 import { expect } from 'chai'
 import { silentLog } from '@lovagehoist/common'
 import { ManualClock } from '@lovagehoist/common/testing'
+import { EarlySignals } from './earlySignals.js'
 import { runTask } from './runTask.js'
-import { StopHandler } from './stopHandler.js'
 
 describe('background tasks', () => {
   it('run again after an unexpected error instead of staying away for the life of the process', async () => {
@@ -34,12 +35,22 @@
   })
 })
 
-describe('StopHandler', () => {
+describe('EarlySignals', () => {
   it('drains a daemon that was asked to stop while it was starting, so that requests it has just accepted are answered', () => {
-    const handler = StopHandler.create(silentLog)
+    const source = new EventEmitter()
+    const signals = EarlySignals.create(source)
     let drains = 0
-    handler.request()
-    handler.attach({ drain: async () => { drains++ } })
+    source.emit('SIGTERM')
+    signals.handle('SIGTERM', () => { drains++ })
     expect(drains).to.equal(1)
   })
+
+  it('calls the handler of a signal for each one that arrives later, and for none of the other signal', () => {
+    const source = new EventEmitter()
+    const signals = EarlySignals.create(source)
+    let reloads = 0
+    signals.handle('SIGHUP', () => { reloads++ })
+    for (const signal of ['SIGHUP', 'SIGTERM', 'SIGHUP']) source.emit(signal)
+    expect([reloads, signals.isWaiting('SIGTERM'), signals.isWaiting('SIGHUP')]).to.deep.equal([2, true, false])
+  })
 })
--- a/packages/standins/src/measure/scenarios/bodies.ts
+++ b/packages/standins/src/measure/scenarios/bodies.ts
@@ -137,7 +137,7 @@
   const fleet = await SoakFleet.create(random, { instances, targetsPerService: TARGETS_PER_SERVICE, memoryMb: MEMORY_MB })
   const sockets = new Set<Socket>()
   try {
-    while (fleet.instances.some(({ isReady }) => !isReady)) for (const instance of fleet.instances) await fleet.updateReadiness(instance)
+    await fleet.pollUntilReady()
     answerLarge(fleet)
     const slow = variant === 'baseline'
       ? []
--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -6,6 +6,7 @@
 import { expect } from 'chai'
 import { SystemClock } from '@lovagehoist/common'
 import { RowStoreStandin } from '../gateway/rowStoreStandin.js'
+import { networkPrefixOf } from '../soak/gateway/soakFleet.js'
 import { GatewayProcess } from './gatewayProcess.js'
 
 /** Bit of SIGHUP in the mask of caught signals, as Linux shows it. */
@@ -17,7 +18,7 @@
 /** Guards against processes that end by themselves around their start. */
 describe('the start of a gateway process', () => {
   const clock = SystemClock.create()
-  const host = `127.${16 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.77`
+  const host = `${networkPrefixOf(process.pid)}.77`
   let folder: string
   let store: RowStoreStandin
   let started: GatewayProcess[]
@@ -59,7 +60,7 @@
   })
 
   afterEach(async () => {
-    for (const { signal } of started.map(child => ({ signal: child.signal.bind(child) }))) signal('SIGKILL')
+    for (const child of started) child.signal('SIGKILL')
     await Promise.all(started.map(async ({ exited }) => { await exited }))
     await store.close()
     await rm(folder, { recursive: true, force: true })
--- a/packages/standins/src/soak/gateway/endlessResponses.spec.ts
+++ b/packages/standins/src/soak/gateway/endlessResponses.spec.ts
@@ -90,10 +90,7 @@
 
   before(async () => {
     fleet = await SoakFleet.create(SeededRandom.create(1), { instances: 1, targetsPerService: 1 })
-    while (!(fleet.instances[0]?.isReady ?? false)) {
-      await fleet.clock.sleepMs(50)
-      for (const instance of fleet.instances) await fleet.updateReadiness(instance)
-    }
+    await fleet.pollUntilReady()
   })
 
   after(async () => { await fleet.close() })
--- a/packages/standins/src/soak/gateway/smallChunks.spec.ts
+++ b/packages/standins/src/soak/gateway/smallChunks.spec.ts
@@ -21,10 +21,7 @@
 
   before(async () => {
     fleet = await SoakFleet.create(SeededRandom.create(1), { instances: 1, targetsPerService: 2 })
-    while (!(fleet.instances[0]?.isReady ?? false)) {
-      await fleet.clock.sleepMs(50)
-      for (const instance of fleet.instances) await fleet.updateReadiness(instance)
-    }
+    await fleet.pollUntilReady()
     const [instance] = fleet.instances
     if (instance === undefined) throw new Error('no instance')
     baseUrl = fleet.baseUrlOf(instance)
--- a/packages/standins/src/soak/gateway/soakFleet.ts
+++ b/packages/standins/src/soak/gateway/soakFleet.ts
@@ -62,7 +62,7 @@
 const START_POLL_MS = 50
 
 /** Prefix of the instances' loopback addresses, different for concurrent soaks. */
-const networkPrefixOf = (pid: number): string => `127.${16 + pid % 200}.${1 + Math.floor(pid / 200) % 250}`
+export const networkPrefixOf = (pid: number): string => `127.${16 + pid % 200}.${1 + Math.floor(pid / 200) % 250}`
 
 /** Real daemons in child processes, with targets and a stand-in of the row store in this process, connected through TCP proxies. */
 export class SoakFleet {
@@ -178,6 +178,14 @@
     instance.isReady = response?.statusCode === STATUS_OK
   }
 
+  /** Polls the readiness of all instances until each is ready. */
+  async pollUntilReady (): Promise<void> {
+    while (this.instances.some(({ isReady }) => !isReady)) {
+      await this.clock.sleepMs(START_POLL_MS)
+      for (const instance of this.instances) await this.updateReadiness(instance)
+    }
+  }
+
   /**
    * Waits until all instances are ready.
    *
