--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -162,7 +162,7 @@
     // Asked again before each attempt: other daemons may have learned more in the meantime.
     if (isPoison(options, accepted)) return quarantinedReply(options, accepted, history)
     // Asked again, since a body, a wait or an earlier attempt may have taken long.
-    if (!options.drainWindow.canFinish(drainNeedsOf(options, route, deadlineAtMs))) return history.verdict === 'not-run' ? { type: 'problem', problem: LEAVING } : finalReply(history)
+    if (options.drainWindow.isDraining && !options.drainWindow.canFinish(drainNeedsOf(options, route, deadlineAtMs))) return history.verdict === 'not-run' ? { type: 'problem', problem: LEAVING } : finalReply(history)
     const isOwnPathUsed = accepted.forwarding !== undefined || options.path.usesOwnPath() || !options.forwarder.hasPeers
     const needsConnection = !isOwnPathUsed && options.path.areConnectionsAlive
     const shortage = isOwnPathUsed ? options.shortage.decide(describeForShortage(accepted, history)) : ADMITTED
--- a/packages/common/src/fleet/readTurn.ts
+++ b/packages/common/src/fleet/readTurn.ts
@@ -34,14 +34,15 @@
 /** Age at which the first standby reads: within 1 s of the loss of the reader, and later than the reader's result arrives. */
 const STANDBY_DELAY_MS = 250
 const STANDBY_STEP_MS = 100
-/** Shares of the bound: the last standby reads by then, and the first of a zone's other daemons, which views that arrive late do not make read. */
+/** Share of the bound by which the last standby reads. */
 const MAX_STANDBY_AGE_SHARE = 0.7
+/** Share of the bound at which the first daemon of a zone reads that is no relay: above what views that arrive late make of the age. */
 const OTHER_AGE_SHARE = 0.8
 /** Share of the bound at which the first daemon reads of those that hear no relay. */
 const ISOLATED_AGE_SHARE = 0.75
 /** Share of the bound by which every daemon reads, whatever it hears: what is left covers the read and the way of a request to its target. */
 const LAST_AGE_SHARE = 0.9
-/** Share of the time from the first of them to the last in which the daemons of a zone take turns, so that one reads and tells the others. */
+/** Share of the time between these two ages in which the fittest daemons of a zone take turns, so that one reads and tells the others. */
 const TURN_SHARE = 0.5
 /** Daemons of a zone that get a turn of their own. */
 const TURNS = 2
--- a/packages/daemon/src/gateway/peerDocumentSync.ts
+++ b/packages/daemon/src/gateway/peerDocumentSync.ts
@@ -43,7 +43,7 @@
 export class PeerDocumentSync {
   private configBehindSinceMs: number | undefined
   /** Latest reads that daemons of this zone reported of what is held here. */
-  private reportedAtMs: ReadTimes = { listing: -Infinity, configuration: -Infinity }
+  private readonly reportedAtMs = { listing: -Infinity, configuration: -Infinity }
   private readonly fetches: Readonly<Record<PeerDocument, PeerDocumentFetch>>
 
   private constructor (private readonly options: PeerDocumentSyncOptions) {
@@ -134,11 +134,11 @@
     const knownAtMs = targetRegistry.confirmedAtMs
     if (versions.configVersion === config.version && config.version > 0) {
       config.confirm(configAtMs, from.instanceId)
-      this.reportedAtMs = { ...this.reportedAtMs, configuration: Math.max(this.reportedAtMs.configuration, configAtMs) }
+      this.reportedAtMs.configuration = Math.max(this.reportedAtMs.configuration, configAtMs)
     }
     if (versions.listingDigest === '' || versions.listingDigest !== targetRegistry.digest) return false
     targetRegistry.confirm(listingAtMs)
-    this.reportedAtMs = { ...this.reportedAtMs, listing: Math.max(this.reportedAtMs.listing, listingAtMs) }
+    this.reportedAtMs.listing = Math.max(this.reportedAtMs.listing, listingAtMs)
     return listingAtMs - knownAtMs >= URGENT_READ_GAIN_MS
   }
 
--- a/packages/daemon/src/testing/storeCallsSimulation.ts
+++ b/packages/daemon/src/testing/storeCallsSimulation.ts
@@ -6,6 +6,7 @@
 import { composeGateway } from '../gateway/gatewayComponents.js'
 import type { GatewayComponents } from '../gateway/gatewayComponents.js'
 import { LiveSettings } from '../gateway/liveSettings.js'
+import type { PeerListing } from '../gateway/peerListing.js'
 import { SimulatedLinks } from './simulatedLinks.js'
 import { SimulatedStore } from './simulatedStore.js'
 import type { SimulatedStoreFault } from './simulatedStore.js'
@@ -89,7 +90,6 @@
 /** Time since a fault after which a machine counts as in touch with the store. */
 const IN_TOUCH_AFTER_MS = 3_000
 const DEFAULT_BOUND_MS = 2_000
-const LISTING_AGE = /"ageMs":(\d+(?:\.\d+)?)/g
 const MAX_DELAY_MS = 10_000
 /** Calls made by a process this soon after its start are counted as calls of the start. */
 const START_PHASE_MS = 1_500
@@ -196,8 +196,10 @@
 
   private measureListingAges (): void {
     for (const process of this.processes.values()) {
-      const [age] = [...process.components.documentTexts.targets()?.matchAll(LISTING_AGE) ?? []].slice(-1)
-      if (this.isInTouch(process)) this.longestMs.listingAge = Math.max(this.longestMs.listingAge, Number(age?.[1] ?? Infinity))
+      if (!this.isInTouch(process)) continue
+      const text = process.components.documentTexts.targets()
+      const ageMs = text === undefined ? Infinity : (JSON.parse(text) as PeerListing).ageMs
+      this.longestMs.listingAge = Math.max(this.longestMs.listingAge, ageMs)
     }
     this.clock.after(CHECK_MS, () => { this.measureListingAges() })
   }
--- a/packages/peers/src/relay/messages.ts
+++ b/packages/peers/src/relay/messages.ts
@@ -22,12 +22,7 @@
 }
 
 /** Ages of what a daemon has read from the store by itself. */
-export interface ReadAges {
-  /** Time since its last read of the target listing. */
-  readonly listingAgeMs: number
-  /** Time since the store last showed it that there is no newer configuration. */
-  readonly configAgeMs: number
-}
+export type ReadAges = Pick<HeldVersions, 'listingAgeMs' | 'configAgeMs'>
 
 /** Stands for an age that is not known. */
 export const UNKNOWN_AGE_MS = 1_000_000_000
--- a/packages/peers/src/relay/peerTable.ts
+++ b/packages/peers/src/relay/peerTable.ts
@@ -102,12 +102,22 @@
    * @returns The fittest responsive daemons, fittest first; this daemon is a candidate in its own zone.
    */
   relays (zone: string): readonly InstanceRecord[] {
+    return this.responsiveMembers(zone).slice(0, RELAYS_PER_ZONE)
+  }
+
+  /** Rank of this daemon among the responsive ones of its zone that are no relays, fittest first. */
+  get rankBehindRelays (): number {
+    return Math.max(0, this.responsiveMembers(this.self.availabilityZone).indexOf(this.self) - RELAYS_PER_ZONE)
+  }
+
+  /** Responsive daemons of a zone, fittest first; this daemon counts as one of its own zone. */
+  private responsiveMembers (zone: string): readonly InstanceRecord[] {
     const nowMs = this.clock.monotonicMs()
     const responsive = [...this.peers.values()].filter(({ record, unansweredSinceMs }) =>
       record.availabilityZone === zone && !this.isUnresponsive(unansweredSinceMs, nowMs))
     const self: KnownPeer = { record: this.self, heardAtMs: nowMs, totalsAtMs: -Infinity, unansweredSinceMs: undefined }
     const candidates = this.self.availabilityZone === zone ? [...responsive, self] : responsive
-    return candidates.sort(byFitness).slice(0, RELAYS_PER_ZONE).map(({ record }) => record)
+    return candidates.sort(byFitness).map(({ record }) => record)
   }
 
   /**
@@ -170,14 +180,6 @@
     return 1 + [...this.peers.values()].filter(({ record }) => record.availabilityZone === this.self.availabilityZone).length
   }
 
-  /** Number of responsive daemons of this zone that are fitter than this one and no relays. */
-  get rankBehindRelays (): number {
-    const nowMs = this.clock.monotonicMs()
-    const self: KnownPeer = { record: this.self, heardAtMs: nowMs, totalsAtMs: -Infinity, unansweredSinceMs: undefined }
-    const fitter = [...this.peers.values()].filter(peer => peer.record.availabilityZone === this.self.availabilityZone && !this.isUnresponsive(peer.unansweredSinceMs, nowMs) && byFitness(peer, self) < 0)
-    return Math.max(0, fitter.length - RELAYS_PER_ZONE)
-  }
-
   /** Number of known daemons, including this one. */
   get size (): number {
     return this.peers.size + 1
--- a/packages/targets/src/registry/listingPoller.ts
+++ b/packages/targets/src/registry/listingPoller.ts
@@ -1,4 +1,4 @@
-import { backoffMs } from '@lovagehoist/common'
+import { backoffMs, withTimeout } from '@lovagehoist/common'
 import type { Clock, GatewayStore, Log, PlatformError, Random, ReadTurn } from '@lovagehoist/common'
 import type { TargetRegistry } from './targetRegistry.js'
 
@@ -95,12 +95,9 @@
     const { clock, log, registry } = this.options
     const reading = this.read()
     const leftMs = this.readStartedAtMs + MAX_HOLD_MS - clock.monotonicMs()
-    if (leftMs <= 0) return
-    const held = new AbortController()
-    const ageMs = Math.round(clock.monotonicMs() - registry.confirmedAtMs)
-    await Promise.race([reading, clock.sleepMs(leftMs, held.signal)])
-    held.abort()
-    log.info('request held for a read of the listing', { listingAgeMs: ageMs, isRecent: !this.isTooOld })
+    const listingAgeMs = Math.round(clock.monotonicMs() - registry.confirmedAtMs)
+    await withTimeout(clock, leftMs, reading)
+    log.info('request held for a read of the listing', { listingAgeMs, isRecent: !this.isTooOld })
   }
 
   private async read (): Promise<void> {
