Placement: no target for a request with less than 1 ms left

The choice of a target is the place that all of them pass: it says 'too late' now, and the check after a crashed target goes. Evidence: placement.spec.ts, 0.9, 0 and -40 ms left: placed before, too late after. overdueRetries.spec.ts and crashingRequests.spec.ts pass.

--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -73,7 +73,7 @@
 const LATE_OUTCOMES: ReadonlySet<GatewayAttemptResult['outcome']> = new Set(['timeout', 'silent-connection'])
 /** Outcomes of attempts whose target may have crashed. */
 const CRASH_OUTCOMES: ReadonlySet<GatewayAttemptResult['outcome']> = new Set(['reset', 'broken-answer', 'timeout', 'silent-connection'])
-/** A further attempt needs this much time: the timeout of the one before may fire a fraction of a millisecond before the deadline. */
+/** Time without which no target is chosen for a further attempt: the timeout of the one before may fire a fraction of a millisecond before the deadline. */
 const MIN_RETRY_TIME_MS = 1
 /** Limit of targets tried for one request, including those that could not be connected to. */
 const MAX_TRIED_TARGETS = 5
@@ -137,14 +137,11 @@
   return problemReply('quarantined', 'not-run', 'targets crashed under requests like this one', POISON_RETRY_AFTER_MS)
 }
 
-const hasTimeToRetry = ({ clock }: GatewayServeOptions, { deadlineAtMs }: AcceptedGatewayRequest): boolean =>
-  deadlineAtMs - clock.monotonicMs() >= MIN_RETRY_TIME_MS
-
 const mayRetry = (options: GatewayServeOptions, accepted: AcceptedGatewayRequest, history: AttemptHistory, result: GatewayAttemptResult): boolean => {
-  const { route, disconnectSignal, service } = accepted
+  const { route, disconnectSignal, deadlineAtMs, service } = accepted
   const policy = RETRY_POLICIES[result.outcome]
   if (policy.retry === 'never' || !(route.isIdempotent || history.verdict === 'not-run')) return false
-  if (disconnectSignal.aborted || !hasTimeToRetry(options, accepted) || result.response?.rest !== undefined) return false
+  if (disconnectSignal.aborted || deadlineAtMs - options.clock.monotonicMs() < MIN_RETRY_TIME_MS || result.response?.rest !== undefined) return false
   if (history.sentCount >= route.maxAttempts || history.triedTargetIds.size >= MAX_TRIED_TARGETS) return false
   if (!policy.isBudgeted || options.retryBudget.tryAcquire(service)) return true
   options.metrics.countBudgetRefusal(service)
@@ -184,8 +181,6 @@
     if (!mayRetry(options, accepted, history, result)) return finalReply(history)
     await crashCheck
     await options.path.untilChecked()
-    // The checks may have taken the rest of the request's time.
-    if (!hasTimeToRetry(options, accepted)) return finalReply(history)
     options.metrics.countRetry(service)
   }
 }
--- a/packages/targets/src/placing/placement.spec.ts
+++ b/packages/targets/src/placing/placement.spec.ts
@@ -72,6 +72,7 @@
 
   it('refuses a request that could not be answered in time', () => {
     expect(placeRequest([candidate('a', { inProgress: 30 })], { remainingMs: 1_000, hasHigherPriorityTraffic: false }, SeededRandom.create(1))).to.include({ type: 'too-late' })
+    for (const remainingMs of [0.9, 0, -40]) expect(placeRequest([candidate('a')], { remainingMs, hasHigherPriorityTraffic: false }, SeededRandom.create(1))).to.include({ type: 'too-late' })
   })
 
   it('reserves a slot of each target for higher-priority requests', () => {
--- a/packages/targets/src/placing/placement.ts
+++ b/packages/targets/src/placing/placement.ts
@@ -57,6 +57,9 @@
   return Math.min(1, Math.max(0, (share - ON_TIME_SHARE) / (LATE_TIME_SHARE - ON_TIME_SHARE)))
 }
 
+/** A request with less time is not sent: the time limit of an earlier attempt may fire a fraction of a millisecond before the deadline, and checks may have taken the rest. */
+const MIN_REMAINING_MS = 1
+
 const costOf = (candidate: Candidate, waitMs: number): number => {
   const { slots, inProgress, failingChance, refusalShare, serviceTimeMs, isOwnZone, isConnected } = candidate
   const load = Math.min(1, inProgress / slots)
@@ -99,6 +102,7 @@
  */
 export const placeRequest = (candidates: readonly Candidate[], request: PlacementRequest, random: Random): Placement => {
   if (candidates.length === 0) return { type: 'no-target' }
+  if (request.remainingMs < MIN_REMAINING_MS) return { type: 'too-late', waitMs: 0 }
   const reserved = request.hasHigherPriorityTraffic ? RESERVED_SLOTS : 0
   const scored = candidates.map((candidate): ScoredCandidate => {
     const waitMs = expectedWaitMs(candidate, reserved)
