Gateway: a process that is stopped before it serves leaves at once

Callers saw: requests that ran and got no answer. A process that was started beside its predecessor and stopped while it waited for the addresses handled the SIGTERM only once it listened, began a shutdown with a whole grace period of its own, took requests, and was killed by the platform when the grace period since the signal was over.

Cause: the times of the shutdown counted from the handling of the signal, which waited for the start. Class: a time limit that counts from the moment at which an event is noticed instead of the moment at which it happened.

Change: SIGTERM is handled from before the settings are read. The daemon listens for callers last; until then a stop gives the start up and the process ends with code 0. An address that the machine does not have yet (EADDRNOTAVAIL) is waited for like one in use. The test of EarlySignals asks the handlers instead of isWaiting(), which nobody else used; it checks the same.

--- a/packages/common/src/net/untilAddressFree.ts
+++ b/packages/common/src/net/untilAddressFree.ts
@@ -5,28 +5,38 @@
 const MAX_WAIT_MS = 15_000
 const RETRY_INTERVAL_MS = 100
 
-const IN_USE = 'EADDRINUSE'
+/** In use by an earlier process, or not yet assigned to this machine. */
+const PASSING_ERRORS: ReadonlySet<string | undefined> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL'])
+
+/** What waiting for an address depends on. */
+export interface AddressWait {
+  readonly clock: Clock
+  /** Receives a line when the address can't be used yet. */
+  readonly log: Log
+  /** Ends the wait when the process is stopped. */
+  readonly stopSignal: AbortSignal
+}
 
 /**
- * Listens on an address, again and again while another process still uses it.
+ * Listens on an address, again and again while another process still uses it or this machine does not have it yet.
  *
  * @param listen - Tries to listen, with a new socket for each call.
- * @param clock - Source of time.
- * @param log - Receives a line when the address is in use.
- * @returns Result of the first try that succeeds.
+ * @param wait - Clock, log and stop signal.
+ * @returns Result of the first try that succeeds; undefined when the process is stopped before.
  * @throws Error of the last try when the address is not free within 15,000 ms, or any other error of a try.
  */
-export const untilAddressFree = async <T>(listen: () => Promise<T>, clock: Clock, log: Log): Promise<T> => {
+export const untilAddressFree = async <T>(listen: () => Promise<T>, { clock, log, stopSignal }: AddressWait): Promise<T | undefined> => {
   const startedAtMs = clock.monotonicMs()
-  for (let tries = 1; ; tries++) {
+  for (let tries = 1; !stopSignal.aborted; tries++) {
     try {
       const listening = await listen()
       if (tries > 1) log.info('address is free', { waitedMs: Math.round(clock.monotonicMs() - startedAtMs) })
       return listening
     } catch (error) {
-      if ((error as NodeJS.ErrnoException).code !== IN_USE || clock.monotonicMs() - startedAtMs >= MAX_WAIT_MS) throw error
-      if (tries === 1) log.warn('address in use by another process; waiting for it', { detail: (error as Error).message, maxWaitMs: MAX_WAIT_MS })
-      await clock.sleepMs(RETRY_INTERVAL_MS)
+      if (!PASSING_ERRORS.has((error as NodeJS.ErrnoException).code) || clock.monotonicMs() - startedAtMs >= MAX_WAIT_MS) throw error
+      if (tries === 1) log.warn('address in use by another process, or not assigned yet; waiting for it', { detail: (error as Error).message, maxWaitMs: MAX_WAIT_MS })
+      await clock.sleepMs(RETRY_INTERVAL_MS, stopSignal)
     }
   }
+  return undefined
 }
--- a/packages/daemon/src/gateway/earlySignals.ts
+++ b/packages/daemon/src/gateway/earlySignals.ts
@@ -25,11 +25,6 @@
     return signals
   }
 
-  /** Whether a signal has arrived that nobody has handled yet. */
-  isWaiting (signal: HandledSignal): boolean {
-    return this.waiting.has(signal)
-  }
-
   /** Sets the handler of a signal; it is called at once if the signal has arrived before. */
   handle (signal: HandledSignal, handler: () => void): void {
     this.handlers.set(signal, handler)
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -13,6 +13,8 @@
   readonly readinessPath: string
   /** Address at which metrics are served; absent to serve none. */
   readonly metrics?: Address
+  /** Aborts when the process is told to stop: a daemon that serves drains, one that has not begun to serve leaves at once. */
+  readonly stopSignal?: AbortSignal
 }
 
 /** Longest request head, in bytes; fixed because it applies before any configuration is known. */
@@ -31,13 +33,17 @@
 /** A running gateway daemon. */
 export class GatewayDaemon {
   private isShuttingDown = false
+  /** Aborts when the start is given up. */
+  private readonly startController = new AbortController()
+  /** Ends the background tasks. */
   private readonly stopController = new AbortController()
+  private callerServers: readonly CallerServer[] = []
   private servers: readonly Server[] = []
   private resolveDone: () => void = () => {}
   /** Resolves when the daemon has stopped. */
   readonly done: Promise<void>
 
-  private constructor (private readonly dependencies: GatewayDependencies, private readonly components: GatewayComponents, private readonly callers: CallerServer, private readonly peers: CallerServer) {
+  private constructor (private readonly dependencies: GatewayDependencies, private readonly components: GatewayComponents) {
     setMaxListeners(0, this.stopController.signal)
     this.done = new Promise(resolve => { this.resolveDone = resolve })
   }
@@ -46,31 +52,29 @@
    * Creates a daemon and starts it.
    *
    * @param dependencies - Settings, clock, randomness, store and transport.
-   * @param listen - Readiness path and metrics address.
-   * @returns The daemon, once it listens.
+   * @param listen - Readiness path, metrics address and stop signal.
+   * @returns The daemon, once it listens or has been stopped before.
    */
   static async create (dependencies: GatewayDependencies, listen: GatewayListenOptions): Promise<GatewayDaemon> {
-    const { settings, clock, log } = dependencies
-    const components = composeGateway(dependencies)
-    const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
-    const callers = await untilAddressFree(async () => await CallerServer.create({ address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler }), clock, log)
-    const peerLimits = { ...limits, maxHeadBytes: limits.maxHeadBytes + MAX_FORWARDING_BYTES, maxConnections: MAX_PEER_CONNECTIONS }
-    const peers = await untilAddressFree(async () => await CallerServer.create({ address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler }), clock, log)
-    const daemon = new GatewayDaemon(dependencies, components, callers, peers)
+    const daemon = new GatewayDaemon(dependencies, composeGateway(dependencies))
+    const drain = (): void => { daemon.drain().catch((error: unknown) => { dependencies.log.error('drain failed', { error: String(error) }) }) }
+    listen.stopSignal?.addEventListener('abort', drain, { once: true })
+    if (listen.stopSignal?.aborted === true) drain()
     await daemon.start(listen)
     return daemon
   }
 
-  /** Becomes unready, keeps serving until the load balancer has noticed, finishes requests in flight and stops. */
+  /** Becomes unready, keeps serving until the load balancer has noticed, finishes requests in flight and stops; stops at once if it has not begun to serve. */
   async drain (): Promise<void> {
     if (this.isShuttingDown) return
     this.isShuttingDown = true
+    this.startController.abort()
     const { liveSettings, log } = this.dependencies
     const { graceMs } = liveSettings.current().bounds
-    log.info('draining', { graceMs })
+    log.info('draining', { graceMs, isServing: this.callerServers.length > 0 })
     this.components.drainWindow.begin(graceMs)
     const longestExchangeMs = Math.max(0, this.components.drainWindow.endsAtMs - this.dependencies.clock.monotonicMs() - BALANCER_LAG_MS)
-    const drains = await Promise.all([this.callers, this.peers].map(async server => await server.drain({ balancerLagMs: BALANCER_LAG_MS, longestExchangeMs })))
+    const drains = await Promise.all(this.callerServers.map(async server => await server.drain({ balancerLagMs: BALANCER_LAG_MS, longestExchangeMs })))
     const cutExchanges = drains.reduce((sum, drain) => sum + drain.cutExchanges, 0)
     await this.closeAll()
     log.info('daemon left', { cutExchanges })
@@ -80,8 +84,8 @@
   /** Stops at once, aborting requests in flight. */
   async stop (): Promise<void> {
     this.isShuttingDown = true
-    this.callers.close()
-    this.peers.close()
+    this.startController.abort()
+    for (const server of this.callerServers) server.close()
     await this.closeAll()
     this.resolveDone()
   }
@@ -93,20 +97,37 @@
     await this.components.close()
   }
 
+  /** Listens for callers last, so that a daemon that is stopped while it starts has not accepted a request yet. */
   private async start ({ readinessPath, metrics }: GatewayListenOptions): Promise<void> {
     const { settings, log, clock } = this.dependencies
     const { components } = this
-    const readiness = await untilAddressFree(async () => await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown), clock, log)
-    this.servers = [readiness, ...await this.startMetrics(metrics)]
+    const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
+    const peerLimits = { ...limits, maxHeadBytes: limits.maxHeadBytes + MAX_FORWARDING_BYTES, maxConnections: MAX_PEER_CONNECTIONS }
+    const readiness = await this.listen(async () => await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown))
+    this.servers = [...readiness, ...await this.startMetrics(metrics)]
+    for (const options of [
+      { address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler },
+      { address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler }
+    ]) this.callerServers = [...this.callerServers, ...await this.listen(async () => await CallerServer.create(options))]
+    if (this.isShuttingDown) return
     for (const task of components.tasks) {
       runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
     log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port })
   }
 
+  /** Opens a server once its address is free; returns none when the start has been given up. */
+  private async listen <T extends { readonly close: () => unknown }> (open: () => Promise<T>): Promise<readonly T[]> {
+    const { clock, log } = this.dependencies
+    const server = await untilAddressFree(open, { clock, log, stopSignal: this.startController.signal })
+    if (server !== undefined && !this.isShuttingDown) return [server]
+    server?.close()
+    return []
+  }
+
   /** Serving goes on without metrics. */
   private async startMetrics (address: Address | undefined): Promise<readonly Server[]> {
-    if (address === undefined) return []
+    if (address === undefined || this.isShuttingDown) return []
     try {
       return [await serveMetrics(address, this.components.registry)]
     } catch (error) {
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -50,29 +50,31 @@
     const text = await readFile(file, 'utf8').catch(() => undefined)
     return text === undefined ? err('expected a readable file') : decodeSettings(text)
   }
+  const stopController = new AbortController()
+  const stopSignal = stopController.signal
+  signals.handle('SIGTERM', () => { stopController.abort() })
+  const clock = SystemClock.create()
   const settings = await readSettings()
   if (settings.isErr()) {
-    reportBadInput(`${file}: ${settings.error}`)
+    if (!stopSignal.aborted) reportBadInput(`${file}: ${settings.error}`)
     return
   }
-  const clock = SystemClock.create()
   const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
   const sink = LineSink.create({ clock, linesPerSecond: MAX_LOG_LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
   const log = createLog({ level: 'info', format: 'json', clock, write: sink.write, fields: { instance: settings.value.instanceId } })
   logUnexpectedErrors(log)
-  if (signals.isWaiting('SIGTERM')) {
+  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), { clock, log, stopSignal })
+  if (datagrams === undefined) {
     log.info('stopped before it served')
     await sink.close()
     process.exit(EXIT_OK)
   }
   const store = RowStore.create(settings.value.store, clock)
   const liveSettings = LiveSettings.create(settings.value, readSettings, log.child('settings'))
-  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), clock, log)
   const daemon = await GatewayDaemon.create(
     { settings: settings.value, liveSettings, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams },
-    { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT } })
+    { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT }, stopSignal })
   signals.handle('SIGHUP', () => { liveSettings.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
-  signals.handle('SIGTERM', () => { daemon.drain().catch((error: unknown) => { log.error('drain failed', { error: String(error) }) }) })
   await daemon.done
   await sink.close()
   process.exit(EXIT_OK)
--- a/packages/daemon/src/gateway/robustness.spec.ts
+++ b/packages/daemon/src/gateway/robustness.spec.ts
@@ -48,9 +48,11 @@
   it('calls the handler of a signal for each one that arrives later, and for none of the other signal', () => {
     const source = new EventEmitter()
     const signals = EarlySignals.create(source)
-    let reloads = 0
+    let [reloads, lateReloads, stops] = [0, 0, 0]
     signals.handle('SIGHUP', () => { reloads++ })
     for (const signal of ['SIGHUP', 'SIGTERM', 'SIGHUP']) source.emit(signal)
-    expect([reloads, signals.isWaiting('SIGTERM'), signals.isWaiting('SIGHUP')]).to.deep.equal([2, true, false])
+    signals.handle('SIGHUP', () => { lateReloads++ })
+    signals.handle('SIGTERM', () => { stops++ })
+    expect([reloads, lateReloads, stops]).to.deep.equal([2, 0, 1])
   })
 })
--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -96,6 +96,18 @@
     expect([earlier.exitCode, next.exitCode, hasLogged(next, 'address in use')]).to.deep.equal([0, undefined, true])
   })
 
+  it('ends at once, without serving, when it is stopped while it waits for its addresses', async () => {
+    const earlier = await start()
+    await until(() => hasLogged(earlier, 'daemon started'))
+    earlier.signal('SIGTERM')
+    await until(() => hasLogged(earlier, 'draining'))
+    const next = await start()
+    await until(() => hasLogged(next, 'address in use'))
+    next.signal('SIGTERM')
+    await until(() => next.hasExited)
+    expect([next.exitCode, earlier.hasExited, hasLogged(next, 'daemon started')]).to.deep.equal([0, false, false])
+  })
+
   it('serves without metrics while their port is taken', async () => {
     const taken: Server = createServer()
     await new Promise<void>(resolve => { taken.listen(METRICS_PORT, host, () => { resolve() }) })
