Gateway: the start waits for a settings file that is still being written

Seen from outside: a process that starts while the platform writes its settings file (a restart beside a change of the settings) ended by itself with code 2. Cause: the file was read once. Class: a start that ends for a condition that passes by itself.

Evidence: the new test, a real process whose settings file is cut in half for the first second, failed before: exit code 2. Change: an unreadable or incomplete file is read again every 50 ms for up to 3 s; wrong settings end the start with code 2 and the field after that. After: it starts.

--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -5,12 +5,13 @@
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { LineSink, SeededRandom, SystemClock, createLog, untilAddressFree } from '@lovagehoist/common'
-import type { GatewaySettings, Log } from '@lovagehoist/common'
+import type { Clock, GatewaySettings, Log } from '@lovagehoist/common'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
 import type { EarlySignals } from './earlySignals.js'
 import { GatewayDaemon } from './gatewayDaemon.js'
 import { LiveSettings } from './liveSettings.js'
+import type { ReadSettings } from './liveSettings.js'
 
 const EXIT_OK = 0
 const EXIT_BAD_INPUT = 2
@@ -20,6 +21,9 @@
 const MS_PER_SECOND = 1_000
 /** Allows about ten lines per request at the load of one instance; writing more would cost more than the lines explain. */
 const MAX_LOG_LINES_PER_SECOND = 200
+/** A file that is being written is complete within this time; an operator who starts the daemon with wrong settings waits as long for the error. */
+const MAX_SETTINGS_WAIT_MS = 3_000
+const SETTINGS_RETRY_MS = 50
 /** Port at which metrics are served, as in the deployment file. */
 const METRICS_PORT = 9464
 
@@ -28,6 +32,16 @@
   process.exitCode = EXIT_BAD_INPUT
 }
 
+/** Reads the settings, again and again for a while: at the start the platform may still be writing the file. */
+const readInitialSettings = async (readSettings: ReadSettings, clock: Clock, stopSignal: AbortSignal): Promise<Result<GatewaySettings, string>> => {
+  const giveUpAtMs = clock.monotonicMs() + MAX_SETTINGS_WAIT_MS
+  for (;;) {
+    const settings = await readSettings()
+    if (settings.isOk() || stopSignal.aborted || clock.monotonicMs() >= giveUpAtMs) return settings
+    await clock.sleepMs(SETTINGS_RETRY_MS, stopSignal)
+  }
+}
+
 /** Last resort: what one request or message broke must not end all others. */
 const logUnexpectedErrors = (log: Log): void => {
   for (const event of ['uncaughtException', 'unhandledRejection']) {
@@ -46,7 +60,7 @@
     reportBadInput(`${SETTINGS_VARIABLE}: expected the path of the settings file`)
     return
   }
-  const readSettings = async (): Promise<Result<GatewaySettings, string>> => {
+  const readSettings: ReadSettings = async () => {
     const text = await readFile(file, 'utf8').catch(() => undefined)
     return text === undefined ? err('expected a readable file') : decodeSettings(text)
   }
@@ -54,7 +68,7 @@
   const stopSignal = stopController.signal
   signals.handle('SIGTERM', () => { stopController.abort() })
   const clock = SystemClock.create()
-  const settings = await readSettings()
+  const settings = await readInitialSettings(readSettings, clock, stopSignal)
   if (settings.isErr()) {
     if (!stopSignal.aborted) reportBadInput(`${file}: ${settings.error}`)
     return
--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -1,4 +1,4 @@
-import { mkdtemp, readFile, rm } from 'node:fs/promises'
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { createServer } from 'node:net'
 import type { Server } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -14,6 +14,8 @@
 const POLL_MS = 1
 const TIMEOUT_MS = 20_000
 const METRICS_PORT = 9_464
+/** Longer than a process takes until it reads its settings. */
+const SETTINGS_WRITE_MS = 1_000
 
 /** Guards against processes that end by themselves around their start. */
 describe('the start of a gateway process', () => {
@@ -108,6 +110,17 @@
     expect([next.exitCode, earlier.hasExited, hasLogged(next, 'daemon started')]).to.deep.equal([0, false, false])
   })
 
+  it('waits for a settings file that is still being written', async () => {
+    const gateway = await start()
+    const file = join(folder, 'gate.json')
+    const text = await readFile(file, 'utf8')
+    await writeFile(file, text.slice(0, text.length / 2))
+    await clock.sleepMs(SETTINGS_WRITE_MS)
+    await writeFile(file, text)
+    await until(() => gateway.hasExited || hasLogged(gateway, 'daemon started'))
+    expect([gateway.exitCode, hasLogged(gateway, 'daemon started')]).to.deep.equal([undefined, true])
+  })
+
   it('serves without metrics while their port is taken', async () => {
     const taken: Server = createServer()
     await new Promise<void>(resolve => { taken.listen(METRICS_PORT, host, () => { resolve() }) })
