Callers that end their half of a connection get their answer

Callers saw: a connection that is closed without an answer after the request was passed on, whenever they end their half of it (`socket.end(request)`) before the answer: LOST.

Cause: Node.js's HTTP server ends its half of the connection at the caller's FIN, in which a caller that still reads looks like one that has left. Class: an event that has two meanings is taken for one of them.

Change: the server answers on. Between daemons, which never end one half alone, a FIN is departure at once, as before. `caller left` tells a reset connection from a closed one.

--- a/packages/callers/src/accept/callerRequest.ts
+++ b/packages/callers/src/accept/callerRequest.ts
@@ -21,7 +21,7 @@
  * Creates a signal for the disconnect of a caller.
  *
  * @param response - Response to the caller.
- * @returns Signal that aborts when the connection closes before the response has ended.
+ * @returns Signal that aborts when the connection closes before the response has ended; its reason is `reset` or `closed`.
  */
 export const disconnectSignalOf = (response: ServerResponse): AbortSignal => {
   const controller = new AbortController()
@@ -29,7 +29,7 @@
   const finish = (): void => {
     response.off('close', finish)
     socket.off('close', finish)
-    if (!response.writableFinished) controller.abort()
+    if (!response.writableFinished) controller.abort(socket.errored === null ? 'closed' : 'reset')
   }
   response.once('close', finish)
   // Node.js does not close the responses that wait behind another one when their connection ends.
--- a/packages/callers/src/gateway/serveGateway.ts
+++ b/packages/callers/src/gateway/serveGateway.ts
@@ -248,7 +248,7 @@
   allowance.settle(reply.type === 'answer' || reply.problem.verdict !== 'not-run')
   if (accepted.disconnectSignal.aborted) {
     options.metrics.countRequest(service, 'none', 'caller-gone')
-    options.log.info('caller left', { requestId, service, afterMs: Math.round(options.clock.monotonicMs() - accepted.receivedAtMs) })
+    options.log.info('caller left', { requestId, service, connection: accepted.disconnectSignal.reason, afterMs: Math.round(options.clock.monotonicMs() - accepted.receivedAtMs) })
     return
   }
   if (reply.type === 'problem') {
--- a/packages/callers/src/server/callerConnection.ts
+++ b/packages/callers/src/server/callerConnection.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '@lovagehoist/common'
+import { HalfClosedProbe } from './halfClosedProbe.js'
 
 /** Idle timeout of connections that responses announce to callers in `Keep-Alive`. */
 export const ANNOUNCED_IDLE_MS = 5_000
@@ -113,6 +114,13 @@
     this.announceClose()
   }
 
+  /** Answers the requests in progress of a caller that has ended its half of the connection; the last response ends the other half. */
+  serveHalfClosed (): void {
+    if (this.isClosing || this.inFlight.length === 0) return
+    this.announceClose()
+    HalfClosedProbe.start({ socket: this.socket, clock: this.clock, current: () => this.inFlight[0] })
+  }
+
   /** Closes the connection if it has been idle for longer than announced to the caller. */
   closeIfIdle (): void {
     const idleMs = this.clock.monotonicMs() - this.idleSinceMs
--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -26,6 +26,8 @@
   readonly clock: Clock
   readonly handler: RequestHandler
   readonly log: Log
+  /** Whether a caller that ends its half of a connection has left, as where no caller ends one half alone; such callers are answered by default. */
+  readonly isHalfCloseDeparture?: boolean
 }
 
 /** Result of a drain. */
@@ -65,6 +67,8 @@
       requireHostHeader: false
     })
     server.maxConnections = limits.maxConnections
+    // An option of http.Server that Node.js has always had but does not document, so its types lack it.
+    Object.assign(server, { httpAllowHalfOpen: options.isHalfCloseDeparture !== true })
     rejectUnsupported(server)
     const callers = new CallerServer(server, options)
     const app = polka({ server })
@@ -118,6 +122,7 @@
     const connection = CallerConnection.create(socket, this.options.clock)
     this.connections.set(socket, connection)
     socket.once('close', () => { this.connections.delete(socket) })
+    if (this.options.isHalfCloseDeparture !== true) socket.once('end', () => { connection.serveHalfClosed() })
     if (this.isDraining) connection.startDraining()
   }
 
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -106,7 +106,7 @@
     const readiness = await this.listen(async () => await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown))
     this.servers = [...readiness, ...await this.startMetrics(metrics)]
     for (const options of [
-      { address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler },
+      { address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler, isHalfCloseDeparture: true },
       { address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler }
     ]) this.callerServers = [...this.callerServers, ...await this.listen(async () => await CallerServer.create(options))]
     if (this.isShuttingDown) return
--- a/packages/standins/src/integration/endToEnd.spec.ts
+++ b/packages/standins/src/integration/endToEnd.spec.ts
@@ -54,6 +54,16 @@
     expect(fleet.targets.flatMap(target => target.journal)).to.deep.equal([])
   })
 
+  it('answers callers that end their half of the connection after the request', async () => {
+    const halfClose = async (index: number): Promise<string> => await new Promise((resolve, reject) => {
+      const socket = connect({ port: fleet.daemons[0]?.ports.callers ?? 0, host: '127.0.0.1', allowHalfOpen: true }, () => { socket.end(`GET /burnbook/read/${index} HTTP/1.1\r\nHost: a\r\n\r\n`) })
+      let text = ''
+      socket.on('data', data => { text += data.toString('latin1') }).on('close', () => { resolve(text) }).on('error', reject)
+    })
+    const answers = await Promise.all(Array.from({ length: 20 }, async (_, index) => await halfClose(index)))
+    expect(answers.filter(text => /^(HTTP\/1.1 100 Continue\r\n\r\n)*HTTP\/1.1 200 /.test(text))).to.have.length(20)
+  })
+
   it('rejects a request with ambiguous length (Content-Length and Transfer-Encoding) and contacts no target', async () => {
     const text = 'POST /burnbook/pay/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /burnbook/read/y HTTP/1.1\r\nHost: a\r\n\r\n'
     expect(await rawExchange(fleet.daemons[0]?.ports.callers ?? 0, text)).to.match(/^HTTP\/1.1 400 /)
