Live settings: an earlier read that ends late does not bring older settings back

Seen from outside: after two SIGHUPs in a row the settings of the first could stay in force until the next look at the file, up to 15 s: a changed grace period, and with it the time at which requests are cut off.

Cause: each reload reads the file for itself and applies what it has read when its read ends. Class: a decision made before a wait and not made again after it.

The order of two real reads was not seen to turn. Change: reads are numbered as they start; settings of a read that started before the one in force are dropped.

--- a/packages/daemon/src/gateway/liveSettings.ts
+++ b/packages/daemon/src/gateway/liveSettings.ts
@@ -9,6 +9,10 @@
 
 /** Settings that are reloaded while the daemon runs. */
 export class LiveSettings {
+  private startedReads = 0
+  /** Number of the latest read whose settings are in force. */
+  private appliedRead = 0
+
   private constructor (private settings: GatewaySettings, private readonly readSettings: ReadSettings, private readonly log: Log) {}
 
   /**
@@ -32,11 +36,15 @@
    * @param cause - What triggered the reload, for the log.
    */
   async reload (cause: 'signal' | 'interval'): Promise<void> {
+    const number = ++this.startedReads
     const read = await this.readSettings()
+    // Reads may end in another order than they started; an earlier one may hold older settings.
+    if (number < this.appliedRead) return
     if (read.isErr()) {
       this.log.error('invalid settings; the previous ones stay in force', { cause, error: read.error })
       return
     }
+    this.appliedRead = number
     const next = read.value
     const changed = (Object.keys(next) as Array<keyof GatewaySettings>).filter(name => JSON.stringify(next[name]) !== JSON.stringify(this.settings[name]))
     const needRestart = changed.filter(name => !RELOADABLE_FIELDS.includes(name))
