Gateway: settings that are being written when SIGHUP arrives are read again

Seen from outside: a SIGHUP that arrives while the platform still writes the settings file had no effect until the next look at the file, up to 15 s: the process went on with the earlier bounds, among them the grace period by which it decides when a shutdown cuts requests off.

Cause: as at the start, the file was read once. Class: a decision by a condition that passes by itself.

Evidence: the new test, a real process whose file is cut in half for a second from the signal on, failed before: it drained with the grace period of 6,000 ms instead of 4,000. Change: reloads read like the start, every 50 ms for up to 3 s.

--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -32,8 +32,8 @@
   process.exitCode = EXIT_BAD_INPUT
 }
 
-/** Reads the settings, again and again for a while: at the start the platform may still be writing the file. */
-const readInitialSettings = async (readSettings: ReadSettings, clock: Clock, stopSignal: AbortSignal): Promise<Result<GatewaySettings, string>> => {
+/** Reads the settings, again and again for a while: the platform may still be writing the file. */
+const readWholeSettings = async (readSettings: ReadSettings, clock: Clock, stopSignal: AbortSignal): Promise<Result<GatewaySettings, string>> => {
   const giveUpAtMs = clock.monotonicMs() + MAX_SETTINGS_WAIT_MS
   for (;;) {
     const settings = await readSettings()
@@ -60,7 +60,7 @@
     reportBadInput(`${SETTINGS_VARIABLE}: expected the path of the settings file`)
     return
   }
-  const readSettings: ReadSettings = async () => {
+  const readOnce: ReadSettings = async () => {
     const text = await readFile(file, 'utf8').catch(() => undefined)
     return text === undefined ? err('expected a readable file') : decodeSettings(text)
   }
@@ -68,7 +68,8 @@
   const stopSignal = stopController.signal
   signals.handle('SIGTERM', () => { stopController.abort() })
   const clock = SystemClock.create()
-  const settings = await readInitialSettings(readSettings, clock, stopSignal)
+  const readSettings: ReadSettings = async () => await readWholeSettings(readOnce, clock, stopSignal)
+  const settings = await readSettings()
   if (settings.isErr()) {
     if (!stopSignal.aborted) reportBadInput(`${file}: ${settings.error}`)
     return
--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -121,6 +121,21 @@
     expect([gateway.exitCode, hasLogged(gateway, 'daemon started')]).to.deep.equal([undefined, true])
   })
 
+  it('reloads settings that are still being written when the signal arrives', async () => {
+    const gateway = await start()
+    await until(() => hasLogged(gateway, 'daemon started'))
+    const file = join(folder, 'gate.json')
+    const text = (await readFile(file, 'utf8')).replace('"grace_period":"6s"', '"grace_period":"4s"')
+    await writeFile(file, text.slice(0, text.length / 2))
+    gateway.signal('SIGHUP')
+    await clock.sleepMs(SETTINGS_WRITE_MS)
+    await writeFile(file, text)
+    await until(() => hasLogged(gateway, 'settings reloaded') || hasLogged(gateway, 'invalid settings'))
+    gateway.signal('SIGTERM')
+    await until(() => hasLogged(gateway, 'draining'))
+    expect(gateway.output.find(line => line.includes('"message":"draining"'))).to.include('"graceMs":4000')
+  })
+
   it('serves without metrics while their port is taken', async () => {
     const taken: Server = createServer()
     await new Promise<void>(resolve => { taken.listen(METRICS_PORT, host, () => { resolve() }) })
