Gateway: a start that is given up closes what it has opened, and leaves at once also beside open servers for daemons

Seen from outside: a process that is stopped while only its address for callers is in use stays for a whole shutdown, 2.6 s, although it has not taken a request. Within one process (tests, embedding), servers for readiness and metrics stay open when the stop comes while the latter opens.

Cause: servers count as serving one by one as they open; those that open during the stop are noted after it. Class: a decision made before a wait and not made again after it.

Change: what opens is noted once all have opened, and closed if the start has been given up.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -104,12 +104,15 @@
     const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
     const peerLimits = { ...limits, maxHeadBytes: limits.maxHeadBytes + MAX_FORWARDING_BYTES, maxConnections: MAX_PEER_CONNECTIONS }
     const readiness = await this.listen(async () => await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown))
-    this.servers = [...readiness, ...await this.startMetrics(metrics)]
-    for (const options of [
-      { address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler },
-      { address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler }
-    ]) this.callerServers = [...this.callerServers, ...await this.listen(async () => await CallerServer.create(options))]
-    if (this.isShuttingDown) return
+    const metricsServers = await this.startMetrics(metrics)
+    const peers = await this.listen(async () => await CallerServer.create({ address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler }))
+    const callers = await this.listen(async () => await CallerServer.create({ address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler }))
+    if (this.isShuttingDown) {
+      for (const server of [...readiness, ...metricsServers, ...peers]) server.close()
+      return
+    }
+    this.servers = [...readiness, ...metricsServers]
+    this.callerServers = [...peers, ...callers]
     for (const task of components.tasks) {
       runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -14,6 +14,7 @@
 const POLL_MS = 1
 const TIMEOUT_MS = 20_000
 const METRICS_PORT = 9_464
+const CALLERS_PORT = 18_381
 /** Longer than a process takes until it reads its settings. */
 const SETTINGS_WRITE_MS = 1_000
 
@@ -32,7 +33,7 @@
       zone: 'a',
       first_start: true,
       limits: { cpu_share: 1, cores: 1, max_fds: 4_096, memory_mb: 350, link_mbps: 1_000 },
-      listen: { front: `${host}:18381`, ready: `${host}:18388` },
+      listen: { front: `${host}:${CALLERS_PORT}`, ready: `${host}:18388` },
       internal_port_range: [17_200, 17_201],
       seeds: [],
       platform: { address: `127.0.0.1:${store.address.port}` },
@@ -110,6 +111,20 @@
     expect([next.exitCode, earlier.hasExited, hasLogged(next, 'daemon started')]).to.deep.equal([0, false, false])
   })
 
+  it('ends at once when it is stopped while only its address for callers is in use', async () => {
+    const taken: Server = createServer()
+    await new Promise<void>(resolve => { taken.listen(CALLERS_PORT, host, () => { resolve() }) })
+    try {
+      const gateway = await start()
+      await until(() => hasLogged(gateway, 'address in use'))
+      gateway.signal('SIGTERM')
+      await until(() => gateway.hasExited)
+      expect([gateway.exitCode, gateway.output.some(line => line.includes('"isServing":true'))]).to.deep.equal([0, false])
+    } finally {
+      taken.close()
+    }
+  })
+
   it('waits for a settings file that is still being written', async () => {
     const gateway = await start()
     const file = join(folder, 'gate.json')
