Gateway: a start waits for its addresses as long as the grace period of the process before it

Seen from outside: where the grace period is longer than 15 s, a process that starts beside one that leaves ends by itself with code 1 after 15 s.

Cause: the wait was fixed. Class: a start that ends for a condition that passes by itself. Change: the limit is the grace period and 5 s, at least 15 s.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http'
 import { setMaxListeners } from 'node:events'
 import { CallerServer } from '@lovagehoist/callers'
-import { untilAddressFree } from '@lovagehoist/common'
+import { addressWaitMs, untilAddressFree } from '@lovagehoist/common'
 import type { Address } from '@lovagehoist/common'
 import { composeGateway } from './gatewayComponents.js'
 import type { GatewayComponents, GatewayDependencies } from './gatewayComponents.js'
@@ -121,8 +121,8 @@
 
   /** Opens a server once its address is free; returns none when the start has been given up. */
   private async listen <T extends { readonly close: () => unknown }> (open: () => Promise<T>): Promise<readonly T[]> {
-    const { clock, log } = this.dependencies
-    const server = await untilAddressFree(open, { clock, log, stopSignal: this.startController.signal })
+    const { clock, log, settings } = this.dependencies
+    const server = await untilAddressFree(open, { clock, log, stopSignal: this.startController.signal, maxWaitMs: addressWaitMs(settings.bounds.graceMs) })
     if (server !== undefined && !this.isShuttingDown) return [server]
     server?.close()
     return []
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -4,7 +4,7 @@
 import { uptime } from 'node:os'
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { LineSink, SeededRandom, SystemClock, createLog, untilAddressFree } from '@lovagehoist/common'
+import { LineSink, SeededRandom, SystemClock, addressWaitMs, createLog, untilAddressFree } from '@lovagehoist/common'
 import type { Clock, GatewaySettings, Log } from '@lovagehoist/common'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
@@ -78,7 +78,7 @@
   const sink = LineSink.create({ clock, linesPerSecond: MAX_LOG_LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
   const log = createLog({ level: 'info', format: 'json', clock, write: sink.write, fields: { instance: settings.value.instanceId } })
   logUnexpectedErrors(log)
-  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), { clock, log, stopSignal })
+  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), { clock, log, stopSignal, maxWaitMs: addressWaitMs(settings.value.bounds.graceMs) })
   if (datagrams === undefined) {
     log.info('stopped before it served')
     await sink.close()
