--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -4,7 +4,7 @@
 import { uptime } from 'node:os'
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { LineSink, SeededRandom, SystemClock, createLog, untilAddressFree } from '@lovagehoist/common'
+import { LineSink, SeededRandom, SystemClock, addressWaitMs, createLog, untilAddressFree } from '@lovagehoist/common'
 import type { Clock, GatewaySettings, Log } from '@lovagehoist/common'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
@@ -32,8 +32,8 @@
   process.exitCode = EXIT_BAD_INPUT
 }
 
-/** Reads the settings, again and again for a while: at the start the platform may still be writing the file. */
-const readInitialSettings = async (readSettings: ReadSettings, clock: Clock, stopSignal: AbortSignal): Promise<Result<GatewaySettings, string>> => {
+/** Reads the settings, again and again for a while: the platform may still be writing the file. */
+const readWholeSettings = async (readSettings: ReadSettings, clock: Clock, stopSignal: AbortSignal): Promise<Result<GatewaySettings, string>> => {
   const giveUpAtMs = clock.monotonicMs() + MAX_SETTINGS_WAIT_MS
   for (;;) {
     const settings = await readSettings()
@@ -60,7 +60,7 @@
     reportBadInput(`${SETTINGS_VARIABLE}: expected the path of the settings file`)
     return
   }
-  const readSettings: ReadSettings = async () => {
+  const readOnce: ReadSettings = async () => {
     const text = await readFile(file, 'utf8').catch(() => undefined)
     return text === undefined ? err('expected a readable file') : decodeSettings(text)
   }
@@ -68,7 +68,8 @@
   const stopSignal = stopController.signal
   signals.handle('SIGTERM', () => { stopController.abort() })
   const clock = SystemClock.create()
-  const settings = await readInitialSettings(readSettings, clock, stopSignal)
+  const readSettings: ReadSettings = async () => await readWholeSettings(readOnce, clock, stopSignal)
+  const settings = await readSettings()
   if (settings.isErr()) {
     if (!stopSignal.aborted) reportBadInput(`${file}: ${settings.error}`)
     return
@@ -77,7 +78,7 @@
   const sink = LineSink.create({ clock, linesPerSecond: MAX_LOG_LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
   const log = createLog({ level: 'info', format: 'json', clock, write: sink.write, fields: { instance: settings.value.instanceId } })
   logUnexpectedErrors(log)
-  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), { clock, log, stopSignal })
+  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), { clock, log, stopSignal, maxWaitMs: addressWaitMs(settings.value.bounds.graceMs) })
   if (datagrams === undefined) {
     log.info('stopped before it served')
     await sink.close()
