Log: a process that ends writes its last lines, also behind a batch that is being written

Operators saw: the last lines of a process, those that say why it ended, could be missing. close() waited for the batch that was being written and returned, although lines had been queued behind it; the process then ended. The count of lines left out was never written at the end either.

Evidence: the new test failed before: of a batch being written and two lines queued behind it only the first batch had been written when close() returned. Change: close() writes until nothing is queued, within the 200 ms as before, the count of dropped lines included. After: the test passes. Not measured: how often that happened to real processes.

--- a/packages/common/src/log/lineSink.spec.ts
+++ b/packages/common/src/log/lineSink.spec.ts
@@ -44,4 +44,22 @@
     expect(sink.droppedCount).to.be.above(700)
     expect(written.length).to.be.below(300_000)
   })
+
+  it('writes the last lines of a process that ends while an earlier batch is being written', async () => {
+    const sink = create(1)
+    sink.write('{"level":"info","n":1}\n')
+    await clock.advanceMs(100)
+    sink.write('{"level":"error","n":2}\n')
+    sink.write('{"level":"info","n":3}\n')
+    const writtenAtEnd = sink.close().then(() => written)
+    finish.shift()?.()
+    await clock.advanceMs(10)
+    finish.shift()?.()
+    await clock.advanceMs(200)
+    expect((await writtenAtEnd).trim().split('\n').map(line => JSON.parse(line) as unknown)).to.deep.equal([
+      { level: 'info', n: 1 },
+      { level: 'error', n: 2 },
+      { level: 'warn', part: 'log', message: 'lines left out', count: 1 }
+    ])
+  })
 })
--- a/packages/common/src/log/lineSink.ts
+++ b/packages/common/src/log/lineSink.ts
@@ -64,8 +64,12 @@
 
   /** Writes the queued lines; resolves once they are written, or after a short timeout when the reader is stuck. */
   async close (): Promise<void> {
-    this.flush()
-    for (let waitedMs = 0; this.isWriting && waitedMs < CLOSE_TIMEOUT_MS; waitedMs += CLOSE_POLL_MS) await this.options.clock.sleepMs(CLOSE_POLL_MS)
+    this.reportDropped()
+    for (let waitedMs = 0; waitedMs < CLOSE_TIMEOUT_MS; waitedMs += CLOSE_POLL_MS) {
+      this.flush()
+      if (!this.isWriting) return
+      await this.options.clock.sleepMs(CLOSE_POLL_MS)
+    }
   }
 
   private flush (): void {
@@ -84,6 +88,10 @@
   private startWindow (nowMs: number): void {
     this.windowStartMs = nowMs
     this.linesInWindow = 0
+    this.reportDropped()
+  }
+
+  private reportDropped (): void {
     if (this.dropped === 0) return
     this.enqueue(`${JSON.stringify({ level: 'warn', part: 'log', message: 'lines left out', count: this.dropped })}\n`)
     this.dropped = 0
