Callers: a shutdown names the exchanges that it cuts off

Operators saw: 'daemon left' counts the requests that a shutdown cuts off, and nothing tells which they were or how long they had run.

Change: one line 'exchange cut off' for each of the first 50 (id as the caller sent it, method, age in ms, whether the response head had been sent), then the number of the others. CallerServer takes a function that names a request, since the name of the id's header field belongs to the platform. 'daemon left' and the report of a drain stay as they were.

--- a/packages/callers/src/server/callerConnection.ts
+++ b/packages/callers/src/server/callerConnection.ts
@@ -62,9 +62,9 @@
     return new CallerConnection(socket, clock)
   }
 
-  /** Number of exchanges in progress. */
-  get exchanges (): number {
-    return this.inFlight.length
+  /** Responses of the exchanges in progress. */
+  get exchanges (): readonly ServerResponse[] {
+    return this.inFlight
   }
 
   /**
--- a/packages/callers/src/server/callerServer.spec.ts
+++ b/packages/callers/src/server/callerServer.spec.ts
@@ -41,6 +41,7 @@
 class DrainHarness {
   readonly clock = ManualClock.create()
   readonly releases: Array<() => void> = []
+  readonly logLines: Array<Readonly<Record<string, unknown>>> = []
   holdsResponses = false
   servedCount = 0
   private onServe: () => void = () => {}
@@ -52,7 +53,8 @@
       address: { host: '127.0.0.1', port: 0 },
       limits: LIMITS,
       clock: harness.clock,
-      log: createLog({ level: 'error', format: 'json', clock: harness.clock, write: () => {} }),
+      log: createLog({ level: 'warn', format: 'json', clock: harness.clock, write: line => { harness.logLines.push(JSON.parse(line) as Readonly<Record<string, unknown>>) } }),
+      describeRequest: request => ({ requestId: request.headers['x-id'] }),
       handler: async (_request, response) => {
         harness.servedCount++
         const release = harness.holdsResponses ? new Promise<void>(resolve => { harness.releases.push(resolve) }) : Promise.resolve()
@@ -148,4 +150,23 @@
     await harness.clock.advanceMs(DRAIN.balancerLagMs + DRAIN.longestExchangeMs + 600)
     expect(await drained).to.deep.equal({ cutExchanges: 1 })
   })
+
+  it('names each exchange that it cuts off, and counts those beyond fifty', async () => {
+    const harness = await DrainHarness.create()
+    harness.holdsResponses = true
+    const callers = await harness.callers(52)
+    for (const [index, caller] of callers.entries()) {
+      caller.send(`POST /x HTTP/1.1\r\nHost: h\r\nX-Id: r-${index}\r\nContent-Length: 0\r\n\r\n`)
+      await harness.waitUntilServed(index + 1)
+    }
+    const drained = harness.server.drain(DRAIN)
+    await harness.clock.advanceMs(DRAIN.balancerLagMs + DRAIN.longestExchangeMs + 600)
+    expect(await drained).to.deep.equal({ cutExchanges: 52 })
+    const lines = harness.logLines.map(({ at: _, level: __, part: ___, ...line }) => line)
+    expect(lines.length).to.equal(51)
+    expect(lines[0]).to.deep.include({ message: 'exchange cut off', requestId: 'r-0', method: 'POST', isHeadSent: false })
+    expect(lines[0]?.ageMs).to.be.within(DRAIN.balancerLagMs + DRAIN.longestExchangeMs, DRAIN.balancerLagMs + DRAIN.longestExchangeMs + 600)
+    expect(new Set(lines.slice(0, 50).map(({ requestId }) => requestId)).size).to.equal(50)
+    expect(lines[50]).to.deep.equal({ message: 'more exchanges cut off', count: 2 })
+  })
 })
--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -6,6 +6,8 @@
 import { waitUntilListening } from '@lovagehoist/common'
 import type { Clock, Log, Settings } from '@lovagehoist/common'
 import { ANNOUNCED_IDLE_MS, CallerConnection, IDLE_MARGIN_MS } from './callerConnection.js'
+import { logCutExchanges } from './cutExchanges.js'
+import type { DescribeRequest } from './cutExchanges.js'
 import { rejectMalformedFields, rejectUnsupported } from './rejectUnsupported.js'
 
 /** Place of a request on its connection. */
@@ -26,6 +28,8 @@
   readonly clock: Clock
   readonly handler: RequestHandler
   readonly log: Log
+  /** Names a request whose exchange a drain cuts off; by its method alone if absent. */
+  readonly describeRequest?: DescribeRequest
 }
 
 /** Result of a drain. */
@@ -41,6 +45,7 @@
 /** HTTP server for callers, with a graceful drain. */
 export class CallerServer {
   private readonly connections = new Map<Socket, CallerConnection>()
+  private readonly receivedAtMs = new WeakMap<ServerResponse, number>()
   private lastAcceptAtMs = Number.NEGATIVE_INFINITY
   private isDraining = false
 
@@ -94,9 +99,10 @@
     // http.Server's close() would also reset idle connections, on which a request may already be on its way.
     NetServer.prototype.close.call(this.server)
     await this.pollUntil(limitAtMs, () => this.connections.size === 0)
-    const cutExchanges = [...this.connections.values()].reduce((sum, connection) => sum + connection.exchanges, 0)
+    const cutExchanges = [...this.connections.values()].flatMap(connection => connection.exchanges)
+    this.logCut(cutExchanges)
     for (const connection of this.connections.values()) connection.destroy()
-    return { cutExchanges }
+    return { cutExchanges: cutExchanges.length }
   }
 
   /** Stops listening and destroys all connections immediately. */
@@ -105,6 +111,12 @@
     for (const connection of this.connections.values()) connection.destroy()
   }
 
+  private logCut (responses: readonly ServerResponse[]): void {
+    const { clock, log, describeRequest = () => ({}) } = this.options
+    const nowMs = clock.monotonicMs()
+    logCutExchanges(log, responses.map(response => ({ response, ageMs: nowMs - (this.receivedAtMs.get(response) ?? nowMs) })), describeRequest)
+  }
+
   private async pollUntil (limitAtMs: number, isDone: () => boolean): Promise<void> {
     const { clock } = this.options
     while (!isDone() && clock.monotonicMs() < limitAtMs) {
@@ -137,6 +149,7 @@
 
   private async handle (connection: CallerConnection, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const receivedAtMs = this.options.clock.monotonicMs()
+    this.receivedAtMs.set(response, receivedAtMs)
     if (!await connection.untilServable(response) || rejectMalformedFields(request, response)) return
     await this.options.handler(request, response, { receivedAtMs, untilFirst: async () => await connection.untilFirst(response) })
   }
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -1,8 +1,8 @@
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
 import { setMaxListeners } from 'node:events'
-import { CallerServer } from '@lovagehoist/callers'
+import { CallerServer, gatewayRequestId } from '@lovagehoist/callers'
 import { untilAddressFree } from '@lovagehoist/common'
-import type { Address } from '@lovagehoist/common'
+import type { Address, LogFields } from '@lovagehoist/common'
 import { composeGateway } from './gatewayComponents.js'
 import type { GatewayComponents, GatewayDependencies } from './gatewayComponents.js'
 import { runTask } from './runTask.js'
@@ -99,15 +99,16 @@
 
   /** Listens for callers last, so that a daemon that is stopped while it starts has not accepted a request yet. */
   private async start ({ readinessPath, metrics }: GatewayListenOptions): Promise<void> {
-    const { settings, log, clock } = this.dependencies
+    const { settings, log, clock, headers } = this.dependencies
     const { components } = this
+    const describeRequest = (request: IncomingMessage): LogFields => ({ requestId: gatewayRequestId(request, headers) })
     const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
     const peerLimits = { ...limits, maxHeadBytes: limits.maxHeadBytes + MAX_FORWARDING_BYTES, maxConnections: MAX_PEER_CONNECTIONS }
     const readiness = await this.listen(async () => await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown))
     this.servers = [...readiness, ...await this.startMetrics(metrics)]
     for (const options of [
-      { address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler },
-      { address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler }
+      { address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), describeRequest, handler: components.peerHandler },
+      { address: settings.callers, limits, clock, log: log.child('callers'), describeRequest, handler: components.handler }
     ]) this.callerServers = [...this.callerServers, ...await this.listen(async () => await CallerServer.create(options))]
     if (this.isShuttingDown) return
     for (const task of components.tasks) {
