Gateway: resident memory beside its limit, in the metrics and in the log

Operators saw: a process that is killed for its memory tells nothing; its last lines look like those of any other process.

Change: gauges lovagehoist_memory_resident_bytes and lovagehoist_memory_limit_bytes, and a line 'memory above nine tenths of its limit' with heap, external memory, array buffers, connections and the bytes in the buffer budget, once for each time that memory passes that share, with a line when it is below eight tenths again. Resident memory is read once a second, through an interface that tests replace; a system that does not tell it (no /proc) fails neither the metrics nor the background tasks. What passes the limit within one second is still not seen.

--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -83,6 +83,11 @@
     return (this.server.address() as AddressInfo).port
   }
 
+  /** Number of open connections. */
+  get connectionCount (): number {
+    return this.connections.size
+  }
+
   /**
    * Drains the server: keeps serving while the load balancer still sends new connections, announces the close in responses, and stops when all connections have ended.
    *
--- a/packages/daemon/src/gateway/gatewayComponents.ts
+++ b/packages/daemon/src/gateway/gatewayComponents.ts
@@ -44,6 +44,7 @@
   /** Configuration and listing that this daemon holds, as it serves them to other daemons. */
   readonly documentTexts: PeerDocumentTexts
   readonly registry: Registry
+  readonly bufferBudget: BufferBudget
   readonly isReady: () => boolean
   readonly drainWindow: DrainWindow
   /** Background loops that run until their signal aborts. */
@@ -271,15 +272,15 @@
   const targetDrainMs = (): number => dependencies.liveSettings.current().bounds.targetDrainMs
   const listingPoller: ListingPoller = ListingPoller.create({ store, registry: targets.targetRegistry, boundMs: targetDrainMs, readTurn: readers.createTurn('targets', maxListingAgeMs, targetDrainMs), clock, random, log: log.child('targets'), onReadStarted: config.check, onRead: () => { relay.announceRead() }, onStoreRecovered: config.restart })
   const registration = InstanceRegistration.create({ store, clock, random, log, peers: relay.peers, relayRank: () => relay.relayRank, isAwaitingPeers: readers.isAwaitingPeers })
-  const drainWindow = DrainWindow.create(clock)
   const { peerSender, forwarder } = createForwarder(dependencies, relay)
-  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, listingPoller, relay, poisonDetector, drainWindow, registry, invariants, forwarder, documentSync, allowances })
+  const serveOptions = createServeOptions(dependencies, { activeConfig: () => activeConfig, targets, listingPoller, relay, poisonDetector, drainWindow: DrainWindow.create(clock), registry, invariants, forwarder, documentSync, allowances })
   return {
     handler: async (request, response, exchange) => { await serveGateway(serveOptions, request, response, exchange) },
     peerHandler: createPeerHandler(serveOptions, documentSync),
     documentTexts: documentSync.documentTexts,
     registry,
-    drainWindow,
+    bufferBudget: serveOptions.bufferBudget,
+    drainWindow: serveOptions.drainWindow,
     isReady: () => activeConfig !== undefined && targets.targetRegistry.hasListing,
     tasks: [
       ...[config, listingPoller, relay, targets.sender, peerSender, registration].map((loop): BackgroundTask => async signal => { await loop.run(signal) }),
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -5,9 +5,18 @@
 import type { Address, LogFields } from '@lovagehoist/common'
 import { composeGateway } from './gatewayComponents.js'
 import type { GatewayComponents, GatewayDependencies } from './gatewayComponents.js'
+import { createMemoryWatcher, memoryLimitBytes, registerMemoryMetrics } from './memoryWatcher.js'
+import type { MemoryUse } from './memoryWatcher.js'
+import type { ProcessProbe } from './processProbe.js'
 import { runTask } from './runTask.js'
+import type { BackgroundTask } from './runTask.js'
 import { serveMetrics, serveReadiness } from './readinessServer.js'
 
+/** What a gateway daemon depends on, its process included. */
+export interface GatewayDaemonDependencies extends GatewayDependencies {
+  readonly probe: ProcessProbe
+}
+
 /** Listening options of a gateway daemon that its settings do not hold. */
 export interface GatewayListenOptions {
   readonly readinessPath: string
@@ -43,7 +52,7 @@
   /** Resolves when the daemon has stopped. */
   readonly done: Promise<void>
 
-  private constructor (private readonly dependencies: GatewayDependencies, private readonly components: GatewayComponents) {
+  private constructor (private readonly dependencies: GatewayDaemonDependencies, private readonly components: GatewayComponents) {
     setMaxListeners(0, this.stopController.signal)
     this.done = new Promise(resolve => { this.resolveDone = resolve })
   }
@@ -51,11 +60,11 @@
   /**
    * Creates a daemon and starts it.
    *
-   * @param dependencies - Settings, clock, randomness, store and transport.
+   * @param dependencies - Settings, clock, randomness, store, transport and process.
    * @param listen - Readiness path, metrics address and stop signal.
    * @returns The daemon, once it listens or has been stopped before.
    */
-  static async create (dependencies: GatewayDependencies, listen: GatewayListenOptions): Promise<GatewayDaemon> {
+  static async create (dependencies: GatewayDaemonDependencies, listen: GatewayListenOptions): Promise<GatewayDaemon> {
     const daemon = new GatewayDaemon(dependencies, composeGateway(dependencies))
     const drain = (): void => { daemon.drain().catch((error: unknown) => { dependencies.log.error('drain failed', { error: String(error) }) }) }
     listen.stopSignal?.addEventListener('abort', drain, { once: true })
@@ -111,12 +120,24 @@
       { address: settings.callers, limits, clock, log: log.child('callers'), describeRequest, handler: components.handler }
     ]) this.callerServers = [...this.callerServers, ...await this.listen(async () => await CallerServer.create(options))]
     if (this.isShuttingDown) return
-    for (const task of components.tasks) {
+    for (const task of [...components.tasks, this.watchMemory()]) {
       runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
     log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port })
   }
 
+  private watchMemory (): BackgroundTask {
+    const { settings, log, clock, probe } = this.dependencies
+    const { registry, bufferBudget } = this.components
+    const limitBytes = memoryLimitBytes(settings.memoryMb)
+    registerMemoryMetrics(registry, probe, limitBytes)
+    const use = (): MemoryUse => ({
+      connections: this.callerServers.reduce((sum, { connectionCount }) => sum + connectionCount, 0),
+      bufferedBytes: bufferBudget.heldFor('body') + bufferBudget.heldFor('response')
+    })
+    return createMemoryWatcher({ clock, log: log.child('process'), probe, limitBytes, use })
+  }
+
   /** Opens a server once its address is free; returns none when the start has been given up. */
   private async listen <T extends { readonly close: () => unknown }> (open: () => Promise<T>): Promise<readonly T[]> {
     const { clock, log } = this.dependencies
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -12,6 +12,7 @@
 import { GatewayDaemon } from './gatewayDaemon.js'
 import { LiveSettings } from './liveSettings.js'
 import type { ReadSettings } from './liveSettings.js'
+import { SystemProcessProbe } from './processProbe.js'
 
 const EXIT_OK = 0
 const EXIT_BAD_INPUT = 2
@@ -86,7 +87,7 @@
   const store = RowStore.create(settings.value.store, clock)
   const liveSettings = LiveSettings.create(settings.value, readSettings, log.child('settings'))
   const daemon = await GatewayDaemon.create(
-    { settings: settings.value, liveSettings, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams },
+    { settings: settings.value, liveSettings, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams, probe: SystemProcessProbe.create() },
     { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT }, stopSignal })
   signals.handle('SIGHUP', () => { liveSettings.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
   await daemon.done
--- a/packages/standins/src/gateway/gatewayFleet.ts
+++ b/packages/standins/src/gateway/gatewayFleet.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher } from 'undici'
 import { SeededRandom, SystemClock, createLog } from '@lovagehoist/common'
 import type { Address, GatewaySettings } from '@lovagehoist/common'
-import { GatewayDaemon, LiveSettings } from '@lovagehoist/daemon/gateway'
+import { GatewayDaemon, LiveSettings, SystemProcessProbe } from '@lovagehoist/daemon/gateway'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore } from '@lovagehoist/platform'
 import { DaemonLinks } from './daemonLinks.js'
@@ -173,7 +173,7 @@
     const datagrams = await openDatagrams(settings.peers, log)
     const links = await DaemonLinks.create(this.clock, this.hasCuttableLinks ? [...this.targets.values()].map(({ port }) => port) : [], host)
     const daemon = await GatewayDaemon.create(
-      { settings, liveSettings: LiveSettings.create(settings, async () => ok(settings), log), uptimeMs: this.clock.monotonicMs, clock: this.clock, random, log, store: RowStore.create(settings.store, this.clock), headers: PLATFORM_HEADERS, datagrams, openTargetSocket: links.openSocket },
+      { settings, liveSettings: LiveSettings.create(settings, async () => ok(settings), log), uptimeMs: this.clock.monotonicMs, clock: this.clock, random, log, store: RowStore.create(settings.store, this.clock), headers: PLATFORM_HEADERS, datagrams, openTargetSocket: links.openSocket, probe: SystemProcessProbe.create() },
       { readinessPath: READINESS_PATH })
     this.daemons.push({ daemon, links, callerAddress: callers, peerAddress: settings.peers, readinessAddress: readiness })
     if (shouldAwaitReady) await this.waitUntil(async () => await this.readinessStatus(this.daemons.length - 1) === 200)
