Gateway: each way out of the process writes why

Operators saw: a start that failed told it on standard error alone, and lines that waited to be written were lost with it; a process that was stopped while its settings could not be read ended without a line; 'stopped before it served' did not tell in which step.

Change: 'start failed' with code (EADDRINUSE after the wait for the addresses, for example) and stack, 'stopped before it served' with its step (settings, addresses), and startedAfterMs in 'daemon started'. What waits in the log is written at each of these ends. Exit codes stay as they were: 0 stopped, 1 start failed, 2 bad input. The test's look at the mask of caught signals moves to GatewayProcess, unchanged, for both specs.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -108,7 +108,7 @@
 
   /** Listens for callers last, so that a daemon that is stopped while it starts has not accepted a request yet. */
   private async start ({ readinessPath, metrics }: GatewayListenOptions): Promise<void> {
-    const { settings, log, clock, headers } = this.dependencies
+    const { settings, log, clock, headers, probe } = this.dependencies
     const { components } = this
     const describeRequest = (request: IncomingMessage): LogFields => ({ requestId: gatewayRequestId(request, headers) })
     const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
@@ -123,7 +123,7 @@
     for (const task of [...components.tasks, this.watchMemory()]) {
       runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
-    log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port })
+    log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port, startedAfterMs: Math.round(probe.ageMs()) })
   }
 
   private watchMemory (): BackgroundTask {
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -5,7 +5,7 @@
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { LineSink, SeededRandom, SystemClock, createLog, untilAddressFree } from '@lovagehoist/common'
-import type { Clock, GatewaySettings, Log } from '@lovagehoist/common'
+import type { Clock, GatewaySettings, Log, LogFields } from '@lovagehoist/common'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
 import type { EarlySignals } from './earlySignals.js'
@@ -50,10 +50,35 @@
   }
 }
 
+/** What the start of a daemon depends on. */
+interface StartOptions {
+  readonly settings: GatewaySettings
+  readonly readSettings: ReadSettings
+  readonly clock: Clock
+  readonly log: Log
+  readonly stopSignal: AbortSignal
+  readonly signals: EarlySignals
+}
+
+/** Starts a daemon once its addresses are free; undefined when the process is stopped before. */
+const startDaemon = async ({ settings, readSettings, clock, log, stopSignal, signals }: StartOptions): Promise<GatewayDaemon | undefined> => {
+  const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
+  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.peers, log.child('peers')), { clock, log, stopSignal })
+  if (datagrams === undefined) return undefined
+  const store = RowStore.create(settings.store, clock)
+  const liveSettings = LiveSettings.create(settings, readSettings, log.child('settings'))
+  const daemon = await GatewayDaemon.create(
+    { settings, liveSettings, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams, probe: SystemProcessProbe.create() },
+    { readinessPath: READINESS_PATH, metrics: { host: settings.peers.host, port: METRICS_PORT }, stopSignal })
+  signals.handle('SIGHUP', () => { liveSettings.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
+  return daemon
+}
+
 /**
- * Starts a gateway daemon with the settings file that the platform names and runs it until it has stopped.
+ * Starts a gateway daemon with the settings file that the platform names and runs it until it has stopped. Each way out writes why.
  *
  * @param signals - Signals to the process, caught since its first moment.
+ * @throws Error of a start that failed, once the log tells it.
  */
 export const main = async (signals: EarlySignals): Promise<void> => {
   const file = process.env[SETTINGS_VARIABLE]
@@ -69,28 +94,26 @@
   const stopSignal = stopController.signal
   signals.handle('SIGTERM', () => { stopController.abort() })
   const clock = SystemClock.create()
+  const sink = LineSink.create({ clock, linesPerSecond: MAX_LOG_LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
+  const createProcessLog = (fields: LogFields): Log => createLog({ level: 'info', format: 'json', clock, write: sink.write, fields })
   const settings = await readInitialSettings(readSettings, clock, stopSignal)
   if (settings.isErr()) {
-    if (!stopSignal.aborted) reportBadInput(`${file}: ${settings.error}`)
+    if (stopSignal.aborted) createProcessLog({}).info('stopped before it served', { step: 'settings' })
+    else reportBadInput(`${file}: ${settings.error}`)
+    await sink.close()
     return
   }
-  const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
-  const sink = LineSink.create({ clock, linesPerSecond: MAX_LOG_LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
-  const log = createLog({ level: 'info', format: 'json', clock, write: sink.write, fields: { instance: settings.value.instanceId } })
+  const log = createProcessLog({ instance: settings.value.instanceId })
   logUnexpectedErrors(log)
-  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.value.peers, log.child('peers')), { clock, log, stopSignal })
-  if (datagrams === undefined) {
-    log.info('stopped before it served')
+  try {
+    const daemon = await startDaemon({ settings: settings.value, readSettings, clock, log, stopSignal, signals })
+    if (daemon === undefined) log.info('stopped before it served', { step: 'addresses' })
+    else await daemon.done
+  } catch (error) {
+    log.error('start failed', { code: (error as NodeJS.ErrnoException).code, error: error instanceof Error ? error.stack : String(error) })
+    throw error
+  } finally {
     await sink.close()
-    process.exit(EXIT_OK)
   }
-  const store = RowStore.create(settings.value.store, clock)
-  const liveSettings = LiveSettings.create(settings.value, readSettings, log.child('settings'))
-  const daemon = await GatewayDaemon.create(
-    { settings: settings.value, liveSettings, uptimeMs: () => uptime() * MS_PER_SECOND, clock, random, log, store, headers: PLATFORM_HEADERS, datagrams, probe: SystemProcessProbe.create() },
-    { readinessPath: READINESS_PATH, metrics: { host: settings.value.peers.host, port: METRICS_PORT }, stopSignal })
-  signals.handle('SIGHUP', () => { liveSettings.reload('signal').catch((error: unknown) => { log.error('reload failed', { error: String(error) }) }) })
-  await daemon.done
-  await sink.close()
   process.exit(EXIT_OK)
 }
--- a/packages/standins/src/process/gatewayProcess.ts
+++ b/packages/standins/src/process/gatewayProcess.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { mkdir, writeFile } from 'node:fs/promises'
+import { mkdir, readFile, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
@@ -11,6 +11,8 @@
 
 const GATEWAY_MAIN = fileURLToPath(new URL('../../../daemon/dist/gateway/entry.js', import.meta.url))
 const MAX_OUTPUT_LINES = 400
+/** Bit of SIGHUP in the mask of caught signals, as Linux shows it. */
+const HANGUP_BIT = 1n
 
 const runningChildren = new Set<ChildProcess>()
 process.once('exit', () => { for (const child of runningChildren) child.kill('SIGKILL') })
@@ -64,6 +66,12 @@
     return this.child.pid ?? 0
   }
 
+  /** Whether the program has begun to catch signals; before, they end the process. */
+  async catchesSignals (): Promise<boolean> {
+    const status = await readFile(`/proc/${this.pid}/status`, 'utf8').catch(() => '')
+    return (BigInt(`0x${/^SigCgt:\s*(\w+)/m.exec(status)?.[1] ?? '0'}`) & HANGUP_BIT) !== 0n
+  }
+
   /** Sends a signal to the daemon unless it has exited. */
   signal (name: ProcessSignal): void {
     if (!this.hasExited) this.child.kill(name)
--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -9,8 +9,6 @@
 import { networkPrefixOf } from '../soak/gateway/soakFleet.js'
 import { GatewayProcess } from './gatewayProcess.js'
 
-/** Bit of SIGHUP in the mask of caught signals, as Linux shows it. */
-const HANGUP_BIT = 1n
 const POLL_MS = 1
 const TIMEOUT_MS = 20_000
 const METRICS_PORT = 9_464
@@ -49,10 +47,6 @@
       await clock.sleepMs(POLL_MS)
     }
   }
-  const catchesHangup = async ({ pid }: GatewayProcess): Promise<boolean> => {
-    const status = await readFile(`/proc/${pid}/status`, 'utf8').catch(() => '')
-    return (BigInt(`0x${/^SigCgt:\s*(\w+)/m.exec(status)?.[1] ?? '0'}`) & HANGUP_BIT) !== 0n
-  }
   const hasLogged = ({ output }: GatewayProcess, message: string): boolean => output.some(line => line.includes(`"message":"${message}`))
 
   beforeEach(async () => {
@@ -71,7 +65,7 @@
   it('catches signals before it loads what takes long, and reloads the settings once it serves', async () => {
     const gateway = await start()
     const atMs = clock.monotonicMs()
-    await until(async () => await catchesHangup(gateway))
+    await until(async () => await gateway.catchesSignals())
     const caughtAfterMs = clock.monotonicMs() - atMs
     gateway.signal('SIGHUP')
     await until(() => hasLogged(gateway, 'daemon started'))
@@ -82,7 +76,7 @@
 
   it('ends in an orderly way when it is stopped at once', async () => {
     const gateway = await start()
-    await until(async () => await catchesHangup(gateway))
+    await until(async () => await gateway.catchesSignals())
     gateway.signal('SIGTERM')
     await until(() => gateway.hasExited)
     expect(gateway.exitCode).to.equal(0)
