--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -1,13 +1,22 @@
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
 import { setMaxListeners } from 'node:events'
-import { CallerServer } from '@lovagehoist/callers'
+import { CallerServer, gatewayRequestId } from '@lovagehoist/callers'
 import { addressWaitMs, untilAddressFree } from '@lovagehoist/common'
-import type { Address } from '@lovagehoist/common'
+import type { Address, LogFields } from '@lovagehoist/common'
 import { composeGateway } from './gatewayComponents.js'
 import type { GatewayComponents, GatewayDependencies } from './gatewayComponents.js'
+import { createMemoryWatcher, memoryLimitBytes, registerMemoryMetrics } from './memoryWatcher.js'
+import type { MemoryUse } from './memoryWatcher.js'
+import type { ProcessProbe } from './processProbe.js'
 import { runTask } from './runTask.js'
+import type { BackgroundTask } from './runTask.js'
 import { serveMetrics, serveReadiness } from './readinessServer.js'
 
+/** What a gateway daemon depends on, its process included. */
+export interface GatewayDaemonDependencies extends GatewayDependencies {
+  readonly probe: ProcessProbe
+}
+
 /** Listening options of a gateway daemon that its settings do not hold. */
 export interface GatewayListenOptions {
   readonly readinessPath: string
@@ -43,7 +52,7 @@
   /** Resolves when the daemon has stopped. */
   readonly done: Promise<void>
 
-  private constructor (private readonly dependencies: GatewayDependencies, private readonly components: GatewayComponents) {
+  private constructor (private readonly dependencies: GatewayDaemonDependencies, private readonly components: GatewayComponents) {
     setMaxListeners(0, this.stopController.signal)
     this.done = new Promise(resolve => { this.resolveDone = resolve })
   }
@@ -51,11 +60,11 @@
   /**
    * Creates a daemon and starts it.
    *
-   * @param dependencies - Settings, clock, randomness, store and transport.
+   * @param dependencies - Settings, clock, randomness, store, transport and process.
    * @param listen - Readiness path, metrics address and stop signal.
    * @returns The daemon, once it listens or has been stopped before.
    */
-  static async create (dependencies: GatewayDependencies, listen: GatewayListenOptions): Promise<GatewayDaemon> {
+  static async create (dependencies: GatewayDaemonDependencies, listen: GatewayListenOptions): Promise<GatewayDaemon> {
     const daemon = new GatewayDaemon(dependencies, composeGateway(dependencies))
     const drain = (): void => { daemon.drain().catch((error: unknown) => { dependencies.log.error('drain failed', { error: String(error) }) }) }
     listen.stopSignal?.addEventListener('abort', drain, { once: true })
@@ -99,24 +108,37 @@
 
   /** Listens for callers last, so that a daemon that is stopped while it starts has not accepted a request yet. */
   private async start ({ readinessPath, metrics }: GatewayListenOptions): Promise<void> {
-    const { settings, log, clock } = this.dependencies
+    const { settings, log, clock, headers, probe } = this.dependencies
     const { components } = this
+    const describeRequest = (request: IncomingMessage): LogFields => ({ requestId: gatewayRequestId(request, headers) })
     const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
     const peerLimits = { ...limits, maxHeadBytes: limits.maxHeadBytes + MAX_FORWARDING_BYTES, maxConnections: MAX_PEER_CONNECTIONS }
     const readiness = await this.listen(async () => await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown))
     const metricsServers = await this.startMetrics(metrics)
-    const peers = await this.listen(async () => await CallerServer.create({ address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), handler: components.peerHandler, isHalfCloseDeparture: true }))
-    const callers = await this.listen(async () => await CallerServer.create({ address: settings.callers, limits, clock, log: log.child('callers'), handler: components.handler }))
+    const peers = await this.listen(async () => await CallerServer.create({ address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), describeRequest, handler: components.peerHandler, isHalfCloseDeparture: true }))
+    const callers = await this.listen(async () => await CallerServer.create({ address: settings.callers, limits, clock, log: log.child('callers'), describeRequest, handler: components.handler }))
     if (this.isShuttingDown) {
       for (const server of [...readiness, ...metricsServers, ...peers]) server.close()
       return
     }
     this.servers = [...readiness, ...metricsServers]
     this.callerServers = [...peers, ...callers]
-    for (const task of components.tasks) {
+    for (const task of [...components.tasks, this.watchMemory()]) {
       runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
-    log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port })
+    log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port, startedAfterMs: Math.round(probe.ageMs()) })
+  }
+
+  private watchMemory (): BackgroundTask {
+    const { settings, log, clock, probe } = this.dependencies
+    const { registry, bufferBudget } = this.components
+    const limitBytes = memoryLimitBytes(settings.memoryMb)
+    registerMemoryMetrics(registry, probe, limitBytes)
+    const use = (): MemoryUse => ({
+      connections: this.callerServers.reduce((sum, { connectionCount }) => sum + connectionCount, 0),
+      bufferedBytes: bufferBudget.heldFor('body') + bufferBudget.heldFor('response')
+    })
+    return createMemoryWatcher({ clock, log: log.child('process'), probe, limitBytes, use })
   }
 
   /** Opens a server once its address is free; returns none when the start has been given up. */
