Tests of the start: the next process waits for certain before the earlier one is stopped

"waits for its addresses while an earlier process still leaves" failed once at load 30: the earlier process had left before the next one looked at its addresses. Both tests with two processes now wait for the line 'address in use' before the SIGTERM; they check the same, and that the wait took place is no longer a matter of time.

--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -86,18 +86,16 @@
   it('waits for its addresses while an earlier process still leaves', async () => {
     const earlier = await start()
     await until(() => hasLogged(earlier, 'daemon started'))
-    earlier.signal('SIGTERM')
-    await until(() => hasLogged(earlier, 'draining'))
     const next = await start()
+    await until(() => hasLogged(next, 'address in use'))
+    earlier.signal('SIGTERM')
     await until(() => hasLogged(next, 'daemon started'))
-    expect([earlier.exitCode, next.exitCode, hasLogged(next, 'address in use')]).to.deep.equal([0, undefined, true])
+    expect([earlier.exitCode, next.exitCode, hasLogged(earlier, 'draining')]).to.deep.equal([0, undefined, true])
   })
 
   it('ends at once, without serving, when it is stopped while it waits for its addresses', async () => {
     const earlier = await start()
     await until(() => hasLogged(earlier, 'daemon started'))
-    earlier.signal('SIGTERM')
-    await until(() => hasLogged(earlier, 'draining'))
     const next = await start()
     await until(() => hasLogged(next, 'address in use'))
     next.signal('SIGTERM')
