Deliver: frame a response that came without a length

Change: the length where all of the body is buffered, chunks otherwise; the last chunk follows only an orderly end from the target. A reset by the target, or nothing more in time, still resets the caller's connection. The comment in deliver.ts weighed against framing that nothing proves the body complete: true, but passing it on without framing claimed the same for an orderly end and for each end of this process besides. Callers of HTTP/1.0, who can't read chunks, get the length where it is known; otherwise the connection is closed behind the body, as before.

--- a/packages/callers/src/exchange/serveRequest.spec.ts
+++ b/packages/callers/src/exchange/serveRequest.spec.ts
@@ -5,6 +5,7 @@
 import { expect } from 'chai'
 import { Agent, request as send } from 'undici'
 import { SystemClock } from '@lovagehoist/common'
+import type { TargetResponse } from '@lovagehoist/common'
 import { expectSnapshot } from '@lovagehoist/common/testing'
 import { RequestHarness, targetResponse, targetFailure } from '../testing/requestHarness.js'
 import type { AttemptScript } from '../testing/requestHarness.js'
@@ -150,6 +151,27 @@
     }
   })
 
+  it('gives a response without a length its own where it is buffered and chunks where it streams, and leaves other framing as it is', async () => {
+    const long = 'x'.repeat(5_000)
+    const cases: Readonly<Record<string, readonly [method: 'GET' | 'HEAD', response: () => TargetResponse, lines: readonly string[], end: string]>> = {
+      buffered: ['GET', () => targetResponse(['hello'], { headers: [] }), ['content-length: 5'], '\r\n\r\nhello'],
+      empty: ['GET', () => targetResponse([], { headers: [] }), ['content-length: 0'], '\r\n\r\n'],
+      streaming: ['GET', () => targetResponse([long], { headers: [] }), ['transfer-encoding: chunked'], `\r\n1388\r\n${long}\r\n0\r\n\r\n`],
+      broken: ['GET', () => targetResponse([long, new Error('broke')], { headers: [] }), ['transfer-encoding: chunked'], `\r\n1388\r\n${long}\r\n`],
+      trailers: ['GET', () => targetResponse(['hello'], { headers: ['transfer-encoding', 'chunked'], trailers: () => ['x-check', '1'] }), ['transfer-encoding: chunked'], '\r\n5\r\nhello\r\n0\r\nx-check: 1\r\n\r\n'],
+      head: ['HEAD', () => targetResponse([], { headers: [] }), [], '\r\n\r\n'],
+      'head with a length': ['HEAD', () => targetResponse([], { headers: ['content-length', '9'] }), ['content-length: 9'], '\r\n\r\n'],
+      'no content': ['GET', () => targetResponse([], { status: 204, headers: [] }), [], '\r\n\r\n'],
+      'not modified': ['GET', () => targetResponse([], { status: 304, headers: [] }), [], '\r\n\r\n']
+    }
+    for (const [name, [method, response, lines, end]] of Object.entries(cases)) {
+      harness.script = response
+      const text = await sendRaw(harness.port, `${method} /read/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n`)
+      const framing = text.split('\r\n\r\n')[0]?.split('\r\n').filter(line => /^(content-length|transfer-encoding):/i.test(line)).map(line => line.toLowerCase())
+      expect([name, framing, text.replace('[reset]', '').endsWith(end)]).to.deep.equal([name, lines, true])
+    }
+  })
+
   it('delivers every byte value', async () => {
     const bytes = Buffer.from(Array.from({ length: 256 }, (_, value) => value))
     harness.script = () => targetResponse([], { headers: ['content-length', '256'], body: Readable.from([bytes], { objectMode: false }) })
--- a/packages/callers/src/responses/deliver.ts
+++ b/packages/callers/src/responses/deliver.ts
@@ -28,20 +28,25 @@
   response.destroy()
 }
 
-/** Whether the end of a response body is marked only by the close of its connection. */
-const isUntilClose = ({ headers, status }: BufferedResponse, method: string): boolean =>
-  method !== 'HEAD' && !BODILESS_STATUSES.has(status) && findHeader(headers, 'content-length') === undefined && findHeader(headers, 'transfer-encoding') === undefined
+/** Whether a response has a body whose end neither the target's length nor chunks mark for the caller. */
+const isUnframed = ({ response, method }: DeliverOptions, { status, headers }: BufferedResponse): boolean => {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(status) || findHeader(headers, 'content-length') !== undefined) return false
+  return !response.useChunkedEncodingByDefault || findHeader(headers, 'transfer-encoding') === undefined
+}
 
-const writeHead = ({ response, requestId, method }: DeliverOptions, targetResponse: BufferedResponse): void => {
-  const headers = callerResponseHeaders(targetResponse.headers)
-  if (isUntilClose(targetResponse, method)) {
-    // Framing added here would claim that the body is complete, which nothing from the target proves.
-    response.removeHeader('content-length')
-    response.removeHeader('transfer-encoding')
-    response.removeHeader('keep-alive')
-    response.setHeader('connection', 'close')
-  }
-  response.writeHead(targetResponse.status, [...headers, VERDICT_HEADER, 'ran', REQUEST_ID_HEADER, requestId])
+/** Fields that mark the end of an unframed body, so that an early end shows. Where there are none, Node.js sends chunks; the last one follows only an orderly end from the target. */
+const framingFields = ({ response }: DeliverOptions, { buffered, rest }: BufferedResponse): readonly string[] => {
+  if (rest === undefined) return ['content-length', String(buffered.length)]
+  if (response.useChunkedEncodingByDefault) return []
+  response.removeHeader('keep-alive')
+  return ['connection', 'close']
+}
+
+const writeHead = (options: DeliverOptions, targetResponse: BufferedResponse): void => {
+  const { response, requestId } = options
+  const { status, headers } = targetResponse
+  const framing = isUnframed(options, targetResponse) ? framingFields(options, targetResponse) : []
+  response.writeHead(status, [...callerResponseHeaders(headers), ...framing, VERDICT_HEADER, 'ran', REQUEST_ID_HEADER, requestId])
 }
 
 const addTrailers = (response: ServerResponse, targetResponse: BufferedResponse): void => {
--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -46,6 +46,10 @@
   /** Number of requests received, including refused ones. */
   receivedRequests = 0
   workMs = 2
+  /** Body of a response without a length. */
+  unframedBody = 'unframed'
+  /** Time between the body of a response without a length and its end. */
+  unframedEndDelayMs = CLOSE_DELAY_MS
   /** Whether a request crashes the target once its work is done, by its path. */
   crashesUnder: (path: string) => boolean = () => false
   /** What a request sees of the crash: its connection closes, or an answer breaks off, or nothing comes any more. */
@@ -175,9 +179,9 @@
   private sendCloseDelimited ({ socket }: IncomingMessage, response: ServerResponse, end: () => void): void {
     const requestId = String(response.getHeader(PLATFORM_HEADERS.requestId))
     const leaving = this.saysLeaving ? `${PLATFORM_HEADERS.leaving}: 1\r\n` : ''
-    socket.write(`HTTP/1.1 200 OK\r\n${leaving}${PLATFORM_HEADERS.requestId}: ${requestId}\r\n${PLATFORM_HEADERS.signature}: sig-${this.id}\r\n\r\nunframed`, () => {
+    socket.write(`HTTP/1.1 200 OK\r\n${leaving}${PLATFORM_HEADERS.requestId}: ${requestId}\r\n${PLATFORM_HEADERS.signature}: sig-${this.id}\r\n\r\n${this.unframedBody}`, () => {
       // The daemon must read the bytes first: a reset discards data in transit.
-      this.clock.after(CLOSE_DELAY_MS, end)
+      this.clock.after(this.unframedEndDelayMs, end)
     })
   }
 
