Caller connections: reset when a shutdown or an error cuts a response off

Cause: the connection was destroyed, which the kernel announces like any orderly close. A response that a target cut short was reset before; these ends were not. Change: CallerConnection.destroy() resets the connection if the head of the response in progress has been written, and so does a handler that fails after the head. Idle connections and those whose response has not begun are closed as before. A kill of the process still looks complete to a caller of HTTP/1.0: nothing in the process runs then. Evidence: unframedResponses.spec.ts, "a shutdown cuts them off (HTTP/1.0)", and pipelining.spec.ts, "when its handler fails": both failed before (complete; no reset), pass after.

--- a/packages/callers/src/server/callerConnection.ts
+++ b/packages/callers/src/server/callerConnection.ts
@@ -121,10 +121,11 @@
     this.socket.end()
   }
 
-  /** Destroys the connection with all its exchanges. */
+  /** Destroys the connection with all its exchanges; resets it if that cuts a response off, since an orderly end would complete one without a length. */
   destroy (): void {
     this.isClosing = true
-    this.socket.destroy()
+    if (this.inFlight[0]?.headersSent === true) this.socket.resetAndDestroy()
+    else this.socket.destroy()
   }
 
   private end (response: ServerResponse): void {
--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -131,6 +131,7 @@
     if (!connection.beginExchange(response)) return
     this.handle(connection, request, response).catch((error: unknown) => {
       this.options.log.error('request handler failed', { error: String(error) })
+      if (response.headersSent) response.socket?.resetAndDestroy()
       response.destroy()
     })
   }
--- a/packages/callers/src/server/pipelining.spec.ts
+++ b/packages/callers/src/server/pipelining.spec.ts
@@ -36,7 +36,7 @@
   let socket: Socket
   let received: string
   let served: Served[]
-  let handle: (one: Served) => void
+  let handle: (one: Served) => void | Promise<void>
 
   const responseCount = (): number => received.split('HTTP/1.1 200').length - 1
 
@@ -47,7 +47,7 @@
     const handler = async (request: IncomingMessage, response: ServerResponse, exchange: CallerExchange): Promise<void> => {
       const one = { path: request.url ?? '', request, response, exchange }
       served.push(one)
-      handle(one)
+      await handle(one)
     }
     server = await CallerServer.create({ address: { host: '127.0.0.1', port: 0 }, limits: LIMITS, clock, log: silentLog, handler })
     socket = connect(server.port, '127.0.0.1')
@@ -140,6 +140,17 @@
     expect(signals.map(({ aborted }) => aborted)).to.deep.equal([true, true])
   })
 
+  it('do not get a response without a length that looks complete when its handler fails', async () => {
+    handle = async ({ response }) => {
+      response.writeHead(200).write('part')
+      await settle(() => received.includes('part'))
+      throw new Error('failed')
+    }
+    socket.write('GET /0 HTTP/1.0\r\n\r\n')
+    await settle(() => socket.closed)
+    expect([received.includes('part'), received.endsWith('RESET')]).to.deep.equal([true, true])
+  })
+
   it('get the response to a refused body, which a reset would discard', async () => {
     handle = ({ response }) => { response.setHeader('connection', 'close').end('refused') }
     const closed = once(socket, 'close')
--- a/packages/standins/src/gateway/unframedResponses.spec.ts
+++ b/packages/standins/src/gateway/unframedResponses.spec.ts
@@ -155,16 +155,16 @@
     expect([oldCaller.framing, oldCaller.isComplete, oldCaller.body === LONG_BODY]).to.deep.equal(['none', true, true])
   })
 
-  it('do not look complete when a shutdown cuts them off', async () => {
-    const caller = await receiveUnended('1.1')
-    const [stopped] = fleet.daemons.splice(0)
-    await stopped?.daemon.stop()
-    await stopped?.links.close()
-    await caller.waitUntil(() => caller.isClosed)
-    expect([caller.head.split('\r\n')[0], caller.isComplete]).to.deep.equal(['HTTP/1.1 200 OK', false])
-  })
-
   for (const version of ['1.0', '1.1'] as const) {
+    it(`do not look complete when a shutdown cuts them off (HTTP/${version})`, async () => {
+      const caller = await receiveUnended(version)
+      const [stopped] = fleet.daemons.splice(0)
+      await stopped?.daemon.stop()
+      await stopped?.links.close()
+      await caller.waitUntil(() => caller.isClosed)
+      expect([caller.head.split('\r\n')[0], caller.isComplete]).to.deep.equal(['HTTP/1.1 200 OK', false])
+    })
+
     it(`do not look complete when their target resets them midway (HTTP/${version})`, async () => {
       target.responseMode = 'unframed-reset'
       sendLongBody()
