Gateway: responses that callers leave unread take no more memory than is counted

Callers saw: where many of them did not read long responses, the process went over its memory limit, which ends it with all that it holds.

Cause: the budget released the beginning of a streamed response (up to 1 MiB) as soon as the operating system had taken it, while the response kept the buffer until its end; each socket to a target read 64 KiB ahead of a paused response, and the body another 64 KiB, which nothing counted; and a response with nothing pending was read on however little room there was. Traced: 200 callers, 185 MB of array buffers after a collection, of which 13 MB lay in sockets to targets, 16 MB in sockets to callers and 14.7 MB were counted.

Change: a response that is not buffered whole gives its beginning back to its stream, in parts that are freed one by one. Sockets and bodies read on demand only. A read for a reader that was behind reserves 64 KiB first and waits in order where the responses held fill the capacity; `lovagehoist_paused_responses` tells how many wait. Problems of other daemons are buffered also without room: they are read here.

--- a/packages/callers/src/buffering/bufferBudget.spec.ts
+++ b/packages/callers/src/buffering/bufferBudget.spec.ts
@@ -65,6 +65,39 @@
     expect([1, 2, 3, 4].map(() => claim(budget.open(), CAPACITY / 16).result)).to.deep.equal(['granted', 'granted', 'granted', 'granted'])
   })
 
+  it('reads no more of responses than fits, in the order in which their readers asked, and counts a read until its bytes arrive', () => {
+    const budget = createBudget()
+    const holds = Array.from({ length: 20 }, () => budget.open())
+    const reads: number[] = []
+    for (const [index, hold] of holds.entries()) hold.awaitReadRoom(() => { reads.push(index) })
+    expect([reads.length, budget.heldFor('response'), budget.waitingReadCount]).to.deep.equal([16, CAPACITY, 4])
+    holds[0]?.addResponse(1_000)
+    expect([reads.length, budget.heldFor('response')]).to.deep.equal([16, CAPACITY - 65_536 + 1_000])
+    holds[0]?.releaseResponse(1_000)
+    holds[17]?.close()
+    holds[1]?.close()
+    expect([reads.slice(16), budget.waitingReadCount]).to.deep.equal([[16, 18], 1])
+    for (const hold of holds) hold.close()
+    expect([budget.heldFor('response'), budget.waitingReadCount]).to.deep.equal([0, 0])
+  })
+
+  it('grants reads one after another when each of them releases its bytes at once', () => {
+    const budget = createBudget()
+    const filling = budget.open()
+    filling.addResponse(CAPACITY)
+    const count = 20_000
+    let reads = 0
+    for (let index = 0; index < count; index++) {
+      const hold = budget.open()
+      hold.awaitReadRoom(() => {
+        reads++
+        hold.close()
+      })
+    }
+    filling.close()
+    expect([reads, budget.heldFor('response')]).to.deep.equal([count, 0])
+  })
+
   it('reports a corrupt count and starts again at zero', () => {
     const breaches: Breach[] = []
     const budget = createBudget(breaches)
@@ -73,7 +106,7 @@
   })
 
   it('holds nothing once all requests have ended, in whatever order they reserve, release and end', () => {
-    const step = fc.record({ request: fc.nat(5), action: fc.constantFrom('body', 'response', 'add', 'shrink', 'release', 'withdraw', 'close'), bytes: fc.integer({ min: 0, max: CAPACITY }) })
+    const step = fc.record({ request: fc.nat(5), action: fc.constantFrom('body', 'response', 'add', 'read', 'shrink', 'release', 'withdraw', 'close'), bytes: fc.integer({ min: 0, max: CAPACITY }) })
     fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
       const breaches: Breach[] = []
       const budget = createBudget(breaches)
@@ -83,6 +116,7 @@
         const hold = holds[request] as BufferHold
         if (action === 'body') withdrawals.set(request, claim(hold, bytes, request % 3).withdraw)
         if (action === 'response') hold.tryReserveResponse(bytes)
+        if (action === 'read') hold.awaitReadRoom(() => {})
         if (action === 'add') hold.addResponse(bytes % 65_536)
         if (action === 'shrink') hold.shrinkBody(bytes)
         if (action === 'release') hold.releaseResponse(bytes)
@@ -92,7 +126,7 @@
         expect(budget.heldFor('response')).to.equal(holds.reduce((sum, one) => sum + one.heldFor('response'), 0))
       }
       for (const hold of holds) hold.close()
-      expect([budget.heldFor('body'), budget.heldFor('response'), budget.waitingCount, breaches.length]).to.deep.equal([0, 0, 0, 0])
+      expect([budget.heldFor('body'), budget.heldFor('response'), budget.waitingCount, budget.waitingReadCount, breaches.length]).to.deep.equal([0, 0, 0, 0, 0])
     }), { seed: SEED, numRuns: 500 })
   })
 })
--- a/packages/callers/src/buffering/bufferBudget.ts
+++ b/packages/callers/src/buffering/bufferBudget.ts
@@ -36,6 +36,8 @@
 const RESPONSE_SHARE = 0.5
 /** Share of the responses' room that may be read ahead of callers; the rest is for responses that are buffered whole. */
 const READ_AHEAD_SHARE = 0.5
+/** Node.js reads up to this much from a target's socket at once. */
+const READ_BYTES = 65_536
 /** Share of the capacity above which a body is large. */
 const LARGE_BODY_SHARE = 1 / 16
 /** Share of the capacity that is left to bodies that are not large: a few large bodies that arrive slowly must not stop the usual uploads. */
@@ -63,6 +65,9 @@
   private readonly refusals: Record<BufferRefusal, number> = { 'too-large': 0, 'no-room': 0 }
   /** The most valuable and smallest first. */
   private waiting: BodyClaim[] = []
+  /** Reads of responses that wait for room, the longest waiting first. */
+  private readonly waitingReads = new Set<(bytes: number) => void>()
+  private isGrantingReads = false
   private streamed = 0
 
   private constructor (private readonly options: BufferBudgetOptions) {}
@@ -119,6 +124,26 @@
     return this.heldBytes.response < this.responseCapacityBytes * READ_AHEAD_SHARE && this.fits(0, this.sharedCapacityBytes)
   }
 
+  /**
+   * Reserves room for one read of a response from its target, now or as soon as there is room.
+   * Responses that are buffered whole can't take all of it, and request bodies nothing.
+   *
+   * @param grant - Called at most once, with the bytes that were reserved.
+   * @returns Withdraws the claim; without effect after the claim was granted.
+   */
+  claimRead (grant: (bytes: number) => void): () => void {
+    // A claim of its own, since the same function may be passed again.
+    const claim = (bytes: number): void => { grant(bytes) }
+    this.waitingReads.add(claim)
+    this.grantReads()
+    return () => { this.waitingReads.delete(claim) }
+  }
+
+  /** Number of responses that are not read from their targets for lack of room. */
+  get waitingReadCount (): number {
+    return this.waitingReads.size
+  }
+
   /** Counts bytes that have been received already, beyond the capacity if necessary. */
   add (use: BufferUse, bytes: number): void {
     this.heldBytes[use] += bytes
@@ -151,6 +176,7 @@
     // A corrupt count must neither block nor overload the daemon: it starts again at nothing held.
     if (!isValid) this.heldBytes[use] = 0
     this.grantWaiting()
+    this.grantReads()
   }
 
   private get responseCapacityBytes (): number {
@@ -198,6 +224,19 @@
     return index >= 0
   }
 
+  /** Grants reads in order of their claims. A read may release bytes at once, so calls from within a grant leave the rest to the loop. */
+  private grantReads (): void {
+    if (this.isGrantingReads) return
+    this.isGrantingReads = true
+    for (const claim of this.waitingReads) {
+      if (this.heldBytes.response + READ_BYTES > this.options.capacityBytes) break
+      this.waitingReads.delete(claim)
+      this.add('response', READ_BYTES)
+      claim(READ_BYTES)
+    }
+    this.isGrantingReads = false
+  }
+
   /** Grants in order whatever fits; a body that does not fit does not block smaller ones behind it. */
   private grantWaiting (): void {
     for (const claim of [...this.waiting]) {
--- a/packages/callers/src/buffering/bufferHold.ts
+++ b/packages/callers/src/buffering/bufferHold.ts
@@ -5,6 +5,9 @@
   private readonly heldBytes: Record<BufferUse, number> = { body: 0, response: 0 }
   private isClosed = false
   private withdraw: () => void = () => {}
+  private withdrawRead: () => void = () => {}
+  /** Bytes held for a read of the response whose data has not arrived. */
+  private readBytes = 0
 
   private constructor (private readonly budget: BufferBudget) {}
 
@@ -55,8 +58,27 @@
     this.release('body', Math.max(0, this.heldBytes.body - toBytes))
   }
 
+  /**
+   * Waits for room for one more read of the response from its target.
+   *
+   * @param read - Starts the read, now or as soon as there is room; not called if the hold is closed while it waits.
+   */
+  awaitReadRoom (read: () => void): void {
+    if (this.isClosed) {
+      read()
+      return
+    }
+    this.withdrawRead()
+    this.withdrawRead = this.budget.claimRead(bytes => {
+      this.readBytes += bytes
+      this.heldBytes.response += bytes
+      read()
+    })
+  }
+
   /** Reserves bytes for a response; false when they don't fit. */
   tryReserveResponse (bytes: number): boolean {
+    this.endRead()
     if (this.isClosed || !this.budget.tryReserveResponse(bytes)) return false
     this.heldBytes.response += bytes
     return true
@@ -67,6 +89,7 @@
     if (this.isClosed) return
     this.budget.add('response', bytes)
     this.heldBytes.response += bytes
+    this.endRead()
   }
 
   /** Releases bytes of a response that the caller has read. */
@@ -80,9 +103,18 @@
     this.isClosed = true
     this.withdraw()
     this.shrinkBody(0)
+    this.withdrawRead()
+    this.readBytes = 0
     this.releaseResponse(this.heldBytes.response)
   }
 
+  /** Releases the reservation of a read: its bytes are counted as what arrived. */
+  private endRead (): void {
+    const bytes = this.readBytes
+    this.readBytes = 0
+    this.releaseResponse(bytes)
+  }
+
   private release (use: BufferUse, bytes: number): void {
     if (bytes === 0) return
     this.heldBytes[use] -= bytes
--- a/packages/callers/src/exchange/bufferResponse.ts
+++ b/packages/callers/src/exchange/bufferResponse.ts
@@ -5,9 +5,9 @@
 export interface BufferedResponse {
   readonly status: number
   readonly headers: RawHeaders
-  /** Beginning of the body, or the whole body. */
+  /** The whole body, or nothing when the body is streamed. */
   readonly buffered: Buffer
-  /** Stream of the rest of the body; undefined when the whole body is buffered. */
+  /** Stream of the body; undefined when the whole body is buffered. */
   readonly rest: TargetResponse['body'] | undefined
   readonly trailers: () => RawHeaders
 }
@@ -17,7 +17,7 @@
  *
  * @param response - Response of a target.
  * @param maxBytes - Bytes to buffer; 0 streams from the beginning.
- * @param tryReserve - Reserves memory for bytes to buffer; when it fails, the rest of the response is streamed.
+ * @param tryReserve - Reserves memory for bytes to buffer; when it fails, the response is streamed.
  * @returns The buffered response; rejects when the body fails while it is being buffered.
  */
 export const bufferResponse = async (response: TargetResponse, maxBytes: number, tryReserve: (bytes: number) => boolean = () => true): Promise<BufferedResponse> => {
@@ -28,11 +28,13 @@
   return await new Promise((resolve, reject) => {
     const finish = (rest: TargetResponse['body'] | undefined): void => {
       body.off('data', onData).off('end', onEnd).off('error', reject).off('close', onClose)
+      // Back in the stream, each part of the beginning is freed as soon as the caller has read it; a buffer of its own would live as long as the response.
+      if (rest !== undefined) for (const part of collector.takeParts().toReversed()) rest.unshift(part)
       resolve({ status, headers, buffered: collector.take(), rest, trailers })
     }
     const onData = (chunk: Buffer): void => {
       collector.add(chunk)
-      if (collector.lengthBytes <= maxBytes && tryReserve(chunk.length)) return
+      if (tryReserve(chunk.length) && collector.lengthBytes <= maxBytes) return
       body.pause()
       finish(body)
     }
--- a/packages/callers/src/gateway/gatewayAttempt.ts
+++ b/packages/callers/src/gateway/gatewayAttempt.ts
@@ -112,13 +112,14 @@
  * @param clock - Source of time.
  * @param accepted - Request with its deadline.
  * @param response - Response whose head has been received.
+ * @param tryReserve - Reserves memory for bytes to buffer.
  * @returns The buffered response; undefined if the body failed or the deadline passed while it was being buffered.
  */
-export const bufferUntilDeadline = async (clock: Clock, { deadlineAtMs, bufferHold }: AcceptedGatewayRequest, response: TargetResponse): Promise<BufferedResponse | undefined> => {
+export const bufferUntilDeadline = async (clock: Clock, { deadlineAtMs, bufferHold }: AcceptedGatewayRequest, response: TargetResponse, tryReserve = (bytes: number): boolean => bufferHold.tryReserveResponse(bytes)): Promise<BufferedResponse | undefined> => {
   const cancel = clock.after(Math.max(0, deadlineAtMs - clock.monotonicMs()), () => { response.body.destroy() })
   response.body.once('close', cancel)
   try {
-    const buffered = await bufferResponse(response, MAX_BUFFERED_BYTES, bytes => bufferHold.tryReserveResponse(bytes))
+    const buffered = await bufferResponse(response, MAX_BUFFERED_BYTES, tryReserve)
     if (buffered.rest === undefined) cancel()
     return buffered
   } catch {
@@ -163,7 +164,8 @@
     isRefusal: (status, answerHeaders) => classifyStatus(headers, status, answerHeaders).verdict === 'not-run',
     findResponseMismatch: responseValidator(headers, accepted.requestId),
     isStillWanted: () => options.isUsable?.(target) !== false,
-    allowsCloseDelimitedBody: true
+    allowsCloseDelimitedBody: true,
+    awaitReadRoom: read => { accepted.bufferHold.awaitReadRoom(read) }
   }, abortSignal)
   const sendDelayMs = Math.max(0, clock.monotonicMs() - startedAtMs - sendResult.latencyMs)
   if (sendResult.type === 'answer' && sendResult.status !== MISDIRECTED_REQUEST) {
--- a/packages/callers/src/gateway/peerForwarder.ts
+++ b/packages/callers/src/gateway/peerForwarder.ts
@@ -140,7 +140,8 @@
       headTimeoutMs: remainingMs,
       bodyIdleTimeoutMs: remainingMs,
       findResponseMismatch: findMismatch,
-      allowsCloseDelimitedBody: true
+      allowsCloseDelimitedBody: true,
+      awaitReadRoom: read => { accepted.bufferHold.awaitReadRoom(read) }
     }, accepted.route.isIdempotent ? accepted.disconnectSignal : new AbortController().signal)
     if (sent.type === 'answer') return await this.readAnswer(peer, accepted, sent)
     if (sent.verdict === 'not-run') this.avoid(peer, UNREACHABLE_MS)
@@ -149,9 +150,10 @@
 
   private async readAnswer (peer: InstanceRecord, accepted: AcceptedGatewayRequest, sent: TargetResponse): Promise<PeerResult> {
     const verdict = verdictOf(sent.headers)
-    const buffered = await bufferUntilDeadline(this.options.clock, accepted, sent)
-    if (buffered === undefined) return { type: 'failed', verdict: verdict === 'not-run' ? verdict : 'may-have-run', detail: 'the answer broke off' }
     const isProblem = verdict !== 'ran' || (findHeader(sent.headers, 'content-type') === PROBLEM_TYPE && findHeader(sent.headers, this.options.headers.signature) === undefined)
+    // A problem is read here and not streamed, so it is buffered also when there is no room; it is short.
+    const buffered = await bufferUntilDeadline(this.options.clock, accepted, sent, ...(isProblem ? [() => true] : []))
+    if (buffered === undefined) return { type: 'failed', verdict: verdict === 'not-run' ? verdict : 'may-have-run', detail: 'the answer broke off' }
     if (!isProblem) return { type: 'answer', response: buffered }
     const problem = problemOf(buffered, verdict)
     if (verdict !== 'not-run' || !NOT_TAKING_KINDS.has(problem.kind)) return { type: 'problem', problem }
--- a/packages/callers/src/responses/pacedWriter.ts
+++ b/packages/callers/src/responses/pacedWriter.ts
@@ -28,6 +28,8 @@
   private lastProgressAtMs: number
   private cancelTimer: CancelTimer = () => {}
   private isClosed = false
+  /** Bytes of the stream that are held already. */
+  private aheadBytes = 0
   /** Called whenever something has been read, and when the connection has closed. */
   private onProgress: () => void = () => {}
 
@@ -75,6 +77,7 @@
     rest.pause()
     const isWritten = await this.writeSlices(buffered)
     this.pacing.hold.releaseResponse(buffered.length)
+    this.aheadBytes = this.pacing.hold.heldFor('response')
     if (isWritten) rest.resume()
     const delivery = isWritten ? await received : 'caller-gone'
     if (delivery !== 'answer') rest.destroy()
@@ -94,7 +97,9 @@
       }
       rest.on('data', (chunk: Buffer) => {
         const heldBytes = chunk.length + WRITE_OVERHEAD_BYTES
-        hold.addResponse(heldBytes)
+        const aheadBytes = Math.min(this.aheadBytes, heldBytes)
+        this.aheadBytes -= aheadBytes
+        hold.addResponse(heldBytes - aheadBytes)
         this.write(chunk, () => { hold.releaseResponse(heldBytes) })
         if (!hasRoom()) rest.pause()
       })
--- a/packages/common/src/bytes/chunkCollector.ts
+++ b/packages/common/src/bytes/chunkCollector.ts
@@ -37,12 +37,18 @@
 
   /** Removes and returns all bytes, in one buffer. */
   take (): Buffer {
+    const parts = this.takeParts()
+    const [first] = parts
+    return first !== undefined && parts.length === 1 ? first : Buffer.concat(parts)
+  }
+
+  /** Removes and returns all bytes in order, in buffers of which each can be freed by itself. */
+  takeParts (): readonly Buffer[] {
     this.endBlock()
-    const [first] = this.parts
-    const bytes = first !== undefined && this.parts.length === 1 ? first : Buffer.concat(this.parts)
+    const parts = this.parts
     this.parts = []
     this.collectedBytes = 0
-    return bytes
+    return parts
   }
 
   /** Keeps what the block holds in a buffer of its size, and the block for further chunks. */
--- a/packages/common/src/contracts/targets.ts
+++ b/packages/common/src/contracts/targets.ts
@@ -124,6 +124,8 @@
   readonly isStillWanted?: () => boolean
   /** Whether the response body may be delimited by the close of the connection; otherwise its length or chunked framing must be explicit. */
   readonly allowsCloseDelimitedBody?: boolean
+  /** Starts the next read of a response whose reader was behind, now or as soon as there is memory for what it brings; without this function it starts at once. */
+  readonly awaitReadRoom?: (read: () => void) => void
 }
 
 /** A response whose head has been received. */
--- a/packages/daemon/src/gateway/bufferMetrics.ts
+++ b/packages/daemon/src/gateway/bufferMetrics.ts
@@ -22,5 +22,6 @@
     metric.set({ reason: 'no-room' }, budget.refusedFor('no-room'))
     metric.set({ reason: 'too-large' }, budget.refusedFor('too-large'))
   })
+  gauge('paused_responses', 'Responses that are not read from their targets for lack of room.', [], metric => { metric.set(budget.waitingReadCount) })
   gauge('responses_not_buffered', 'Responses streamed for lack of room, since the start of the process.', [], metric => { metric.set(budget.streamedCount) })
 }
--- a/packages/standins/src/process/gatewayProcess.ts
+++ b/packages/standins/src/process/gatewayProcess.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { mkdir, writeFile } from 'node:fs/promises'
+import { mkdir, readFile, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
@@ -10,11 +10,15 @@
 export type ProcessSignal = 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'
 
 const GATEWAY_MAIN = fileURLToPath(new URL('../../../daemon/dist/gateway/entry.js', import.meta.url))
+const DEPLOY_FILE = fileURLToPath(new URL('../../../../deploy/system.toml', import.meta.url))
 const MAX_OUTPUT_LINES = 400
 
 const runningChildren = new Set<ChildProcess>()
 process.once('exit', () => { for (const child of runningChildren) child.kill('SIGKILL') })
 
+/** Options that the run line of the deploy file passes to Node.js, which bound its heap. */
+export const deployedNodeOptions = async (): Promise<readonly string[]> => /^run = "node (.*) \S+"$/m.exec(await readFile(DEPLOY_FILE, 'utf8'))?.[1]?.split(' ') ?? []
+
 /** A real gateway daemon in a child process; it is killed when the parent exits. */
 export class GatewayProcess {
   private readonly outputLines: string[] = []
@@ -42,13 +46,14 @@
    *
    * @param folder - Folder that the settings file is written into.
    * @param settings - Settings in the platform's format.
+   * @param nodeOptions - Options of Node.js.
    * @returns The process; it may not listen yet.
    */
-  static async create (folder: string, settings: { readonly node_name: string }): Promise<GatewayProcess> {
+  static async create (folder: string, settings: { readonly node_name: string }, nodeOptions: readonly string[] = []): Promise<GatewayProcess> {
     await mkdir(folder, { recursive: true })
     const file = join(folder, `${settings.node_name}.json`)
     await writeFile(file, JSON.stringify(settings))
-    const child = spawn(process.execPath, [GATEWAY_MAIN], { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH, [SETTINGS_VARIABLE]: file } })
+    const child = spawn(process.execPath, [...nodeOptions, GATEWAY_MAIN], { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH, [SETTINGS_VARIABLE]: file } })
     runningChildren.add(child)
     child.once('exit', () => { runningChildren.delete(child) })
     return new GatewayProcess(settings.node_name, child)
--- a/packages/standins/src/soak/gateway/soakFleet.ts
+++ b/packages/standins/src/soak/gateway/soakFleet.ts
@@ -8,7 +8,7 @@
 import { GatewayTarget } from '../../gateway/gatewayTarget.js'
 import { RowStoreStandin } from '../../gateway/rowStoreStandin.js'
 import { TcpProxy } from '../../network/tcpProxy.js'
-import { GatewayProcess } from '../../process/gatewayProcess.js'
+import { GatewayProcess, deployedNodeOptions } from '../../process/gatewayProcess.js'
 import { SoakConfig } from './soakConfig.js'
 import { FaultPeriods } from './faultPeriods.js'
 import type { SoakLimit } from './limitOracle.js'
@@ -44,7 +44,7 @@
 export interface SoakSize {
   readonly instances: number
   readonly targetsPerService: number
-  /** Memory limit of each daemon. */
+  /** Memory limit of each daemon; with it, the daemons run with the options of the deploy file. */
   readonly memoryMb?: number
 }
 
@@ -79,7 +79,7 @@
   private nextTarget = 0
   private isFirstStart = true
 
-  private constructor (readonly clock: SystemClock, readonly random: Random, readonly store: RowStoreStandin, private readonly folder: string, private readonly memoryMb: number) {
+  private constructor (readonly clock: SystemClock, readonly random: Random, readonly store: RowStoreStandin, private readonly folder: string, private readonly memoryMb: number, private readonly nodeOptions: readonly string[]) {
     this.config = SoakConfig.create(store, clock)
     this.storeFaultPeriods = FaultPeriods.create(clock.monotonicMs)
   }
@@ -93,7 +93,7 @@
    */
   static async create (random: Random, size: SoakSize): Promise<SoakFleet> {
     const clock = SystemClock.create()
-    const fleet = new SoakFleet(clock, random, await RowStoreStandin.create(clock), await mkdtemp(join(tmpdir(), 'soak-')), size.memoryMb ?? LIMITS.memory_mb)
+    const fleet = new SoakFleet(clock, random, await RowStoreStandin.create(clock), await mkdtemp(join(tmpdir(), 'soak-')), size.memoryMb ?? LIMITS.memory_mb, size.memoryMb === undefined ? [] : await deployedNodeOptions())
     for (const service of SERVICES) for (let index = 0; index < size.targetsPerService; index++) await fleet.addTarget(service)
     fleet.config.publishNextVersion()
     for (let index = 0; index < size.instances; index++) await fleet.addInstance()
@@ -248,6 +248,6 @@
       seeds: this.instances.slice(0, 3).map(other => `${other.host}:${PORTS.peers}`),
       platform: { address: `127.0.0.1:${storeProxy.port}` },
       bounds: RETRY_BOUNDS
-    } as { readonly node_name: string })
+    } as { readonly node_name: string }, this.nodeOptions)
   }
 }
--- a/packages/targets/src/connections/connection.ts
+++ b/packages/targets/src/connections/connection.ts
@@ -35,10 +35,13 @@
 const RESET_CODE = 'ERR_CONNECTION_RESET'
 const CONNECTION_CLOSED = Object.assign(new Error('the connection is closed'), { code: 'ERR_CONNECTION_USED_UP' })
 
+/** Without it, a socket reads up to 64 KiB ahead of a paused response, which nothing counts. */
+const READ_ON_DEMAND = { readableHighWaterMark: 0 }
+
 /** Node.js throws at once for some addresses, such as ports out of range. */
 const createSocket = (openSocket: OpenSocket, { host, port }: Target): Socket | Error => {
   try {
-    return openSocket({ host, port, noDelay: true, keepAlive: true })
+    return openSocket({ ...READ_ON_DEMAND, host, port, noDelay: true, keepAlive: true })
   } catch (error) {
     return error instanceof Error ? error : new Error(String(error))
   }
--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -66,6 +66,8 @@
   private isFlushScheduled = false
   /** Whether the body has asked for more and got nothing since. */
   private isReaderWaiting = false
+  /** Bytes received since the body asked for more. */
+  private aheadBytes = 0
   private readonly body: Readable
   private readonly isFresh: boolean
   private readonly startedAtMs: number
@@ -75,11 +77,14 @@
     this.startedAtMs = options.clock.monotonicMs()
     this.isFresh = options.connection.isFresh
     this.body = new Readable({
+      // Nothing is read ahead of the reader beyond one read of the socket.
+      highWaterMark: 0,
       read: () => {
         this.isReaderWaiting = true
+        this.aheadBytes = 0
         this.lastProgressAtMs = this.options.clock.monotonicMs()
         if (this.joining.lengthBytes > 0) this.flush()
-        else if (this.stage !== 'ended') this.controller?.resume()
+        else if (this.stage !== 'ended') this.readMore()
       },
       destroy: (error, done) => {
         if (this.stage !== 'ended') this.abort(new ExchangeAborted('cancelled', 'the response body was discarded'))
@@ -161,10 +166,19 @@
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.stage !== 'answering' || chunk.length === 0) return
     this.receivedBytes += chunk.length
+    this.aheadBytes += chunk.length
     this.joining.add(chunk)
     if (this.joining.lengthBytes >= MAX_JOINED_BYTES) this.flush()
     this.scheduleFlush()
-    if (!this.isReaderWaiting && this.body.readableLength + this.joining.lengthBytes >= this.body.readableHighWaterMark) controller.pause()
+    // The end of a response of known length comes without a further read.
+    if (!this.isReaderWaiting && this.aheadBytes >= MAX_JOINED_BYTES && this.receivedBytes !== this.expectedBytes) controller.pause()
+  }
+
+  private readMore (): void {
+    const { controller, options: { request: { awaitReadRoom } } } = this
+    if (controller?.paused !== true) return
+    if (awaitReadRoom === undefined) controller.resume()
+    else awaitReadRoom(() => { controller.resume() })
   }
 
   /** Passes on what one read of the socket has brought, once all of it has been parsed. */
