Connections: a target that started again elsewhere is reached at its new address

Cause: a pool keeps the address with which it was created, and is found by the target's id. Class: a decision made before a wait and not made again after it.

Evidence: the new test failed before: the earlier address got both requests, the new one none. Change: a pool serves one address; another address gets a new pool, and the idle connections of the earlier one are closed.

--- a/packages/targets/src/connections/connectionPool.ts
+++ b/packages/targets/src/connections/connectionPool.ts
@@ -58,6 +58,11 @@
     return this.target.id
   }
 
+  /** Whether its connections lead to the address of a target; one that started again may have another. */
+  leadsTo ({ host, port }: Pick<Target, 'host' | 'port'>): boolean {
+    return this.target.host === host && this.target.port === port
+  }
+
   /** Number of connections, idle and in use. */
   get size (): number {
     return this.idle.length + this.busy.size
--- a/packages/targets/src/connections/connectionSender.spec.ts
+++ b/packages/targets/src/connections/connectionSender.spec.ts
@@ -226,4 +226,16 @@
     expect(await outcomeOf(await sender.send(target, createRequest(), NEVER))).to.equal('not-run refused')
     expect(await sender.openIdle(target)).to.equal(false)
   })
+
+  it('sends to the address at which a target is listed now, not to that of its earlier start', async () => {
+    const next = await RawTarget.create()
+    try {
+      await send()
+      sender.closeIdleConnections('t1', -1)
+      await outcomeOf(await sender.send(next.target, createRequest(), NEVER))
+      expect([raw.heads, next.heads]).to.deep.equal([1, 1])
+    } finally {
+      await next.close()
+    }
+  })
 })
--- a/packages/targets/src/connections/connectionSender.ts
+++ b/packages/targets/src/connections/connectionSender.ts
@@ -159,7 +159,8 @@
 
   private poolOf (target: Target): ConnectionPool {
     const known = this.pools.get(target.id)
-    if (known !== undefined) return known
+    if (known?.leadsTo(target) === true) return known
+    known?.closeOlderThan(-1)
     const pool = ConnectionPool.create(target, this.options.clock, this.options.connectTimeoutMs(target.service), this.options.openSocket)
     this.pools.set(target.id, pool)
     return pool
