Caller connections: a head that comes late costs neither the answer in progress nor runs behind the 408

Cause: Node.js goes on parsing after a client error, and the connection's own state did not learn of it. Class: an event that ends a connection for one part of the program only.

Change: after a client error a connection without a response due serves nothing more; with one due, the response is delivered and announces the close.

--- a/packages/callers/src/server/callerConnection.ts
+++ b/packages/callers/src/server/callerConnection.ts
@@ -121,6 +121,12 @@
     HalfClosedProbe.start({ socket: this.socket, clock: this.clock, current: () => this.inFlight[0] })
   }
 
+  /** Serves nothing more after an error in what the caller sends; responses in progress are still delivered. */
+  handleClientError (): void {
+    if (this.inFlight.length > 0) this.startDraining()
+    else this.isClosing = true
+  }
+
   /** Closes the connection if it has been idle for longer than announced to the caller. */
   closeIfIdle (): void {
     const idleMs = this.clock.monotonicMs() - this.idleSinceMs
--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -53,6 +53,8 @@
 
   private constructor (private readonly server: Server, private readonly options: CallerServerOptions) {
     server.on('connection', (socket: Socket) => { this.accept(socket) })
+    // Runs before the listener that responds to the error.
+    server.prependListener('clientError', (_error, socket) => { this.connections.get(socket as Socket)?.handleClientError() })
   }
 
   /**
--- a/packages/callers/src/server/rejectUnsupported.ts
+++ b/packages/callers/src/server/rejectUnsupported.ts
@@ -15,9 +15,10 @@
 const MALFORMED: Problem = { kind: 'malformed-request', verdict: 'not-run', detail: 'the request is not well-formed HTTP/1.1' }
 const UPGRADE: Problem = { ...MALFORMED, detail: 'CONNECT and Upgrade are not served' }
 const EXPECTATION: Problem = { ...MALFORMED, detail: 'the only expectation that is served is 100-continue' }
+const REQUEST_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT'
 const PROBLEM_OF_CODE: Readonly<Record<string, Problem>> = {
   HPE_HEADER_OVERFLOW: { kind: 'head-too-large', verdict: 'not-run', detail: 'the head of the request is too large' },
-  ERR_HTTP_REQUEST_TIMEOUT: { kind: 'request-too-slow', verdict: 'not-run', detail: 'the request did not arrive in time' }
+  [REQUEST_TIMEOUT]: { kind: 'request-too-slow', verdict: 'not-run', detail: 'the request did not arrive in time' }
 }
 
 /**
@@ -62,6 +63,8 @@
   server.on('clientError', (error: ParserError, socket: Duplex) => {
     const exchange = currentExchanges.get(socket)
     const canRespond = exchange === undefined || (exchange !== 'several' && !exchange.complete)
+    // The head of a further request is late; earlier ones are still answered.
+    if (!canRespond && error.code === REQUEST_TIMEOUT) return
     if (!canRespond || !socket.writable || error.code === 'ECONNRESET') {
       socket.destroy()
       return
