Tests: reset a response without a length only once it has been passed on

unframedResponses.spec.ts, "their target resets them midway (HTTP/1.1)", failed once in six runs beside other work (its values were not kept). The target reset 30 ms after its last write, which discards what the daemon has not read yet; with less than it buffers, the daemon rightly answers 502 instead. That is by reading, not traced. The target now resets when the caller has received what was sent (in slowCallers.spec.ts: the first part of it); the assertions are the same.

--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -102,11 +102,16 @@
     return { service, address: `127.0.0.1:${this.port}`, zone, version: 'v1', slots: 6, state, cold_remaining: '0ms', sequence: 1, born: 1_800_000_000_000 }
   }
 
+  /** Resets the connections with a response that is to end in a reset. */
+  resetUnframed (): void {
+    for (const socket of this.resetAtClose) socket.resetAndDestroy()
+  }
+
   /** Stops the target at once and closes its connections. */
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
       this.server.close(() => { resolve() })
-      for (const socket of this.resetAtClose) socket.resetAndDestroy()
+      this.resetUnframed()
       this.server.closeAllConnections()
     })
   }
--- a/packages/standins/src/gateway/slowCallers.spec.ts
+++ b/packages/standins/src/gateway/slowCallers.spec.ts
@@ -15,6 +15,8 @@
 const STUCK_REQUESTS = 4
 /** Makes a body longer than what a daemon buffers before it passes a response on. */
 const STREAMED_REPEATS = 250_000
+/** Longer than a response is read here. */
+const NO_END_MS = 60_000
 const UPLOAD_BYTES = 360_000
 const PAUSE_MS = 100
 
@@ -144,15 +146,17 @@
     await fleet.waitUntil(() => again.text.includes('HTTP/1.1 200'))
   })
 
-  for (const [name, { version, responseMode }] of Object.entries({
-    'closes the connection': { version: '1.0', responseMode: 'unframed' },
-    'breaks off': { version: '1.1', responseMode: 'unframed-reset' }
+  for (const [name, { version, responseMode, unframedEndDelayMs }] of Object.entries({
+    'closes the connection': { version: '1.0', responseMode: 'unframed', unframedEndDelayMs: PAUSE_MS },
+    'breaks off': { version: '1.1', responseMode: 'unframed-reset', unframedEndDelayMs: NO_END_MS }
   } as const)) {
     it(`does not run an upload behind a response that ${name}`, async () => {
-      for (const target of fleet.targets.values()) Object.assign(target, { responseMode, unframedBody: 'unframed'.repeat(STREAMED_REPEATS), workMs: 200 })
+      for (const target of fleet.targets.values()) Object.assign(target, { responseMode, unframedEndDelayMs, unframedBody: 'unframed'.repeat(STREAMED_REPEATS), workMs: 200 })
       const raw = await caller()
       raw.send('GET', '/get/first', { id: 'first', version, fields: ['Connection: keep-alive'] })
       raw.send('POST', '/put/behind', { id: `behind-${responseMode}`, body: 'b' })
+      await fleet.waitUntil(() => raw.text.includes('unframed'))
+      if (responseMode === 'unframed-reset') for (const target of fleet.targets.values()) target.resetUnframed()
       await fleet.waitUntil(() => raw.socket.destroyed)
       await fleet.clock.sleepMs(3 * PAUSE_MS)
       expect(raw.text.match(/HTTP\/1\.1/g)).to.have.length(1)
--- a/packages/standins/src/gateway/unframedResponses.spec.ts
+++ b/packages/standins/src/gateway/unframedResponses.spec.ts
@@ -93,14 +93,9 @@
     return caller
   }
 
-  const sendLongBody = (endDelayMs?: number): void => {
-    target.unframedBody = LONG_BODY
-    if (endDelayMs !== undefined) target.unframedEndDelayMs = endDelayMs
-  }
-
   /** Requests a response whose target does not end it, and waits until all that was sent of it has arrived. */
   const receiveUnended = async (version: '1.0' | '1.1'): Promise<RawCaller> => {
-    sendLongBody(NO_END_MS)
+    Object.assign(target, { unframedBody: LONG_BODY, unframedEndDelayMs: NO_END_MS })
     const caller = await openCaller()
     caller.send(['/p/x'], { version })
     await caller.waitUntil(() => caller.text.length > LONG_BODY.length)
@@ -144,7 +139,7 @@
   })
 
   it('are sent in chunks where they are passed on as they arrive, and end with their connection for callers of HTTP/1.0', async () => {
-    sendLongBody()
+    target.unframedBody = LONG_BODY
     const caller = await openCaller()
     caller.send(['/p/x'])
     await caller.waitUntil(() => caller.isClosed || caller.isComplete)
@@ -167,9 +162,8 @@
 
     it(`do not look complete when their target resets them midway (HTTP/${version})`, async () => {
       target.responseMode = 'unframed-reset'
-      sendLongBody()
-      const caller = await openCaller()
-      caller.send(['/p/x'], { version })
+      const caller = await receiveUnended(version)
+      target.resetUnframed()
       await caller.waitUntil(() => caller.isClosed)
       expect([caller.head.split('\r\n')[0], caller.isComplete]).to.deep.equal(['HTTP/1.1 200 OK', false])
     })
