Gateway: a response does not keep the read that brought its head

Cause: the HTTP client hands out the raw header fields as views of the buffer that was read from the socket (up to 64 KiB, body included) and keeps them with the request. Each response held its first read until its end, beside what the budget counted.

Change: the raw fields are dropped once they are decoded.

Evidence: the new test failed before: 100 responses kept 3.9 MB, bound 1.6 MB.

--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -143,6 +143,8 @@
       return
     }
     const headers = decodeHeaders(controller.rawHeaders as Buffer[])
+    // Raw fields are views of the 64 KiB that were read with the head, and would keep them until the end of the response.
+    controller.rawHeaders = null
     const { method, findResponseMismatch, allowsCloseDelimitedBody } = this.options.request
     const framing = detectFraming(method, status, headers)
     const isUnprovable = framing.type === 'unprovable' || (framing.type === 'until-close' && allowsCloseDelimitedBody !== true)
--- a/packages/targets/src/connections/unreadResponses.spec.ts
+++ b/packages/targets/src/connections/unreadResponses.spec.ts
@@ -1,6 +1,8 @@
 import { once } from 'node:events'
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { expect } from 'chai'
 import { SystemClock } from '@lovagehoist/common'
 import { fakeTarget } from '@lovagehoist/common/testing'
@@ -13,6 +15,13 @@
 const BODY_BYTES = 40 * READ_BYTES
 const HEAD = `HTTP/1.1 200 OK\r\ncontent-length: ${BODY_BYTES}\r\n\r\n`
 const QUIET_MS = 300
+const RESPONSES = 100
+
+const collectGarbage = (): void => {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  collect()
+}
 
 describe('a response that its reader leaves unread', () => {
   const clock = SystemClock.create()
@@ -31,7 +40,7 @@
 
   beforeEach(async () => {
     server = createServer(peer => {
-      peer.on('error', () => {}).once('data', () => { peer.write(HEAD, () => { peer.end(Buffer.alloc(BODY_BYTES, 'x')) }) })
+      peer.on('error', () => {}).once('data', () => { peer.end(HEAD + 'x'.repeat(BODY_BYTES)) })
     }).listen(0, '127.0.0.1')
     await once(server, 'listening')
     const openSocket: typeof connect = (...args: unknown[]) => (socket = connect(...args as Parameters<typeof connect>))
@@ -67,4 +76,15 @@
     await ended
     expect(Buffer.concat(chunks).equals(Buffer.alloc(BODY_BYTES, 'x'))).to.equal(true)
   })
+
+  it('does not keep the read that brought its head once the body in it was read', async () => {
+    collectGarbage()
+    const { arrayBuffers: beforeBytes } = process.memoryUsage()
+    const responses = await Promise.all(Array.from({ length: RESPONSES }, async () => await send({ awaitReadRoom: () => {} })))
+    for (const { body } of responses) body.resume()
+    await clock.sleepMs(QUIET_MS)
+    collectGarbage()
+    expect(process.memoryUsage().arrayBuffers - beforeBytes).to.be.below(RESPONSES * READ_BYTES / 4)
+    for (const { body } of responses) body.destroy()
+  })
 })
