Gateway: a metric of the delay of the event loop

Change: histogram lovagehoist_event_loop_delay_seconds, how late a timer of 250 ms fires. Its length is that of other tasks, so that it adds no wake-ups of its own.

Evidence: eventLoopDelay.spec.ts; gatewayEnds.spec.ts reads both kinds of metrics from a real process.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -3,6 +3,7 @@
 import { CallerServer, gatewayRequestId } from '@lovagehoist/callers'
 import { untilAddressFree } from '@lovagehoist/common'
 import type { Address, LogFields } from '@lovagehoist/common'
+import { createEventLoopDelayTask } from './eventLoopDelay.js'
 import { composeGateway } from './gatewayComponents.js'
 import type { GatewayComponents, GatewayDependencies } from './gatewayComponents.js'
 import { createMemoryWatcher, memoryLimitBytes, registerMemoryMetrics } from './memoryWatcher.js'
@@ -120,7 +121,7 @@
       { address: settings.callers, limits, clock, log: log.child('callers'), describeRequest, handler: components.handler }
     ]) this.callerServers = [...this.callerServers, ...await this.listen(async () => await CallerServer.create(options))]
     if (this.isShuttingDown) return
-    for (const task of [...components.tasks, this.watchMemory()]) {
+    for (const task of [...components.tasks, this.watchMemory(), createEventLoopDelayTask(clock, components.registry)]) {
       runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
     log.info('daemon started', { instanceId: settings.instanceId, zone: settings.availabilityZone, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peers.port, startedAfterMs: Math.round(probe.ageMs()) })
--- a/packages/standins/src/process/gatewayEnds.spec.ts
+++ b/packages/standins/src/process/gatewayEnds.spec.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
+import { request } from 'undici'
 import { SystemClock } from '@lovagehoist/common'
 import { RowStoreStandin } from '../gateway/rowStoreStandin.js'
 import { networkPrefixOf } from '../soak/gateway/soakFleet.js'
@@ -12,6 +13,7 @@
 /** Longer than a start waits for its addresses. */
 const TIMEOUT_MS = 40_000
 const PEER_PORT = 17_210
+const METRICS_PORT = 9_464
 
 /** Guards against processes whose last lines do not tell why they ended. */
 describe('the last lines of a gateway process', () => {
@@ -73,6 +75,15 @@
     expect([gateway.exitCode, lineOf(gateway, 'daemon left').cutExchanges]).to.deep.equal([0, 0])
   })
 
+  it('come with metrics of its memory and of the delay of its event loop', async () => {
+    const gateway = await start(350)
+    await until(() => hasLogged(gateway, 'daemon started'))
+    const text = await (await request(`http://${host}:${METRICS_PORT}/metrics`)).body.text()
+    expect(text).to.match(/^lovagehoist_memory_limit_bytes\{instance="gate"\} 367001600$/m)
+    expect(Number(/^lovagehoist_memory_resident_bytes\{instance="gate"\} (\d+)$/m.exec(text)?.[1])).to.be.above(10_000_000)
+    expect(text).to.match(/^lovagehoist_event_loop_delay_seconds_count\{instance="gate"\} \d+$/m)
+  })
+
   it('name the field of wrong settings', async () => {
     const gateway = await start('much')
     await until(() => gateway.hasExited)
