--- a/packages/callers/src/server/callerConnection.ts
+++ b/packages/callers/src/server/callerConnection.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '@lovagehoist/common'
+import { HalfClosedProbe } from './halfClosedProbe.js'
 
 /** Idle timeout of connections that responses announce to callers in `Keep-Alive`. */
 export const ANNOUNCED_IDLE_MS = 5_000
@@ -113,6 +114,13 @@
     this.announceClose()
   }
 
+  /** Answers the requests in progress of a caller that has ended its half of the connection; the last response ends the other half. */
+  serveHalfClosed (): void {
+    if (this.isClosing || this.inFlight.length === 0) return
+    this.announceClose()
+    HalfClosedProbe.start({ socket: this.socket, clock: this.clock, current: () => this.inFlight[0] })
+  }
+
   /** Closes the connection if it has been idle for longer than announced to the caller. */
   closeIfIdle (): void {
     const idleMs = this.clock.monotonicMs() - this.idleSinceMs
@@ -121,10 +129,11 @@
     this.socket.end()
   }
 
-  /** Destroys the connection with all its exchanges. */
+  /** Destroys the connection with all its exchanges; resets it if that cuts a response off, since an orderly end would complete one without a length. */
   destroy (): void {
     this.isClosing = true
-    this.socket.destroy()
+    if (this.inFlight[0]?.headersSent === true) this.socket.resetAndDestroy()
+    else this.socket.destroy()
   }
 
   private end (response: ServerResponse): void {
--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -28,6 +28,8 @@
   readonly clock: Clock
   readonly handler: RequestHandler
   readonly log: Log
+  /** Whether a caller that ends its half of a connection has left, as where no caller ends one half alone; such callers are answered by default. */
+  readonly isHalfCloseDeparture?: boolean
   /** Names a request whose exchange a drain cuts off; by its method alone if absent. */
   readonly describeRequest?: DescribeRequest
 }
@@ -70,6 +72,8 @@
       requireHostHeader: false
     })
     server.maxConnections = limits.maxConnections
+    // An option of http.Server that Node.js has always had but does not document, so its types lack it.
+    Object.assign(server, { httpAllowHalfOpen: options.isHalfCloseDeparture !== true })
     rejectUnsupported(server)
     const callers = new CallerServer(server, options)
     const app = polka({ server })
@@ -135,6 +139,7 @@
     const connection = CallerConnection.create(socket, this.options.clock)
     this.connections.set(socket, connection)
     socket.once('close', () => { this.connections.delete(socket) })
+    if (this.options.isHalfCloseDeparture !== true) socket.once('end', () => { connection.serveHalfClosed() })
     if (this.isDraining) connection.startDraining()
   }
 
@@ -148,6 +153,7 @@
     if (!connection.beginExchange(response)) return
     this.handle(connection, request, response).catch((error: unknown) => {
       this.options.log.error('request handler failed', { error: String(error) })
+      if (response.headersSent) response.socket?.resetAndDestroy()
       response.destroy()
     })
   }
--- a/packages/callers/src/server/pipelining.spec.ts
+++ b/packages/callers/src/server/pipelining.spec.ts
@@ -21,13 +21,15 @@
 /** Socket buffers of both sides hold several megabytes on loopback. */
 const MAX_FLOOD_BYTES = 16_000_000
 const MAX_TURNS = 200
+/** Time for events on the loopback interface between steps of the clock. */
+const QUIET_TURNS = 30
 
 const requests = (count: number, from = 0): string => Array.from({ length: count }, (_, index) => `GET /${from + index} HTTP/1.1\r\nHost: h\r\n\r\n`).join('')
 
 /** Lets sockets and continuations run. */
-const settle = async (isDone: () => boolean): Promise<void> => {
+const settle = async (isDone: () => boolean, maxTurns = MAX_TURNS): Promise<void> => {
   // eslint-disable-next-line no-restricted-globals -- lets the event loop turn without advancing the manual clock
-  for (let turn = 0; turn < MAX_TURNS && !isDone(); turn++) await new Promise<void>(resolve => { setTimeout(resolve, 1) })
+  for (let turn = 0; turn < maxTurns && !isDone(); turn++) await new Promise<void>(resolve => { setTimeout(resolve, 1) })
 }
 
 describe('requests on one connection', () => {
@@ -36,7 +38,7 @@
   let socket: Socket
   let received: string
   let served: Served[]
-  let handle: (one: Served) => void
+  let handle: (one: Served) => void | Promise<void>
 
   const responseCount = (): number => received.split('HTTP/1.1 200').length - 1
 
@@ -47,7 +49,7 @@
     const handler = async (request: IncomingMessage, response: ServerResponse, exchange: CallerExchange): Promise<void> => {
       const one = { path: request.url ?? '', request, response, exchange }
       served.push(one)
-      handle(one)
+      await handle(one)
     }
     server = await CallerServer.create({ address: { host: '127.0.0.1', port: 0 }, limits: LIMITS, clock, log: silentLog, handler })
     socket = connect(server.port, '127.0.0.1')
@@ -131,15 +133,38 @@
     expect(responseCount()).to.equal(1)
   })
 
-  it('learn of the disconnect of their caller behind an unfinished response', async () => {
+  it('learn at once of the reset of their connection behind an unfinished response', async () => {
     socket.write(requests(2))
     await settle(() => served.length === 2)
     const signals = served.map(({ response }) => disconnectSignalOf(response))
-    socket.destroy()
+    socket.resetAndDestroy()
     await settle(() => signals.every(({ aborted }) => aborted))
     expect(signals.map(({ aborted }) => aborted)).to.deep.equal([true, true])
   })
 
+  it('learn within 500 ms of the disconnect of their caller behind an unfinished response', async () => {
+    socket.write(requests(2))
+    await settle(() => served.length === 2)
+    const signals = served.map(({ response }) => disconnectSignalOf(response))
+    socket.destroy()
+    for (let passedMs = 0; passedMs < 500; passedMs += 100) {
+      await settle(() => signals.every(({ aborted }) => aborted), QUIET_TURNS)
+      await clock.advanceMs(100)
+    }
+    expect(signals.map(({ aborted }) => aborted)).to.deep.equal([true, true])
+  })
+
+  it('do not get a response without a length that looks complete when its handler fails', async () => {
+    handle = async ({ response }) => {
+      response.writeHead(200).write('part')
+      await settle(() => received.includes('part'))
+      throw new Error('failed')
+    }
+    socket.write('GET /0 HTTP/1.0\r\n\r\n')
+    await settle(() => socket.closed)
+    expect([received.includes('part'), received.endsWith('RESET')]).to.deep.equal([true, true])
+  })
+
   it('get the response to a refused body, which a reset would discard', async () => {
     handle = ({ response }) => { response.setHeader('connection', 'close').end('refused') }
     const closed = once(socket, 'close')
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server } from 'node:http'
 import { setMaxListeners } from 'node:events'
 import { CallerServer, gatewayRequestId } from '@lovagehoist/callers'
-import { untilAddressFree } from '@lovagehoist/common'
+import { addressWaitMs, untilAddressFree } from '@lovagehoist/common'
 import type { Address, LogFields } from '@lovagehoist/common'
 import { createEventLoopDelayTask } from './eventLoopDelay.js'
 import { composeGateway } from './gatewayComponents.js'
@@ -115,12 +115,15 @@
     const limits = { maxHeadBytes: MAX_HEAD_BYTES, headTimeoutMs: HEAD_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, maxConnections: Math.max(1, settings.maxDescriptors - RESERVED_DESCRIPTORS) }
     const peerLimits = { ...limits, maxHeadBytes: limits.maxHeadBytes + MAX_FORWARDING_BYTES, maxConnections: MAX_PEER_CONNECTIONS }
     const readiness = await this.listen(async () => await serveReadiness(settings.readiness, readinessPath, () => components.isReady() && !this.isShuttingDown))
-    this.servers = [...readiness, ...await this.startMetrics(metrics)]
-    for (const options of [
-      { address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), describeRequest, handler: components.peerHandler },
-      { address: settings.callers, limits, clock, log: log.child('callers'), describeRequest, handler: components.handler }
-    ]) this.callerServers = [...this.callerServers, ...await this.listen(async () => await CallerServer.create(options))]
-    if (this.isShuttingDown) return
+    const metricsServers = await this.startMetrics(metrics)
+    const peers = await this.listen(async () => await CallerServer.create({ address: settings.peers, limits: peerLimits, clock, log: log.child('peers'), describeRequest, handler: components.peerHandler, isHalfCloseDeparture: true }))
+    const callers = await this.listen(async () => await CallerServer.create({ address: settings.callers, limits, clock, log: log.child('callers'), describeRequest, handler: components.handler }))
+    if (this.isShuttingDown) {
+      for (const server of [...readiness, ...metricsServers, ...peers]) server.close()
+      return
+    }
+    this.servers = [...readiness, ...metricsServers]
+    this.callerServers = [...peers, ...callers]
     for (const task of [...components.tasks, this.watchMemory(), createEventLoopDelayTask(clock, components.registry)]) {
       runTask(task, { clock, log }, this.stopController.signal).catch((error: unknown) => { log.error('background task lost', { error: String(error) }) })
     }
@@ -141,8 +144,8 @@
 
   /** Opens a server once its address is free; returns none when the start has been given up. */
   private async listen <T extends { readonly close: () => unknown }> (open: () => Promise<T>): Promise<readonly T[]> {
-    const { clock, log } = this.dependencies
-    const server = await untilAddressFree(open, { clock, log, stopSignal: this.startController.signal })
+    const { clock, log, settings } = this.dependencies
+    const server = await untilAddressFree(open, { clock, log, stopSignal: this.startController.signal, maxWaitMs: addressWaitMs(settings.bounds.graceMs) })
     if (server !== undefined && !this.isShuttingDown) return [server]
     server?.close()
     return []
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -4,7 +4,7 @@
 import { uptime } from 'node:os'
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { LineSink, SeededRandom, SystemClock, createLog, untilAddressFree } from '@lovagehoist/common'
+import { LineSink, SeededRandom, SystemClock, addressWaitMs, createLog, untilAddressFree } from '@lovagehoist/common'
 import type { Clock, GatewaySettings, Log, LogFields } from '@lovagehoist/common'
 import { openDatagrams } from '@lovagehoist/peers'
 import { PLATFORM_HEADERS, READINESS_PATH, RowStore, SETTINGS_VARIABLE, decodeSettings } from '@lovagehoist/platform'
@@ -33,8 +33,8 @@
   process.exitCode = EXIT_BAD_INPUT
 }
 
-/** Reads the settings, again and again for a while: at the start the platform may still be writing the file. */
-const readInitialSettings = async (readSettings: ReadSettings, clock: Clock, stopSignal: AbortSignal): Promise<Result<GatewaySettings, string>> => {
+/** Reads the settings, again and again for a while: the platform may still be writing the file. */
+const readWholeSettings = async (readSettings: ReadSettings, clock: Clock, stopSignal: AbortSignal): Promise<Result<GatewaySettings, string>> => {
   const giveUpAtMs = clock.monotonicMs() + MAX_SETTINGS_WAIT_MS
   for (;;) {
     const settings = await readSettings()
@@ -63,7 +63,7 @@
 /** Starts a daemon once its addresses are free; undefined when the process is stopped before. */
 const startDaemon = async ({ settings, readSettings, clock, log, stopSignal, signals }: StartOptions): Promise<GatewayDaemon | undefined> => {
   const random = { ...SeededRandom.create(randomInt(SEED_LIMIT)), id: () => randomBytes(ID_BYTES).toString('hex') }
-  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.peers, log.child('peers')), { clock, log, stopSignal })
+  const datagrams = await untilAddressFree(async () => await openDatagrams(settings.peers, log.child('peers')), { clock, log, stopSignal, maxWaitMs: addressWaitMs(settings.bounds.graceMs) })
   if (datagrams === undefined) return undefined
   const store = RowStore.create(settings.store, clock)
   const liveSettings = LiveSettings.create(settings, readSettings, log.child('settings'))
@@ -86,7 +86,7 @@
     reportBadInput(`${SETTINGS_VARIABLE}: expected the path of the settings file`)
     return
   }
-  const readSettings: ReadSettings = async () => {
+  const readOnce: ReadSettings = async () => {
     const text = await readFile(file, 'utf8').catch(() => undefined)
     return text === undefined ? err('expected a readable file') : decodeSettings(text)
   }
@@ -96,7 +96,8 @@
   const clock = SystemClock.create()
   const sink = LineSink.create({ clock, linesPerSecond: MAX_LOG_LINES_PER_SECOND, write: (bytes, done) => { write(STDOUT, bytes, done) } })
   const createProcessLog = (fields: LogFields): Log => createLog({ level: 'info', format: 'json', clock, write: sink.write, fields })
-  const settings = await readInitialSettings(readSettings, clock, stopSignal)
+  const readSettings: ReadSettings = async () => await readWholeSettings(readOnce, clock, stopSignal)
+  const settings = await readSettings()
   if (settings.isErr()) {
     if (stopSignal.aborted) createProcessLog({}).info('stopped before it served', { step: 'settings' })
     else reportBadInput(`${file}: ${settings.error}`)
--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -12,6 +12,7 @@
 const POLL_MS = 1
 const TIMEOUT_MS = 20_000
 const METRICS_PORT = 9_464
+const CALLERS_PORT = 18_381
 /** Longer than a process takes until it reads its settings. */
 const SETTINGS_WRITE_MS = 1_000
 
@@ -30,7 +31,7 @@
       zone: 'a',
       first_start: true,
       limits: { cpu_share: 1, cores: 1, max_fds: 4_096, memory_mb: 350, link_mbps: 1_000 },
-      listen: { front: `${host}:18381`, ready: `${host}:18388` },
+      listen: { front: `${host}:${CALLERS_PORT}`, ready: `${host}:18388` },
       internal_port_range: [17_200, 17_201],
       seeds: [],
       platform: { address: `127.0.0.1:${store.address.port}` },
@@ -85,18 +86,16 @@
   it('waits for its addresses while an earlier process still leaves', async () => {
     const earlier = await start()
     await until(() => hasLogged(earlier, 'daemon started'))
-    earlier.signal('SIGTERM')
-    await until(() => hasLogged(earlier, 'draining'))
     const next = await start()
+    await until(() => hasLogged(next, 'address in use'))
+    earlier.signal('SIGTERM')
     await until(() => hasLogged(next, 'daemon started'))
-    expect([earlier.exitCode, next.exitCode, hasLogged(next, 'address in use')]).to.deep.equal([0, undefined, true])
+    expect([earlier.exitCode, next.exitCode, hasLogged(earlier, 'draining')]).to.deep.equal([0, undefined, true])
   })
 
   it('ends at once, without serving, when it is stopped while it waits for its addresses', async () => {
     const earlier = await start()
     await until(() => hasLogged(earlier, 'daemon started'))
-    earlier.signal('SIGTERM')
-    await until(() => hasLogged(earlier, 'draining'))
     const next = await start()
     await until(() => hasLogged(next, 'address in use'))
     next.signal('SIGTERM')
@@ -104,6 +103,20 @@
     expect([next.exitCode, earlier.hasExited, hasLogged(next, 'daemon started')]).to.deep.equal([0, false, false])
   })
 
+  it('ends at once when it is stopped while only its address for callers is in use', async () => {
+    const taken: Server = createServer()
+    await new Promise<void>(resolve => { taken.listen(CALLERS_PORT, host, () => { resolve() }) })
+    try {
+      const gateway = await start()
+      await until(() => hasLogged(gateway, 'address in use'))
+      gateway.signal('SIGTERM')
+      await until(() => gateway.hasExited)
+      expect([gateway.exitCode, gateway.output.some(line => line.includes('"isServing":true'))]).to.deep.equal([0, false])
+    } finally {
+      taken.close()
+    }
+  })
+
   it('waits for a settings file that is still being written', async () => {
     const gateway = await start()
     const file = join(folder, 'gate.json')
@@ -115,6 +128,21 @@
     expect([gateway.exitCode, hasLogged(gateway, 'daemon started')]).to.deep.equal([undefined, true])
   })
 
+  it('reloads settings that are still being written when the signal arrives', async () => {
+    const gateway = await start()
+    await until(() => hasLogged(gateway, 'daemon started'))
+    const file = join(folder, 'gate.json')
+    const text = (await readFile(file, 'utf8')).replace('"grace_period":"6s"', '"grace_period":"4s"')
+    await writeFile(file, text.slice(0, text.length / 2))
+    gateway.signal('SIGHUP')
+    await clock.sleepMs(SETTINGS_WRITE_MS)
+    await writeFile(file, text)
+    await until(() => hasLogged(gateway, 'settings reloaded') || hasLogged(gateway, 'invalid settings'))
+    gateway.signal('SIGTERM')
+    await until(() => hasLogged(gateway, 'draining'))
+    expect(gateway.output.find(line => line.includes('"message":"draining"'))).to.include('"graceMs":4000')
+  })
+
   it('serves without metrics while their port is taken', async () => {
     const taken: Server = createServer()
     await new Promise<void>(resolve => { taken.listen(METRICS_PORT, host, () => { resolve() }) })
