Soak of the gateway: stage stops, planned stops of real processes beside faults, LOST and FAULT counted from outside

Real processes with the options of the run line. One to three at a time are stopped (SIGKILL after the grace period); half of the next ones start beside the leaving one, some are stopped again or get SIGHUP while they start. Beside that: kills, pauses, targets that leave or whose address is used again, idle connections that targets close, store faults.

--- a/packages/standins/src/gateway/gatewayTarget.ts
+++ b/packages/standins/src/gateway/gatewayTarget.ts
@@ -21,6 +21,8 @@
   readonly atMs: number
   /** Whether the connection closed before the response was complete. */
   isAborted: boolean
+  /** Monotonic time at which the response was complete or its connection closed; undefined before. */
+  endedAtMs?: number
 }
 
 /** A request that reached the target. */
@@ -42,10 +44,12 @@
   /** Share of the requests that are answered in `responseMode`, 0 to 1; the others are answered as in `well`. */
   responseModeShare = 1
   /** Creates the body of a correct response. */
-  responseBodyFor: (requestId: string) => string = () => `from ${this.id}`
+  responseBodyFor: (requestId: string, path?: string) => string = () => `from ${this.id}`
   /** Number of requests received, including refused ones. */
   receivedRequests = 0
   workMs = 2
+  /** Duration of a request's work; `workMs` for all by default. */
+  workMsFor: (path: string) => number = () => this.workMs
   /** Whether a request crashes the target once its work is done, by its path. */
   crashesUnder: (path: string) => boolean = () => false
   /** What a request sees of the crash: its connection closes, or an answer breaks off, or nothing comes any more. */
@@ -98,6 +102,11 @@
     return { service, address: `127.0.0.1:${this.port}`, zone, version: 'v1', slots: 6, state, cold_remaining: '0ms', sequence: 1, born: 1_800_000_000_000 }
   }
 
+  /** Closes the connections that wait for a request. */
+  closeIdleConnections (): void {
+    this.server.closeIdleConnections()
+  }
+
   /** Stops the target at once and closes its connections. */
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
@@ -128,8 +137,11 @@
     }
     const run: TargetRun = { requestId, path: request.url ?? '', body: body.toString(), rawHeaders: request.rawHeaders, deadlineMs: Number(headers[PLATFORM_HEADERS.deadline]), atMs: this.clock.monotonicMs(), isAborted: false }
     this.runs.push(run)
-    response.once('close', () => { if (!response.writableFinished) run.isAborted = true })
-    await this.clock.sleepMs(this.workMs)
+    response.once('close', () => {
+      run.endedAtMs = this.clock.monotonicMs()
+      if (!response.writableFinished) run.isAborted = true
+    })
+    await this.clock.sleepMs(this.workMsFor(run.path))
     if (this.crashedAtMs !== undefined) return
     if (this.crashesUnder(run.path)) {
       await this.crash(response)
@@ -155,7 +167,7 @@
   }
 
   private readonly responders: Readonly<Record<ResponseMode, (request: IncomingMessage, response: ServerResponse) => void>> = {
-    well: ({ headers }, response) => { this.sign(response).writeHead(STATUS_OK).end(this.responseBodyFor(String(headers[PLATFORM_HEADERS.requestId]))) },
+    well: ({ headers, url = '' }, response) => { this.sign(response).writeHead(STATUS_OK).end(this.responseBodyFor(String(headers[PLATFORM_HEADERS.requestId]), url)) },
     error: (_request, response) => { this.sign(response).writeHead(STATUS_FAILED).end('failed') },
     refuse: () => {},
     hang: () => {},
--- a/packages/standins/src/gateway/rowStoreStandin.ts
+++ b/packages/standins/src/gateway/rowStoreStandin.ts
@@ -81,6 +81,16 @@
     this.write(table, key, undefined)
   }
 
+  /** Keeps a copy of all rows; returns the function that goes back to it, as after the loss of the newest writes. */
+  keepCopy (): () => void {
+    const [copy, version] = [new Map(this.rows), this.version]
+    return () => {
+      this.rows.clear()
+      for (const [key, row] of copy) this.rows.set(key, row)
+      this.version = version
+    }
+  }
+
   /** Stops the store at once and closes its connections. */
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
--- a/packages/standins/src/process/gatewayProcess.ts
+++ b/packages/standins/src/process/gatewayProcess.ts
@@ -1,16 +1,36 @@
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
+import { closeSync, openSync } from 'node:fs'
 import { mkdir, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
+import { SystemClock } from '@lovagehoist/common'
 import { SETTINGS_VARIABLE } from '@lovagehoist/platform'
 
 /** Signals that can be sent to a gateway daemon. */
 export type ProcessSignal = 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'
 
+/** How a gateway daemon is started. */
+export interface ProcessOptions {
+  /** Script to run; the built daemon of this workspace when absent. */
+  readonly script?: string
+  /** Options of Node.js. */
+  readonly nodeOptions?: readonly string[]
+  /** File that the output is written into, instead of being kept in memory. */
+  readonly logFile?: string
+}
+
+/** A signal that was sent to a daemon. */
+export interface SentSignal {
+  readonly name: ProcessSignal
+  /** Monotonic time at which it was sent. */
+  readonly atMs: number
+}
+
 const GATEWAY_MAIN = fileURLToPath(new URL('../../../daemon/dist/gateway/entry.js', import.meta.url))
 const MAX_OUTPUT_LINES = 400
+const clock = SystemClock.create()
 
 const runningChildren = new Set<ChildProcess>()
 process.once('exit', () => { for (const child of runningChildren) child.kill('SIGKILL') })
@@ -23,11 +43,16 @@
   hasExited = false
   /** Exit code, or the signal that ended the process; undefined while it runs. */
   exitCode: number | NodeJS.Signals | undefined
+  /** Monotonic time at which the process exited. */
+  exitedAtMs: number | undefined
+  readonly startedAtMs = clock.monotonicMs()
+  readonly sentSignals: SentSignal[] = []
 
-  private constructor (readonly id: string, private readonly child: ChildProcess) {
+  private constructor (readonly id: string, private readonly child: ChildProcess, readonly logFile: string | undefined) {
     this.exited = new Promise(resolve => {
       child.once('exit', (code, signal) => {
         this.hasExited = true
+        this.exitedAtMs = clock.monotonicMs()
         this.exitCode = code ?? signal ?? undefined
         resolve()
       })
@@ -42,16 +67,19 @@
    *
    * @param folder - Folder that the settings file is written into.
    * @param settings - Settings in the platform's format.
+   * @param options - Script, options of Node.js and log file.
    * @returns The process; it may not listen yet.
    */
-  static async create (folder: string, settings: { readonly node_name: string }): Promise<GatewayProcess> {
+  static async create (folder: string, settings: { readonly node_name: string }, { script = GATEWAY_MAIN, nodeOptions = [], logFile }: ProcessOptions = {}): Promise<GatewayProcess> {
     await mkdir(folder, { recursive: true })
     const file = join(folder, `${settings.node_name}.json`)
     await writeFile(file, JSON.stringify(settings))
-    const child = spawn(process.execPath, [GATEWAY_MAIN], { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH, [SETTINGS_VARIABLE]: file } })
+    const output = logFile === undefined ? 'pipe' : openSync(logFile, 'a')
+    const child = spawn(process.execPath, [...nodeOptions, script], { stdio: ['ignore', output, output], env: { PATH: process.env.PATH, [SETTINGS_VARIABLE]: file } })
+    if (typeof output === 'number') closeSync(output)
     runningChildren.add(child)
     child.once('exit', () => { runningChildren.delete(child) })
-    return new GatewayProcess(settings.node_name, child)
+    return new GatewayProcess(settings.node_name, child, logFile)
   }
 
   /** Latest 400 lines of the daemon's output. */
@@ -66,7 +94,9 @@
 
   /** Sends a signal to the daemon unless it has exited. */
   signal (name: ProcessSignal): void {
-    if (!this.hasExited) this.child.kill(name)
+    if (this.hasExited) return
+    this.sentSignals.push({ name, atMs: clock.monotonicMs() })
+    this.child.kill(name)
   }
 
   private appendLine (line: string): void {
--- a/packages/standins/src/soak/gateway/soakFleet.ts
+++ b/packages/standins/src/soak/gateway/soakFleet.ts
@@ -9,7 +9,9 @@
 import { RowStoreStandin } from '../../gateway/rowStoreStandin.js'
 import { TcpProxy } from '../../network/tcpProxy.js'
 import { GatewayProcess } from '../../process/gatewayProcess.js'
+import type { ProcessOptions } from '../../process/gatewayProcess.js'
 import { SoakConfig } from './soakConfig.js'
+import type { SoakRoute } from './soakConfig.js'
 import { FaultPeriods } from './faultPeriods.js'
 import type { SoakLimit } from './limitOracle.js'
 import { CRASH_PREFIX } from './targetOracle.js'
@@ -43,7 +45,11 @@
 /** Size of a soak fleet. */
 export interface SoakSize {
   readonly instances: number
-  readonly targetsPerService: number
+  readonly targetsPerService: number | Readonly<Record<string, number>>
+  /** Routes of all configurations. */
+  readonly routes?: readonly SoakRoute[]
+  /** How the daemons are started; their log files are named after the process. */
+  readonly processOptions?: Omit<ProcessOptions, 'logFile'> & { readonly logFolder?: string }
   /** Memory limit of each daemon. */
   readonly memoryMb?: number
 }
@@ -76,11 +82,16 @@
   readonly limits: SoakLimit[] = []
   /** Targets that have said that they leave. */
   readonly departures: SoakDeparture[] = []
+  /** All processes, in the order of their starts. */
+  readonly processes: GatewayProcess[] = []
+  /** Called for each target that is added. */
+  onTargetAdded: (added: SoakTarget) => void = () => {}
   private nextTarget = 0
+  private nextProcess = 0
   private isFirstStart = true
 
-  private constructor (readonly clock: SystemClock, readonly random: Random, readonly store: RowStoreStandin, private readonly folder: string, private readonly memoryMb: number) {
-    this.config = SoakConfig.create(store, clock)
+  private constructor (readonly clock: SystemClock, readonly random: Random, readonly store: RowStoreStandin, private readonly folder: string, private readonly size: SoakSize) {
+    this.config = SoakConfig.create(store, clock, size.routes)
     this.storeFaultPeriods = FaultPeriods.create(clock.monotonicMs)
   }
 
@@ -93,14 +104,19 @@
    */
   static async create (random: Random, size: SoakSize): Promise<SoakFleet> {
     const clock = SystemClock.create()
-    const fleet = new SoakFleet(clock, random, await RowStoreStandin.create(clock), await mkdtemp(join(tmpdir(), 'soak-')), size.memoryMb ?? LIMITS.memory_mb)
-    for (const service of SERVICES) for (let index = 0; index < size.targetsPerService; index++) await fleet.addTarget(service)
+    const fleet = new SoakFleet(clock, random, await RowStoreStandin.create(clock), await mkdtemp(join(tmpdir(), 'soak-')), size)
+    for (const [service, count] of Object.entries(fleet.targetCounts)) for (let index = 0; index < count; index++) await fleet.addTarget(service)
     fleet.config.publishNextVersion()
     for (let index = 0; index < size.instances; index++) await fleet.addInstance()
     fleet.isFirstStart = false
     return fleet
   }
 
+  private get targetCounts (): Readonly<Record<string, number>> {
+    const { targetsPerService: count } = this.size
+    return typeof count === 'number' ? Object.fromEntries(SERVICES.map(service => [service, count])) : count
+  }
+
   /** Starts a target with its proxy and registers it. */
   async addTarget (service: string): Promise<SoakTarget> {
     const id = `${service}-${this.nextTarget++}`
@@ -112,6 +128,7 @@
     target.crashesUnder = path => path.startsWith(CRASH_PREFIX)
     const soakTarget: SoakTarget = { target, service, zone: ZONES[this.nextTarget % ZONES.length] ?? '', proxy, faultPeriods: FaultPeriods.create(this.clock.monotonicMs), drainedAtMs: undefined }
     target.onCrashed = () => { this.replaceCrashed(soakTarget).catch(() => {}) }
+    this.onTargetAdded(soakTarget)
     this.targets.push(soakTarget)
     this.store.put('servers', id, this.createRow(soakTarget, 'ready'))
     return soakTarget
@@ -199,16 +216,19 @@
     }
   }
 
+  /** Starts another process for an instance, also beside one that still leaves. */
+  async startNext (instance: SoakInstance): Promise<void> {
+    instance.process = await this.startProcess(instance)
+  }
+
   /** Kills the daemons and stops the stand-ins. */
   async close (): Promise<void> {
-    for (const { process: daemon } of this.instances) {
+    for (const daemon of this.processes) {
       daemon.signal('SIGCONT')
       daemon.signal('SIGKILL')
     }
-    await Promise.all(this.instances.map(async ({ process: daemon, storeProxy }) => {
-      await daemon.exited
-      await storeProxy.close()
-    }))
+    await Promise.all(this.processes.map(async ({ exited }) => { await exited }))
+    await Promise.all(this.instances.map(async ({ storeProxy }) => { await storeProxy.close() }))
     await Promise.all([...this.targets, ...this.removedTargets].map(async ({ target, proxy }) => {
       await proxy.close()
       await target.close()
@@ -229,7 +249,7 @@
 
   private async replaceProcess (instance: SoakInstance): Promise<void> {
     await instance.process.exited
-    instance.process = await this.startProcess(instance)
+    await this.startNext(instance)
   }
 
   private createRow ({ target, service, zone, proxy }: SoakTarget, state: 'ready' | 'draining'): Readonly<Record<string, unknown>> {
@@ -237,17 +257,22 @@
   }
 
   private async startProcess ({ id, host, zone, storeProxy }: Pick<SoakInstance, 'id' | 'host' | 'zone' | 'storeProxy'>): Promise<GatewayProcess> {
-    return await GatewayProcess.create(this.folder, {
+    const { memoryMb = LIMITS.memory_mb, processOptions: { logFolder, ...options } = {} } = this.size
+    const logFile = logFolder === undefined ? {} : { logFile: join(logFolder, `${id}-${this.nextProcess++}.log`) }
+    const settings = {
       node_name: id,
       ip: host,
       zone,
       first_start: this.isFirstStart,
-      limits: { ...LIMITS, memory_mb: this.memoryMb },
+      limits: { ...LIMITS, memory_mb: memoryMb },
       listen: { front: `${host}:${PORTS.callers}`, ready: `${host}:${PORTS.readiness}` },
       internal_port_range: [PORTS.peers, PORTS.peers + 1],
       seeds: this.instances.slice(0, 3).map(other => `${other.host}:${PORTS.peers}`),
       platform: { address: `127.0.0.1:${storeProxy.port}` },
       bounds: RETRY_BOUNDS
-    } as { readonly node_name: string })
+    }
+    const started = await GatewayProcess.create(this.folder, settings, { ...options, ...logFile })
+    this.processes.push(started)
+    return started
   }
 }
