--- a/packages/standins/src/process/gatewayProcess.ts
+++ b/packages/standins/src/process/gatewayProcess.ts
@@ -1,7 +1,7 @@
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { closeSync, openSync } from 'node:fs'
-import { mkdir, writeFile } from 'node:fs/promises'
+import { mkdir, readFile, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
@@ -15,8 +15,6 @@
 export interface ProcessOptions {
   /** Script to run; the built daemon of this workspace when absent. */
   readonly script?: string
-  /** Options of Node.js. */
-  readonly nodeOptions?: readonly string[]
   /** File that the output is written into, instead of being kept in memory. */
   readonly logFile?: string
 }
@@ -29,12 +27,18 @@
 }
 
 const GATEWAY_MAIN = fileURLToPath(new URL('../../../daemon/dist/gateway/entry.js', import.meta.url))
+const DEPLOY_FILE = fileURLToPath(new URL('../../../../deploy/system.toml', import.meta.url))
 const MAX_OUTPUT_LINES = 400
 const clock = SystemClock.create()
+/** Bit of SIGHUP in the mask of caught signals, as Linux shows it. */
+const HANGUP_BIT = 1n
 
 const runningChildren = new Set<ChildProcess>()
 process.once('exit', () => { for (const child of runningChildren) child.kill('SIGKILL') })
 
+/** Options that the run line of the deploy file passes to Node.js, which bound its heap. */
+export const deployedNodeOptions = async (): Promise<readonly string[]> => /^run = "node (.*) \S+"$/m.exec(await readFile(DEPLOY_FILE, 'utf8'))?.[1]?.split(' ') ?? []
+
 /** A real gateway daemon in a child process; it is killed when the parent exits. */
 export class GatewayProcess {
   private readonly outputLines: string[] = []
@@ -67,10 +71,11 @@
    *
    * @param folder - Folder that the settings file is written into.
    * @param settings - Settings in the platform's format.
-   * @param options - Script, options of Node.js and log file.
+   * @param nodeOptions - Options of Node.js.
+   * @param options - Script and log file.
    * @returns The process; it may not listen yet.
    */
-  static async create (folder: string, settings: { readonly node_name: string }, { script = GATEWAY_MAIN, nodeOptions = [], logFile }: ProcessOptions = {}): Promise<GatewayProcess> {
+  static async create (folder: string, settings: { readonly node_name: string }, nodeOptions: readonly string[] = [], { script = GATEWAY_MAIN, logFile }: ProcessOptions = {}): Promise<GatewayProcess> {
     await mkdir(folder, { recursive: true })
     const file = join(folder, `${settings.node_name}.json`)
     await writeFile(file, JSON.stringify(settings))
@@ -92,6 +97,12 @@
     return this.child.pid ?? 0
   }
 
+  /** Whether the program has begun to catch signals; before, they end the process. */
+  async catchesSignals (): Promise<boolean> {
+    const status = await readFile(`/proc/${this.pid}/status`, 'utf8').catch(() => '')
+    return (BigInt(`0x${/^SigCgt:\s*(\w+)/m.exec(status)?.[1] ?? '0'}`) & HANGUP_BIT) !== 0n
+  }
+
   /** Sends a signal to the daemon unless it has exited. */
   signal (name: ProcessSignal): void {
     if (this.hasExited) return
--- a/packages/standins/src/soak/gateway/soakFleet.ts
+++ b/packages/standins/src/soak/gateway/soakFleet.ts
@@ -8,7 +8,7 @@
 import { GatewayTarget } from '../../gateway/gatewayTarget.js'
 import { RowStoreStandin } from '../../gateway/rowStoreStandin.js'
 import { TcpProxy } from '../../network/tcpProxy.js'
-import { GatewayProcess } from '../../process/gatewayProcess.js'
+import { GatewayProcess, deployedNodeOptions } from '../../process/gatewayProcess.js'
 import type { ProcessOptions } from '../../process/gatewayProcess.js'
 import { SoakConfig } from './soakConfig.js'
 import type { SoakRoute } from './soakConfig.js'
@@ -50,7 +50,7 @@
   readonly routes?: readonly SoakRoute[]
   /** How the daemons are started; their log files are named after the process. */
   readonly processOptions?: Omit<ProcessOptions, 'logFile'> & { readonly logFolder?: string }
-  /** Memory limit of each daemon. */
+  /** Memory limit of each daemon; with it, the daemons run with the options of the deploy file. */
   readonly memoryMb?: number
 }
 
@@ -90,7 +90,7 @@
   private nextProcess = 0
   private isFirstStart = true
 
-  private constructor (readonly clock: SystemClock, readonly random: Random, readonly store: RowStoreStandin, private readonly folder: string, private readonly size: SoakSize) {
+  private constructor (readonly clock: SystemClock, readonly random: Random, readonly store: RowStoreStandin, private readonly folder: string, private readonly size: SoakSize, private readonly nodeOptions: readonly string[]) {
     this.config = SoakConfig.create(store, clock, size.routes)
     this.storeFaultPeriods = FaultPeriods.create(clock.monotonicMs)
   }
@@ -104,7 +104,7 @@
    */
   static async create (random: Random, size: SoakSize): Promise<SoakFleet> {
     const clock = SystemClock.create()
-    const fleet = new SoakFleet(clock, random, await RowStoreStandin.create(clock), await mkdtemp(join(tmpdir(), 'soak-')), size)
+    const fleet = new SoakFleet(clock, random, await RowStoreStandin.create(clock), await mkdtemp(join(tmpdir(), 'soak-')), size, size.memoryMb === undefined ? [] : await deployedNodeOptions())
     for (const [service, count] of Object.entries(fleet.targetCounts)) for (let index = 0; index < count; index++) await fleet.addTarget(service)
     fleet.config.publishNextVersion()
     for (let index = 0; index < size.instances; index++) await fleet.addInstance()
@@ -271,7 +271,7 @@
       platform: { address: `127.0.0.1:${storeProxy.port}` },
       bounds: RETRY_BOUNDS
     }
-    const started = await GatewayProcess.create(this.folder, settings, { ...options, ...logFile })
+    const started = await GatewayProcess.create(this.folder, settings, this.nodeOptions, { ...options, ...logFile })
     this.processes.push(started)
     return started
   }
--- a/packages/standins/src/soak/gateway/stops/runStopSoak.ts
+++ b/packages/standins/src/soak/gateway/stops/runStopSoak.ts
@@ -46,8 +46,7 @@
   readonly logFolder: string | undefined
 }
 
-/** Options of the run line of the deployment. */
-const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2']
+const MEMORY_MB = 350
 const READINESS_POLL_MS = 1_000
 /** Readiness checks that an instance misses before it gets no more connections. */
 const MAX_MISSES = 2
@@ -129,7 +128,7 @@
 export const runStopSoak = async ({ seed, durationMs, instances, callers: callerCount, script, only, keepsLogs = false, progress }: StopSoakOptions): Promise<StopSoakSummary> => {
   const [random, workRandom] = [SeededRandom.create(seed), SeededRandom.create(seed + 1)]
   const logFolder = await mkdtemp(join(tmpdir(), 'stops-'))
-  const fleet = await SoakFleet.create(random, { instances, targetsPerService: STOP_TARGETS, routes: STOP_ROUTES, processOptions: { nodeOptions: NODE_OPTIONS, logFolder, ...(script === undefined ? {} : { script }) } })
+  const fleet = await SoakFleet.create(random, { instances, targetsPerService: STOP_TARGETS, routes: STOP_ROUTES, memoryMb: MEMORY_MB, processOptions: { logFolder, ...(script === undefined ? {} : { script }) } })
   const { clock } = fleet
   fleet.onTargetAdded = added => { setBehaviour(added, workRandom) }
   for (const soakTarget of fleet.targets) setBehaviour(soakTarget, workRandom)
