Caller server: a shutdown reads what arrived while the process was held up before it closes anything

Callers: connections that were established, with a request sent, were reset without an answer about 3.5 s after a SIGTERM. Cause: the drain stops listening once no connection has come for 500 ms, and closes idle connections, from a timer. In a process that was held up (here for 1.4 s, by a busy machine) timers run before the event loop looks at sockets: what waited in the kernel's queue counted as not come. Test: 'serves a connection that arrived while the process was held up beyond the time for new connections', before: ECONNRESET in 3 of 3 runs; now passes in 3 of 3. Change: each check of the drain follows one turn of the event loop.

--- a/packages/callers/src/server/callerServer.spec.ts
+++ b/packages/callers/src/server/callerServer.spec.ts
@@ -2,7 +2,8 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
-import { createLog } from '@lovagehoist/common'
+import { setImmediate as turn } from 'node:timers/promises'
+import { SystemClock, createLog } from '@lovagehoist/common'
 import { ManualClock } from '@lovagehoist/common/fakes'
 import { CallerServer } from './callerServer.js'
 
@@ -140,6 +141,20 @@
     expect(error.code).to.equal('ECONNREFUSED')
   })
 
+  it('serves a connection that arrived while the process was held up beyond the time for new connections', async () => {
+    const clock = SystemClock.create()
+    const server = await CallerServer.create({ address: { host: '127.0.0.1', port: 0 }, limits: LIMITS, clock, log: createLog({ level: 'error', format: 'json', clock, write: () => {} }), handler: async (_request, response) => { response.end('ok') } })
+    const drained = server.drain({ ...DRAIN, balancerLagMs: 50 })
+    // After this, timers run before the event loop looks for connections.
+    await turn()
+    const late = new RawCaller(connect(server.port, '127.0.0.1'))
+    late.send()
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 100)
+    await late.waitForClose()
+    expect(late.text).to.match(/^HTTP\/1.1 200/)
+    expect(await drained).to.deep.equal({ cutExchanges: 0 })
+  })
+
   it('aborts an exchange that exceeds the limit, and reports it', async () => {
     const harness = await DrainHarness.create()
     harness.holdsResponses = true
--- a/packages/callers/src/server/callerServer.ts
+++ b/packages/callers/src/server/callerServer.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import { setImmediate as turn } from 'node:timers/promises'
 import polka from 'polka'
 import { waitUntilListening } from '@lovagehoist/common'
 import type { Clock, Log, Settings } from '@lovagehoist/common'
@@ -128,7 +129,10 @@
 
   private async pollUntil (limitAtMs: number, isDone: () => boolean): Promise<void> {
     const { clock } = this.options
-    while (!isDone() && clock.monotonicMs() < limitAtMs) {
+    for (;;) {
+      // After a process was held up, its timers run first: connections and requests that arrived meanwhile are read before anything is closed.
+      await turn()
+      if (isDone() || clock.monotonicMs() >= limitAtMs) return
       for (const connection of this.connections.values()) connection.closeIfIdle()
       await clock.sleepMs(DRAIN_POLL_MS)
     }
