Gateway: the first half of a large upload is moved into its buffer without one more copy

Callers saw: uploads of the largest body (64 MiB at a limit of 350 MB) brought the process to its memory limit and over it; a process over its limit is ended.

Cause: a body of known length is collected in chunks until half of it has arrived, and then moved into one buffer; on the way all chunks were joined in a third one, which the budget does not count. Change: each chunk is copied by itself.

Chunks that were moved and bodies that were sent are not counted until they are collected.

--- a/packages/callers/src/accept/readBody.ts
+++ b/packages/callers/src/accept/readBody.ts
@@ -55,8 +55,9 @@
   private joinEarly (): void {
     const { statedBytes } = this
     if (this.whole !== undefined || statedBytes === undefined || statedBytes <= MAX_JOINED_BYTES || this.lengthBytes * 2 < statedBytes) return
-    this.whole = Buffer.allocUnsafeSlow(statedBytes)
-    this.chunks.take().copy(this.whole)
+    const whole = Buffer.allocUnsafeSlow(statedBytes)
+    this.chunks.takeParts().reduce((atByte, part) => atByte + part.copy(whole, atByte), 0)
+    this.whole = whole
   }
 }
 
