--- a/packages/standins/src/soak/gateway/stops/stopOracle.spec.ts
+++ b/packages/standins/src/soak/gateway/stops/stopOracle.spec.ts
@@ -36,7 +36,7 @@
 
   it('reports requests that end without an answer, during a stop and at other times', () => {
     expect(breachKinds({})).to.deep.equal(['lost'])
-    expect(breachKinds({}, [])).to.deep.equal(['lost'])
+    expect(breachKinds({}, [])).to.deep.equal(['unanswered'])
     expect(breachKinds({}, [createRun()], { stopsOf: () => [] })).to.deep.equal(['cut'])
     expect(breachKinds({ sentAtMs: STOP_MS + 3_100, endedAtMs: STOP_MS + 6_000 }, [createRun({ endedAtMs: undefined })])).to.deep.equal(['lost'])
   })
--- a/packages/standins/src/soak/gateway/stops/stopOracle.ts
+++ b/packages/standins/src/soak/gateway/stops/stopOracle.ts
@@ -95,8 +95,7 @@
   return endedAtMs - sentAtMs >= limitMs || !isFaultFree(observed) || isEndOfGrace(observed)
 }
 
-const isCutOff = ({ call: { status, lastByteAtMs = Infinity, endedAtMs }, runs }: ObservedCall): boolean =>
-  status === 0 && (runs.length > 0 || endedAtMs > lastByteAtMs + LOSS_SLACK_MS)
+const isCutOff = ({ call, runs }: ObservedCall): boolean => call.status === 0 && runs.length > 0
 
 const isDuringStop = ({ call, conditions }: ObservedCall): boolean => conditions.stopsOf(call.instanceId).some(stopMs => isWithinStop(stopMs, call.endedAtMs))
 
@@ -104,6 +103,11 @@
 const breachChecks: Readonly<Record<string, (observed: ObservedCall) => boolean>> = {
   lost: observed => isCutOff(observed) && isDuringStop(observed) && !isExcused(observed),
   cut: observed => isCutOff(observed) && !isDuringStop(observed) && !isExcused(observed),
+  // Breaks the rule if the process has read the request, which cannot be seen from outside.
+  unanswered: observed => {
+    const { call: { status, lastByteAtMs = Infinity, endedAtMs }, runs } = observed
+    return status === 0 && runs.length === 0 && endedAtMs > lastByteAtMs + LOSS_SLACK_MS && !isExcused(observed)
+  },
   replaced: observed => {
     const { call: { status, isSigned }, runs } = observed
     return status >= STATUS_BAD_GATEWAY && !isSigned && runs.some(({ isAborted }) => isAborted) && isDuringStop(observed) && !isExcused(observed)
