Caller connections: a late head behind pipelined requests that were answered ends the connection

A connection on which requests had once been pipelined counted as one with requests in progress for ever. A late head on it was left alone although nothing was due; once the head was complete, its request was ignored, and neither Node.js nor the end of the caller closed the connection: a descriptor that is never freed, and a drain that waits for its limit.

--- a/packages/callers/src/server/lateHeads.spec.ts
+++ b/packages/callers/src/server/lateHeads.spec.ts
@@ -24,6 +24,7 @@
   beforeEach(async () => {
     served = 0
     text = ''
+    release = () => {}
     callers = await CallerServer.create({
       address: { host: '127.0.0.1', port: 0 },
       limits: LIMITS,
@@ -31,7 +32,13 @@
       log: silentLog,
       handler: async (_request, response) => {
         served++
-        await new Promise<void>(resolve => { release = resolve })
+        const releaseEarlier = release
+        await new Promise<void>(resolve => {
+          release = () => {
+            releaseEarlier()
+            resolve()
+          }
+        })
         response.end('ok')
       }
     })
@@ -65,4 +72,18 @@
     await once(caller, 'end')
     expect([served, text.split('\r\n')[0], /connection: close/i.test(text)]).to.deep.equal([1, 'HTTP/1.1 200 OK', true])
   })
+
+  it('behind pipelined requests that were answered does not leave its connection open for ever', async () => {
+    caller.write(REQUEST + REQUEST)
+    await pause(SETTLE_MS)
+    release()
+    await pause(SETTLE_MS)
+    caller.write('POST /y HT')
+    await pause(SETTLE_MS)
+    reportLateHead()
+    caller.write('TP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n')
+    caller.end()
+    await pause(SETTLE_MS)
+    expect([served, callers.connectionCount]).to.deep.equal([2, 0])
+  })
 })
--- a/packages/callers/src/server/rejectUnsupported.ts
+++ b/packages/callers/src/server/rejectUnsupported.ts
@@ -9,9 +9,6 @@
   readonly code?: string
 }
 
-/** Exchange in progress on a connection; `several` when requests are pipelined. */
-type CurrentExchange = IncomingMessage | 'several'
-
 const MALFORMED: Problem = { kind: 'malformed-request', verdict: 'not-run', detail: 'the request is not well-formed HTTP/1.1' }
 const UPGRADE: Problem = { ...MALFORMED, detail: 'CONNECT and Upgrade are not served' }
 const EXPECTATION: Problem = { ...MALFORMED, detail: 'the only expectation that is served is 100-continue' }
@@ -54,15 +51,16 @@
  * @param server - HTTP server for callers.
  */
 export const rejectUnsupported = (server: Server): void => {
-  const currentExchanges = new WeakMap<Duplex, CurrentExchange>()
+  /** Requests in progress on each connection; several when they are pipelined. */
+  const requestsInProgress = new WeakMap<Duplex, Set<IncomingMessage>>()
   server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
-    const { socket } = request
-    currentExchanges.set(socket, currentExchanges.has(socket) ? 'several' : request)
-    response.once('close', () => { if (currentExchanges.get(socket) === request) currentExchanges.delete(socket) })
+    const requests = requestsInProgress.get(request.socket) ?? new Set()
+    requestsInProgress.set(request.socket, requests.add(request))
+    response.once('close', () => { requests.delete(request) })
   })
   server.on('clientError', (error: ParserError, socket: Duplex) => {
-    const exchange = currentExchanges.get(socket)
-    const canRespond = exchange === undefined || (exchange !== 'several' && !exchange.complete)
+    const [first, ...others] = requestsInProgress.get(socket) ?? []
+    const canRespond = first === undefined || (others.length === 0 && !first.complete)
     // The head of a further request is late; earlier ones are still answered.
     if (!canRespond && error.code === REQUEST_TIMEOUT) return
     if (!canRespond || !socket.writable || error.code === 'ECONNRESET') {
