Gateway: room that comes free while a response is parsed does not break off two of them and stop all reads

The HTTP client parses one response at a time in the whole process, and asserts so when another is resumed. Room for a read was granted from within the data event of a response that was being parsed: the resume threw, that response broke off, the granted one was never read on, and the budget, which was in the middle of granting, granted no read any more until the process ended. The read is now started in a microtask.

The test failed before with assert(currentParser === null).

--- a/packages/targets/src/connections/exchange.ts
+++ b/packages/targets/src/connections/exchange.ts
@@ -180,7 +180,8 @@
     const { controller, options: { request: { awaitReadRoom } } } = this
     if (controller?.paused !== true) return
     if (awaitReadRoom === undefined) controller.resume()
-    else awaitReadRoom(() => { controller.resume() })
+    // Room may come free while the HTTP client parses another response; it can't parse two at once.
+    else awaitReadRoom(() => { queueMicrotask(() => { if (this.stage === 'answering') controller.resume() }) })
   }
 
   /** Passes on what one read of the socket has brought, once all of it has been parsed. */
--- a/packages/targets/src/connections/unreadResponses.spec.ts
+++ b/packages/targets/src/connections/unreadResponses.spec.ts
@@ -87,4 +87,24 @@
     expect(process.memoryUsage().arrayBuffers - beforeBytes).to.be.below(RESPONSES * READ_BYTES / 4)
     for (const { body } of responses) body.destroy()
   })
+
+  it('is read on to its end when room comes free while another response is being received', async () => {
+    const waiting: Array<() => void> = []
+    let isRoomFree = false
+    const behind = await send({ awaitReadRoom: read => { if (isRoomFree) queueMicrotask(read); else waiting.push(read) } })
+    const failures: unknown[] = []
+    let behindBytes = 0
+    behind.body.on('error', error => { failures.push(error) }).on('data', (chunk: Buffer) => { behindBytes += chunk.length })
+    await clock.sleepMs(QUIET_MS)
+    const other = await send()
+    let otherBytes = 0
+    other.body.on('error', error => { failures.push(error) }).on('data', (chunk: Buffer) => {
+      otherBytes += chunk.length
+      isRoomFree = otherBytes > BODY_BYTES / 2
+      if (isRoomFree) for (const read of waiting.splice(0)) read()
+    })
+    await clock.sleepMs(2 * QUIET_MS)
+    expect([failures.map(String), behindBytes, behind.body.readableEnded, other.body.readableEnded]).to.deep.equal([[], BODY_BYTES, true, true])
+    for (const { body } of [behind, other]) body.destroy()
+  })
 })
