Callers that end their half of a connection: a process that was held up does not take them for gone at its first look

An answer in progress was reset when the first probe came 400 ms late or more, since it asked for two probes that found more written. The number of probes decides now, not the time.

--- a/packages/callers/src/server/halfClosed.spec.ts
+++ b/packages/callers/src/server/halfClosed.spec.ts
@@ -116,6 +116,24 @@
     expect([received.match(/more/g)?.length, received.endsWith('last\r\n0\r\n\r\n')]).to.deep.equal([4, true])
   })
 
+  it('get the rest of an answer in progress when the process is held up', async () => {
+    socket.write(REQUEST)
+    await settle(() => served.length === 1)
+    served[0]?.response.write('begun')
+    await settle(() => received.endsWith('begun\r\n'))
+    socket.end()
+    await settle(() => false, QUIET_TURNS)
+    clock.jumpMs(1_000)
+    // The timer that is due runs before what the target has sent meanwhile is read.
+    await clock.advanceMs(0)
+    served[0]?.response.write('more')
+    await settle(() => false, QUIET_TURNS)
+    await advance(400, () => { served[0]?.response.write('more') })
+    served[0]?.response.end('last')
+    await settle(() => socket.readableEnded)
+    expect([received.match(/more/g)?.length, received.endsWith('last\r\n0\r\n\r\n')]).to.deep.equal([5, true])
+  })
+
   it('count as gone at once where no party ends only its half', async () => {
     socket.destroy()
     server.close()
--- a/packages/callers/src/server/halfClosedProbe.ts
+++ b/packages/callers/src/server/halfClosedProbe.ts
@@ -13,8 +13,8 @@
 /** Answers that are ready before need no probe. */
 const FIRST_DELAY_MS = 100
 const MAX_DELAY_MS = 1_000
-/** Time after the caller's end in which an answer that had begun before must show that the caller reads. */
-const DECISION_MS = 400
+/** Probes, 400 ms in all, in which an answer that had begun before must show that the caller reads; a process that was held up has made fewer by then. */
+const DECISION_PROBES = 3
 /** A reset that answers the first write is reported by the second. */
 const DECIDING_WRITES = 2
 
@@ -25,18 +25,17 @@
  * with a reset, which only the write after them reports: the socket then closes.
  */
 export class HalfClosedProbe {
-  private readonly startedAtMs: number
   /** Response that had begun before the caller's end: it can't be followed by an interim response, and it may pause for long. */
   private readonly begun: ServerResponse | undefined
   private writtenBytes: number
+  private probes = 0
   /** Probes that found more written than the one before. */
   private writes = 0
   private cancelTimer: CancelTimer = () => {}
 
   private constructor (private readonly connection: HalfClosedConnection) {
-    const { socket, clock, current } = connection
+    const { socket, current } = connection
     const first = current()
-    this.startedAtMs = clock.monotonicMs()
     this.begun = first?.headersSent === true ? first : undefined
     this.writtenBytes = socket.bytesWritten
     socket.once('close', () => { this.cancelTimer() })
@@ -51,13 +50,9 @@
     new HalfClosedProbe(connection).startTimer()
   }
 
-  private get elapsedMs (): number {
-    return this.connection.clock.monotonicMs() - this.startedAtMs
-  }
-
-  /** The delay doubles up to its limit. */
+  /** The time since the start doubles with each probe, up to the limit of the delay. */
   private startTimer (): void {
-    const delayMs = Math.min(MAX_DELAY_MS, Math.max(FIRST_DELAY_MS, this.elapsedMs))
+    const delayMs = Math.min(MAX_DELAY_MS, FIRST_DELAY_MS * 2 ** Math.max(0, this.probes - 1))
     this.cancelTimer = this.connection.clock.after(delayMs, () => { this.probe() })
   }
 
@@ -67,7 +62,8 @@
     if (response === undefined) return
     if (!response.headersSent && allowsInterim(response)) response.writeContinue()
     this.countWrites()
-    if (response === this.begun && !response.writableEnded && this.elapsedMs >= DECISION_MS && this.writes < DECIDING_WRITES) {
+    this.probes++
+    if (response === this.begun && !response.writableEnded && this.probes >= DECISION_PROBES && this.writes < DECIDING_WRITES) {
       // An orderly end could make the answer look complete.
       socket.resetAndDestroy()
       return
