--- a/packages/targets/src/connections/unreadResponses.spec.ts
+++ b/packages/targets/src/connections/unreadResponses.spec.ts
@@ -15,6 +15,7 @@
 const BODY_BYTES = 40 * READ_BYTES
 const HEAD = `HTTP/1.1 200 OK\r\ncontent-length: ${BODY_BYTES}\r\n\r\n`
 const QUIET_MS = 300
+const MAX_WAIT_MS = 5_000
 const RESPONSES = 100
 
 const collectGarbage = (): void => {
@@ -103,7 +104,7 @@
       isRoomFree = otherBytes > BODY_BYTES / 2
       if (isRoomFree) for (const read of waiting.splice(0)) read()
     })
-    await clock.sleepMs(2 * QUIET_MS)
+    for (let waitedMs = 0; waitedMs < MAX_WAIT_MS && !(behind.body.readableEnded && other.body.readableEnded); waitedMs += 10) await clock.sleepMs(10)
     expect([failures.map(String), behindBytes, behind.body.readableEnded, other.body.readableEnded]).to.deep.equal([[], BODY_BYTES, true, true])
     for (const { body } of [behind, other]) body.destroy()
   })
