--- a/packages/targets/src/connections/unreadResponses.spec.ts
+++ b/packages/targets/src/connections/unreadResponses.spec.ts
@@ -15,6 +15,7 @@
 const BODY_BYTES = 40 * READ_BYTES
 const HEAD = `HTTP/1.1 200 OK\r\ncontent-length: ${BODY_BYTES}\r\n\r\n`
 const QUIET_MS = 300
+const MAX_WAIT_MS = 5_000
 const RESPONSES = 100
 
 const collectGarbage = (): void => {
@@ -87,4 +88,24 @@
     expect(process.memoryUsage().arrayBuffers - beforeBytes).to.be.below(RESPONSES * READ_BYTES / 4)
     for (const { body } of responses) body.destroy()
   })
+
+  it('is read on to its end when room comes free while another response is being received', async () => {
+    const waiting: Array<() => void> = []
+    let isRoomFree = false
+    const behind = await send({ awaitReadRoom: read => { if (isRoomFree) queueMicrotask(read); else waiting.push(read) } })
+    const failures: unknown[] = []
+    let behindBytes = 0
+    behind.body.on('error', error => { failures.push(error) }).on('data', (chunk: Buffer) => { behindBytes += chunk.length })
+    await clock.sleepMs(QUIET_MS)
+    const other = await send()
+    let otherBytes = 0
+    other.body.on('error', error => { failures.push(error) }).on('data', (chunk: Buffer) => {
+      otherBytes += chunk.length
+      isRoomFree = otherBytes > BODY_BYTES / 2
+      if (isRoomFree) for (const read of waiting.splice(0)) read()
+    })
+    for (let waitedMs = 0; waitedMs < MAX_WAIT_MS && !(behind.body.readableEnded && other.body.readableEnded); waitedMs += 10) await clock.sleepMs(10)
+    expect([failures.map(String), behindBytes, behind.body.readableEnded, other.body.readableEnded]).to.deep.equal([[], BODY_BYTES, true, true])
+    for (const { body } of [behind, other]) body.destroy()
+  })
 })
