--- a/packages/standins/src/process/gatewayStart.spec.ts
+++ b/packages/standins/src/process/gatewayStart.spec.ts
@@ -1,5 +1,6 @@
+import { once } from 'node:events'
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
-import { createServer } from 'node:net'
+import { connect, createServer } from 'node:net'
 import type { Server } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -86,11 +87,15 @@
   it('waits for its addresses while an earlier process still leaves', async () => {
     const earlier = await start()
     await until(() => hasLogged(earlier, 'daemon started'))
-    const next = await start()
-    await until(() => hasLogged(next, 'address in use'))
+    // An idle connection keeps the earlier process for most of its grace period.
+    const idle = connect({ host, port: CALLERS_PORT })
+    await once(idle, 'connect')
     earlier.signal('SIGTERM')
+    await until(() => hasLogged(earlier, 'draining'))
+    const next = await start()
     await until(() => hasLogged(next, 'daemon started'))
-    expect([earlier.exitCode, next.exitCode, hasLogged(earlier, 'draining')]).to.deep.equal([0, undefined, true])
+    idle.destroy()
+    expect([earlier.exitCode, next.exitCode, hasLogged(next, 'address in use')]).to.deep.equal([0, undefined, true])
   })
 
   it('ends at once, without serving, when it is stopped while it waits for its addresses', async () => {
