--- a/packages/standins/src/soak/gateway/stops/stopOracle.ts
+++ b/packages/standins/src/soak/gateway/stops/stopOracle.ts
@@ -73,7 +73,7 @@
 const STABILITY_WINDOW_MS = 3_000
 const LOSS_SLACK_MS = 200
 const STATUS_OK = 200
-const STATUS_BAD_GATEWAY = 500
+const FIRST_SERVER_ERROR = 500
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 /** Response body of a service for a request. */
@@ -110,7 +110,7 @@
   },
   replaced: observed => {
     const { call: { status, isSigned }, runs } = observed
-    return status >= STATUS_BAD_GATEWAY && !isSigned && runs.some(({ isAborted }) => isAborted) && isDuringStop(observed) && !isExcused(observed)
+    return status >= FIRST_SERVER_ERROR && !isSigned && runs.some(({ isAborted }) => isAborted) && isDuringStop(observed) && !isExcused(observed)
   },
   'double-run': ({ call, runs }) => !call.isIdempotent && runs.length > 1,
   'false-not-run': ({ call, runs }) => !call.isIdempotent && !call.isSigned && NOT_RUN_STATUSES.has(call.status) && runs.length > 0,
