--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -85,7 +85,7 @@
       isDue = true
       finish()
     }, Math.min(30_000, Number(query.get('wait_ms') ?? 0)))
-    request.socket.once('close', () => {
+    response.once('close', () => {
       clearTimeout(timer)
       this.waiting.delete(finish)
     })
