--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -11,6 +11,7 @@
   /** Decides what happens to a call: undefined, or 'silent', 'busy' or 'reset'. */
   faultOf = () => undefined
   calls = []
+  doors = new Map()
 
   static async start (host) {
     const store = new Store()
@@ -22,6 +23,18 @@
     return store
   }
 
+  /** Another address of the store, for one machine; the store can turn its calls away. */
+  async openDoor (name) {
+    const server = http.createServer((request, response) => { this.handle(request, response, name) })
+    server.keepAliveTimeout = 60_000
+    await new Promise(resolve => { server.listen(0, this.host, resolve) })
+    this.doors.set(name, server)
+    return `${this.host}:${server.address().port}`
+  }
+
+  /** Ends the calls of one machine that are open. */
+  cutDoor (name) { this.doors.get(name).closeAllConnections() }
+
   get address () { return `${this.host}:${this.port}` }
 
   put (table, key, value) { this.write(table, key, Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64')) }
@@ -37,11 +50,11 @@
     for (const wake of [...this.waiting]) wake()
   }
 
-  handle (request, response) {
+  handle (request, response, door) {
     const url = new URL(request.url, 'http://store')
     const from = request.socket.remoteAddress
     this.calls.push({ atMs: performance.now(), from, path: url.pathname, query: url.search })
-    const fault = this.faultOf(from, url)
+    const fault = this.faultOf(door, url)
     if (fault === 'silent') return
     if (fault === 'reset') {
       request.socket.resetAndDestroy()
@@ -116,7 +129,9 @@
   }
 
   close () {
-    this.server.close()
-    this.server.closeAllConnections()
+    for (const server of [this.server, ...this.doors.values()]) {
+      server.close()
+      server.closeAllConnections()
+    }
   }
 }
