--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -2,7 +2,7 @@
 import { appendFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { networkOf, withFolder, Gateway } from './gateway.mjs'
+import { Gateway, choosePorts, networkOf, withFolder } from './gateway.mjs'
 import { Store } from './store.mjs'
 import { Upstream } from './upstream.mjs'
 
@@ -82,10 +82,11 @@
   try {
     const isBroken = await withFolder(async folder => {
       const network = networkOf(process.pid)
+      const ports = await choosePorts(`${network}.2`)
       const store = await Store.start('127.0.0.1')
       closers.push(() => { store.close() })
       const addGateway = async (name, zone, more = {}) => {
-        const gateway = await Gateway.create({ folder, name, ip: `${network}.${gateways.length + 2}`, zone, storeAddress: store.address, logs: process.env.LOGS, ...more })
+        const gateway = await Gateway.create({ folder, name, ip: `${network}.${gateways.length + 2}`, zone, storeAddress: store.address, logs: process.env.LOGS, ports, ...more })
         gateways.push(gateway)
         return gateway
       }
--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -3,6 +3,7 @@
 import { createWriteStream } from 'node:fs'
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import http from 'node:http'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -31,8 +32,18 @@
 /** Loopback network of a run, different for runs at the same time. */
 export const networkOf = pid => `127.${20 + pid % 200}.${1 + Math.floor(pid / 200) % 250}`
 
-/** Port of a run, the same for all daemons; it is free since the run has a network of its own. */
-const PORTS = { front: 8381, ready: 8388, internal: 7200 }
+const listenAnywhere = async host => await new Promise((resolve, reject) => {
+  const server = createServer()
+  server.once('error', reject).listen(0, host, () => { resolve(server) })
+})
+
+/** Chooses free ports for a run, the same for all daemons; each daemon has an address of its own. */
+export const choosePorts = async host => {
+  const servers = [await listenAnywhere(host), await listenAnywhere(host), await listenAnywhere(host)]
+  const [front, ready, internal] = servers.map(server => server.address().port)
+  for (const server of servers) server.close()
+  return { front, ready, internal }
+}
 
 export const runCommand = async () => {
   const text = await readFile(join(ROOT, 'deploy/system.toml'), 'utf8')
@@ -42,9 +53,9 @@
 export class Gateway {
   lives = []
 
-  static async create ({ folder, name, ip, zone, zones = [zone], storeAddress, limits = {}, bounds = {}, seeds = [], logs }) {
+  static async create ({ folder, name, ip, zone, zones = [zone], storeAddress, limits = {}, bounds = {}, seeds = [], logs, ports = { front: 8381, ready: 8388, internal: 7200 } }) {
     const gateway = new Gateway()
-    Object.assign(gateway, { folder, name, ip, zone, logs, front: `${ip}:${PORTS.front}`, file: join(folder, `${name}.json`) })
+    Object.assign(gateway, { folder, name, ip, zone, logs, ports, front: `${ip}:${ports.front}`, file: join(folder, `${name}.json`) })
     gateway.settings = {
       node_name: name,
       role: 'gateway',
@@ -54,8 +65,8 @@
       zone,
       region: 'region',
       zones: Object.fromEntries(zones.map(each => [each, 'region'])),
-      listen: { front: gateway.front, ready: `${ip}:${PORTS.ready}` },
-      internal_port_range: [PORTS.internal, PORTS.internal + 15],
+      listen: { front: gateway.front, ready: `${ip}:${ports.ready}` },
+      internal_port_range: [ports.internal, ports.internal + 15],
       seeds,
       first_start: true,
       counted_in_tolerance: false,
@@ -95,7 +106,7 @@
 
   async isReady () {
     return await new Promise(resolve => {
-      const request = http.get({ host: this.ip, port: PORTS.ready, path: '/readiness', timeout: 500, agent: false }, response => {
+      const request = http.get({ host: this.ip, port: this.ports.ready, path: '/readiness', timeout: 500, agent: false }, response => {
         response.resume()
         resolve(response.statusCode === 200)
       })
