--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,75 +1,78 @@
-// An upstream reports that it drains. Then the store performs an earlier beat of the same upstream, whose answer was lost: its entry says "ready" again, with a lower sequence.
+// Three zones lose two machines each for good, all at once. Then a request that crashes the upstreams that run it comes again and again, at the others.
 import { HAS_TROUBLE, HOST, RegisteredUpstream, STABILITY_MS, configOf, routeOf, runCase, sleep } from '../lib-2/case.mjs'
 import { ask } from '../lib-2/gateway.mjs'
 
-const ZONE = 'bp-a'
+const ZONES = ['bp-a', 'bp-b', 'bp-c']
 const SERVICE = 'beszerzes'
-const MACHINES = 4
-const UPSTREAMS = 5
-const DRAIN_PERIOD_MS = 2_000
-const BEAT_MS = 1_500
-/** The store loses answers of writes for this time, and performs such writes this much later. */
-const LOST_FOR_MS = 4_500
-const LATE_BY_MS = 6_000
-/** Time from the drain until the late write is performed. */
-const LATE_AFTER_DRAIN_MS = 1_600
-const WATCH_MS = 7_000
-const LOAD_GAP_MS = 15
+const MACHINES_PER_ZONE = 4
+const LOST_PER_ZONE = 2
+const UPSTREAMS = 12
+const DOWN_MS = 2_000
+const CALM_MS = 8_000
+const AFTER_LOSS_MS = 12_000
+const ATTEMPTS = 15
+const ATTEMPT_GAP_MS = 1_500
+const LOAD_GAP_MS = 30
+const MAX_LATE_RETRIES = 3
+const CALLER = '127.0.0.1'
 
 await runCase(import.meta.dirname, async ({ store, record, addGateway, onClose }) => {
-  let drainedAtMs = Infinity
-  const late = []
-  const onRun = (run, { name }) => {
-    if (name !== 'u0' || run.atMs <= drainedAtMs + DRAIN_PERIOD_MS) return
-    late.push(run.id)
-    record(`request ${run.id} runs at the draining upstream ${run.upstream}, ${Math.round(run.atMs - drainedAtMs)} ms after the store accepted the drain`)
+  const arrivals = []
+  const crashes = []
+  const lost = []
+  const onRun = (run, upstream) => {
+    if (!run.path.endsWith('/crash')) return
+    arrivals.push(run)
+    record(`request ${run.id} runs at upstream ${run.upstream}`)
+    setTimeout(() => {
+      crashes.push(performance.now())
+      record(`upstream ${run.upstream} crashes under request ${run.id}; crashes so far: ${crashes.length}`)
+      upstream.crash(DOWN_MS).catch(error => { record(`an upstream could not start again: ${error}`) })
+    }, 20)
   }
-  const upstreams = []
   for (let index = 0; index < UPSTREAMS; index++) {
-    const upstream = await RegisteredUpstream.start(store, '127.0.0.1', SERVICE, ZONE, `u${index}`, onRun)
-    upstream.upstream.workMs = () => 60
+    const upstream = await RegisteredUpstream.start(store, '127.0.0.1', SERVICE, ZONES[index % ZONES.length], `u${index}`, onRun)
+    upstream.upstream.workMs = () => 100
     onClose(async () => { await upstream.close() })
-    upstreams.push(upstream)
   }
-  const [leaving] = upstreams
-  store.put('op', 'config', configOf(1, [routeOf('order', 'unsafe', SERVICE)], [SERVICE]))
+  store.put('op', 'config', configOf(1, [routeOf('order', 'unsafe', SERVICE), routeOf('menu', 'safe', SERVICE)], [SERVICE]))
   const gateways = []
-  for (let index = 1; index <= MACHINES; index++) gateways.push(await addGateway(`edge-bp-a-${index}`, ZONE))
+  for (const zone of ZONES) for (let index = 1; index <= MACHINES_PER_ZONE; index++) gateways.push(await addGateway(`edge-${zone}-${index}`, zone, { zones: ZONES }))
   await Promise.all(gateways.map(async gateway => { await gateway.start() }))
   await Promise.all(gateways.map(async gateway => { await gateway.untilReady() }))
   record(`${gateways.length} machines are ready`)
 
+  const staying = gateways.filter(({ name }) => Number(name.split('-').at(-1)) > LOST_PER_ZONE)
   let next = 0
-  let served = 0
   const timer = setInterval(() => {
-    const id = `order-${next++}`
-    ask({ front: gateways[next % gateways.length].front, host: HOST, id, path: `/order/${id}`, method: 'POST', body: 'order' })
-      .then(({ status, error }) => { if (status === 200) served++; else record(`request ${id} is answered with ${status ?? error}`) })
+    const id = `load-${next++}`
+    const isOrder = next % 2 === 0
+    ask({ front: staying[next % staying.length].front, host: HOST, id, path: `/${isOrder ? 'order' : 'menu'}/${id}`, method: isOrder ? 'POST' : 'GET', ...(isOrder ? { body: 'order' } : {}), localAddress: CALLER })
+      .then(({ status, error }) => { if (status !== 200) lost.push(`${id} ${isOrder ? 'unsafe' : 'safe'} ${status ?? error}`) })
   }, LOAD_GAP_MS)
-  await sleep(4_000)
-
-  record(`answers to writes are lost for ${LOST_FOR_MS} ms`)
-  await sleep(LOST_FOR_MS - 100)
+  await sleep(CALM_MS)
   if (HAS_TROUBLE) {
-    const { upstream, id } = leaving
-    const entry = upstream.row(SERVICE, ZONE, 'ready')
-    record(`upstream ${id} beats with sequence ${entry.sequence}; it gets no answer`)
-    setTimeout(() => {
-      store.put('servers', id, entry)
-      record(`the store performs that write, ${LATE_BY_MS} ms late: ready, sequence ${entry.sequence}`)
-    }, LATE_BY_MS)
+    const leaving = gateways.filter(gateway => !staying.includes(gateway))
+    for (const gateway of leaving) gateway.kill()
+    record(`lost for good: ${leaving.map(({ name }) => name).join(' ')}`)
+  }
+  await sleep(AFTER_LOSS_MS)
+
+  const retries = []
+  for (let index = 0; index < ATTEMPTS; index++) {
+    // Five times in a row in each zone.
+    const zone = Math.floor(index * ZONES.length / ATTEMPTS)
+    const gateway = staying[zone * (MACHINES_PER_ZONE - LOST_PER_ZONE) + index % (MACHINES_PER_ZONE - LOST_PER_ZONE)]
+    const id = `crash-${index}`
+    const before = arrivals.length
+    const thirdAtMs = crashes[2]
+    const { sentAtMs, status, error } = await ask({ front: gateway.front, host: HOST, id, path: '/order/crash', method: 'POST', body: 'the same body', localAddress: CALLER })
+    record(`request ${id} sent to ${gateway.name} is answered with ${status ?? error}`)
+    if (arrivals.length > before && thirdAtMs !== undefined && sentAtMs > thirdAtMs + STABILITY_MS) retries.push(id)
+    await sleep(Math.max(0, sentAtMs + ATTEMPT_GAP_MS - performance.now()))
   }
-  await sleep(100)
-  record('the store is sound again')
-  await sleep(LATE_BY_MS - 100 - LATE_AFTER_DRAIN_MS)
-  clearInterval(leaving.timer)
-  leaving.state = 'draining'
-  leaving.beat()
-  drainedAtMs = performance.now()
-  leaving.timer = setInterval(() => { leaving.beat() }, BEAT_MS)
-  record(`the store has been without impairment for ${LATE_BY_MS - 100 - LATE_AFTER_DRAIN_MS} ms (${STABILITY_MS} ms make it stable); it accepts that upstream ${leaving.id} drains, sequence ${leaving.upstream.sequence - 1}`)
-  await sleep(WATCH_MS)
   clearInterval(timer)
-  record(`${next} requests sent, ${served} served; ${late.length} reached the draining upstream later than ${DRAIN_PERIOD_MS} ms after the drain`)
-  return late.length > 0
+  record(`of ${next} other requests ${lost.length} were not served: ${lost.join(', ')}`)
+  record(`upstreams crashed ${crashes.length} times; retries that reached upstreams later than ${STABILITY_MS} ms after the third crash: ${retries.length} (${retries.join(' ')}), allowed: ${MAX_LATE_RETRIES}`)
+  return retries.length > MAX_LATE_RETRIES
 })
