--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -1,6 +1,5 @@
 // What the scripts of all cases share: the record, a configuration, and upstreams that beat as PROTOCOL.md describes.
 import { appendFileSync, writeFileSync } from 'node:fs'
-import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Gateway, choosePorts, networkOf, withFolder } from './gateway.mjs'
 import { Store } from './store.mjs'
@@ -61,9 +60,8 @@
   }
 }
 
-/** Runs a case in a folder of its own and exits with its result; ends all processes that it started. */
-export const runCase = async (caseFolder, play) => {
-  const file = join(caseFolder, 'record.txt')
+/** Runs a case, with its record in the given file and settings in a folder of its own, and exits with its result; ends all processes that it started. */
+export const runCase = async (file, play) => {
   const startedAtMs = performance.now()
   const record = text => { appendFileSync(file, `${((performance.now() - startedAtMs) / 1_000).toFixed(3)} ${text}\n`) }
   writeFileSync(file, `case of ${new Date().toISOString()}, ${HAS_TROUBLE ? 'with' : 'without'} the disruption\n`)
